Serve a call end to end by separate processes

Change: a workspace with the shared types, the signed bundle, the platform's reader, a first dispatcher, both binaries, stand-ins and a demo with fifteen entry processes and 29 targets of the Mongolian deployment.

--- /dev/null
+++ b/packages/bundle/src/index.ts
@@ -0,0 +1,38 @@
+/** The bundle: its model, its published form and its signatures. */
+
+export type {
+	Bundle,
+	CallerClassShare,
+	DataCentre,
+	Distance,
+	Idempotency,
+	MeasuringBudget,
+	RetryBudget,
+	Service,
+	ServiceLimits,
+	Target,
+} from './model/bundle.js';
+export {parseBundle} from './model/parse-bundle.js';
+export type {
+	Manifest,
+	ManifestSignature,
+	Part,
+	PartReference,
+	PublishedBundle,
+	SignedManifest,
+} from './published/published-bundle.js';
+export {splitBundle, type SplitBundle} from './published/split-bundle.js';
+export {joinBundle, type PartSource} from './published/join-bundle.js';
+export {parseSignedManifest} from './published/manifest-schema.js';
+export {
+	generateKeyPair,
+	parsePrivateKey,
+	parsePublicKey,
+	type KeyPairText,
+	type TrustedKey,
+	type TrustPolicy,
+} from './signing/signer-key.js';
+export {signManifest} from './signing/sign-manifest.js';
+export {verifyManifest} from './signing/verify-manifest.js';
+export {getCanonicalText, getDigest} from './utils/canonical.js';
+export {describeIssues} from './utils/describe-issues.js';
--- /dev/null
+++ b/packages/bundle/src/published/manifest-schema.ts
@@ -0,0 +1,72 @@
+/** The shape of a signed manifest, as it is read from the platform or a peer. */
+
+import {
+	makeId,
+	type Digest,
+	type ServiceName,
+	type SignerName,
+} from '@bilberryscale/core';
+import {Err, Ok, type Result} from 'ts-results-es';
+import {z} from 'zod';
+import {
+	dataCentreSchema,
+	distanceSchema,
+	versionSchema,
+} from '../model/bundle-schema.js';
+import {describeIssues} from '../utils/describe-issues.js';
+import type {SignedManifest} from './published-bundle.js';
+
+const digestPattern = /^[\da-f]{64}$/v;
+
+const partSchema = z.strictObject({
+	service: z
+		.string()
+		.min(1)
+		.transform((value) => makeId<ServiceName>(value)),
+	digest: z
+		.string()
+		.regex(digestPattern)
+		.transform((value) => makeId<Digest>(value)),
+});
+
+const signatureSchema = z.strictObject({
+	signer: z
+		.string()
+		.min(1)
+		.transform((value) => makeId<SignerName>(value)),
+	signature: z.base64(),
+});
+
+const signedManifestSchema = z.strictObject({
+	manifest: z.strictObject({
+		version: versionSchema,
+		dataCentres: z.array(dataCentreSchema).min(1),
+		distances: z.array(distanceSchema),
+		parts: z.array(partSchema).min(1),
+	}),
+	signatures: z.array(signatureSchema),
+});
+
+/**
+ * Reads a signed manifest; its signatures are not verified here.
+ *
+ * @param text - The JSON text.
+ * @param label - Where it came from, for messages.
+ * @returns The manifest, or every fault that was found.
+ */
+export function parseSignedManifest(
+	text: string,
+	label: string,
+): Result<SignedManifest, readonly string[]> {
+	let document: unknown;
+	try {
+		document = JSON.parse(text);
+	} catch {
+		return Err([`${label}: is not JSON; ${text.length} characters`]);
+	}
+
+	const checked = signedManifestSchema.safeParse(document);
+	return checked.success
+		? Ok(checked.data)
+		: Err(describeIssues(label, checked.error, document));
+}
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,3 @@
+/** The operators' tool. */
+
+export {runCommandLine} from './command-line.js';
--- /dev/null
+++ b/packages/core/src/clock/system-clock.ts
@@ -0,0 +1,20 @@
+/** The machine's own clock. */
+
+import {performance} from 'node:perf_hooks';
+import type {Clock} from './clock.js';
+
+/** The clock of the machine; its timers keep the process alive. */
+export const systemClock: Clock = {
+	monotonicMs() {
+		return performance.now();
+	},
+	now() {
+		return new Date();
+	},
+	schedule(delayMs, action) {
+		const timer = setTimeout(action, delayMs);
+		return () => {
+			clearTimeout(timer);
+		};
+	},
+};
--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,24 @@
+/** What all packages share: ids, time, errors, randomness and names. */
+
+export type {Branded} from './ids/brand.js';
+export type * from './ids/ids.js';
+export {makeId} from './ids/make-id.js';
+export type {Cancellation, Clock} from './clock/clock.js';
+export {systemClock} from './clock/system-clock.js';
+export {ManualClock} from './clock/manual-clock.js';
+export {errorKinds, type ErrorKind} from './errors/error-kind.js';
+export type {RunState} from './errors/run-state.js';
+export {notRun, perhapsRun, type Failure} from './errors/failure.js';
+export {answerTable, type ErrorAnswer} from './errors/answer-table.js';
+export {makeSeededRandom, type RandomSource} from './random/random-source.js';
+export {callerHeaders, targetHeaders} from './protocol/header-names.js';
+export {
+	getPartValueName,
+	manifestValueName,
+} from './protocol/platform-names.js';
+export {
+	auditKinds,
+	type AuditEvent,
+	type AuditKind,
+	type AuditSink,
+} from './audit/audit-event.js';
--- /dev/null
+++ b/packages/daemon/src/bin/bilberryscaled.ts
@@ -0,0 +1,87 @@
+#!/usr/bin/env node
+/** The entry process. */
+
+import process from 'node:process';
+import {systemClock} from '@bilberryscale/core';
+import {cac} from 'cac';
+import {EntryHost} from '../context/entry-host.js';
+import {loadSettings} from '../settings/load-settings.js';
+
+type Flags = {
+	readonly settings?: string;
+	readonly checkSettings?: boolean;
+};
+
+const badSettingsCode = 2;
+const overdueCode = 3;
+
+const program = cac('bilberryscaled');
+program
+	.command('', 'Run the entry process of this host')
+	.option('--settings <file>', 'The settings file (TOML)')
+	.option('--check-settings', 'Check the settings file and exit')
+	.action(run);
+program.help();
+program.version('0.1.0');
+program.parse();
+
+async function run(flags: Flags): Promise<void> {
+	if (flags.settings === undefined) {
+		fail(['--settings: the settings file is missing']);
+		return;
+	}
+
+	const loaded = loadSettings(flags.settings);
+	if (loaded.isErr()) {
+		fail(loaded.error);
+		return;
+	}
+
+	if (flags.checkSettings) {
+		process.stdout.write(`${flags.settings}: ok\n`);
+		return;
+	}
+
+	const host = new EntryHost({
+		loaded: loaded.value,
+		clock: systemClock,
+		seed: Date.now(),
+	});
+	stopOnSignals(host, loaded.value.settings.limits.shutdownMs);
+	await host.start();
+}
+
+function stopOnSignals(host: EntryHost, shutdownMs: number): void {
+	let isStopping = false;
+	const stop = async () => {
+		if (isStopping) {
+			process.stderr.write('bilberryscaled: second signal, requests are cut\n');
+			process.exit(overdueCode);
+		}
+
+		isStopping = true;
+		systemClock.schedule(shutdownMs, () => {
+			process.stderr.write(
+				`bilberryscaled: not done after ${shutdownMs} ms, requests are cut\n`,
+			);
+			process.exit(overdueCode);
+		});
+		await host.stop();
+		process.exit(0);
+	};
+
+	process.on('SIGTERM', () => {
+		void stop();
+	});
+	process.on('SIGINT', () => {
+		void stop();
+	});
+}
+
+function fail(messages: readonly string[]): void {
+	for (const message of messages) {
+		process.stderr.write(`${message}\n`);
+	}
+
+	process.exitCode = badSettingsCode;
+}
--- /dev/null
+++ b/packages/daemon/src/context/entry-host.ts
@@ -0,0 +1,170 @@
+/** The one context of an entry process: it builds and owns all objects. */
+
+import {
+	makeId,
+	makeSeededRandom,
+	notRun,
+	type Clock,
+	type Failure,
+	type IncarnationId,
+} from '@bilberryscale/core';
+import {PlatformClient} from '@bilberryscale/platform';
+import {uuidv7} from 'uuidv7';
+import {AuditTrail} from '../audit/audit-trail.js';
+import {BundleStore} from '../bundle-store/bundle-store.js';
+import {BundleWatch} from '../bundle-store/bundle-watch.js';
+import {CallDesk} from '../dispatch/call-desk.js';
+import {makeCallerServer} from '../http/caller-server.js';
+import {makeLogger} from '../logging/make-logger.js';
+import {
+	makeOperatorServer,
+	type HostStatus,
+} from '../operators/operator-server.js';
+import {makeCallPipeline} from '../pipeline/order.js';
+import type {LoadedSettings} from '../settings/load-settings.js';
+import {ConnectionPools} from '../upstream/connection-pools.js';
+
+const auditCapacity = 10_000;
+const platformTimeoutMs = 2000;
+const assumedHostCount = 16;
+
+/** What an entry host is built from. */
+export type EntryHostOptions = {
+	readonly loaded: LoadedSettings;
+	readonly clock: Clock;
+	readonly seed: number;
+};
+
+/** An entry host: its servers, its watch and its state. */
+export class EntryHost {
+	readonly #options: EntryHostOptions;
+	readonly #incarnation = makeId<IncarnationId>(uuidv7());
+	readonly #log;
+	readonly #audit;
+	readonly #desk;
+	readonly #pools;
+	readonly #platform;
+	readonly #store;
+	readonly #watch;
+	readonly #callers;
+	readonly #operators;
+	#isShuttingDown = false;
+
+	/**
+	 * @param options - The checked settings, the clock and the seed.
+	 */
+	constructor(options: EntryHostOptions) {
+		this.#options = options;
+		const {clock} = options;
+		const {settings, trust} = options.loaded;
+		this.#log = makeLogger(settings, this.#incarnation);
+		this.#audit = new AuditTrail({
+			host: settings.host,
+			incarnation: this.#incarnation,
+			clock,
+			capacity: auditCapacity,
+			publish: (record) => {
+				this.#log.info('audit', record);
+			},
+		});
+		this.#desk = new CallDesk({clock, random: makeSeededRandom(options.seed)});
+		this.#pools = new ConnectionPools({
+			localAddress: settings.callers.address,
+			getHostCount: () => assumedHostCount,
+		});
+		this.#platform = new PlatformClient({
+			addresses: settings.platform.addresses,
+			localAddress: settings.callers.address,
+			timeoutMs: platformTimeoutMs,
+		});
+		this.#store = new BundleStore({
+			trust,
+			audit: (event) => {
+				this.#audit.add(event);
+			},
+			onAdopted: (bundle) => {
+				this.#desk.setBundle(bundle);
+			},
+		});
+		this.#watch = new BundleWatch({
+			platform: this.#platform,
+			store: this.#store,
+			clock,
+			log: this.#log,
+		});
+		this.#callers = makeCallerServer({
+			pipeline: makeCallPipeline({
+				desk: this.#desk,
+				pools: this.#pools,
+				clock,
+				bodyIdleMs: settings.limits.bodyIdleMs,
+			}),
+			clock,
+			log: this.#log,
+			headerBytes: settings.limits.headerBytes,
+			getClosedFailure: () => this.#getClosedFailure(),
+		});
+		this.#operators = makeOperatorServer({
+			token: settings.operators.token,
+			getStatus: () => this.#getStatus(),
+			getAudit: (fromSequence) => this.#audit.getRecords(fromSequence),
+		});
+	}
+
+	/** Starts to listen and to watch. */
+	async start(): Promise<void> {
+		const {callers, operators} = this.#options.loaded.settings;
+		this.#audit.add({
+			kind: 'process-started',
+			subject: this.#incarnation,
+			cause: 'start',
+		});
+		await this.#operators.listen({
+			host: operators.address,
+			port: operators.port,
+		});
+		await this.#callers.listen({host: callers.address, port: callers.port});
+		this.#watch.start();
+	}
+
+	/** Stops taking work, finishes every request and closes. */
+	async stop(): Promise<void> {
+		this.#isShuttingDown = true;
+		this.#auditShutdown('no new work is taken');
+		this.#watch.stop();
+		await this.#callers.close();
+		this.#auditShutdown('every request has its whole answer');
+		await this.#pools.close();
+		await this.#platform.close();
+		await this.#operators.close();
+	}
+
+	#auditShutdown(cause: string): void {
+		this.#audit.add({
+			kind: 'shutdown-step',
+			subject: this.#incarnation,
+			cause,
+		});
+	}
+
+	#getClosedFailure(): Failure | undefined {
+		if (this.#isShuttingDown) {
+			return notRun('shutting-down', 'This host is shutting down.');
+		}
+
+		return this.#store.bundle === undefined
+			? notRun('not-ready', 'This host has no bundle yet.')
+			: undefined;
+	}
+
+	#getStatus(): HostStatus {
+		const {host, dataCentre} = this.#options.loaded.settings;
+		return {
+			host,
+			incarnation: this.#incarnation,
+			dataCentre,
+			isReady: this.#getClosedFailure() === undefined,
+			bundleVersion: this.#store.bundle?.version,
+		};
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/operators/operator-server.ts
@@ -0,0 +1,63 @@
+/** The server that operators and the platform's balancer talk to. */
+
+import {Buffer} from 'node:buffer';
+import {timingSafeEqual} from 'node:crypto';
+import {fastify, type FastifyInstance} from 'fastify';
+import type {AuditRecord} from '../audit/audit-trail.js';
+
+/** What a host says of itself. */
+export type HostStatus = {
+	readonly host: string;
+	readonly incarnation: string;
+	readonly dataCentre: string;
+	readonly isReady: boolean;
+	readonly bundleVersion: number | undefined;
+};
+
+/** What the server works with. */
+export type OperatorServerOptions = {
+	readonly token: string;
+	readonly getStatus: () => HostStatus;
+	readonly getAudit: (fromSequence: number) => readonly AuditRecord[];
+};
+
+const unauthorized = 401;
+const unavailable = 503;
+
+/**
+ * Makes the server; it does not listen yet.
+ *
+ * @param options - Who may ask and what is answered.
+ * @returns The server.
+ */
+export function makeOperatorServer(
+	options: OperatorServerOptions,
+): FastifyInstance {
+	const server = fastify({logger: false});
+	server.addHook('onRequest', async (request, reply) => {
+		const isOpen = request.url === '/ready';
+		if (!isOpen && !isAuthorized(request.headers.authorization, options)) {
+			await reply
+				.code(unauthorized)
+				.send({error: 'an operator token is needed'});
+		}
+	});
+	server.get('/ready', async (_request, reply) => {
+		const {isReady} = options.getStatus();
+		return reply.code(isReady ? 200 : unavailable).send({isReady});
+	});
+	server.get('/status', async () => options.getStatus());
+	server.get<{Querystring: {from?: string}}>('/audit', async (request) =>
+		options.getAudit(Number(request.query.from ?? 0)),
+	);
+	return server;
+}
+
+function isAuthorized(
+	header: string | undefined,
+	options: OperatorServerOptions,
+): boolean {
+	const expected = Buffer.from(`Bearer ${options.token}`);
+	const given = Buffer.from(header ?? '');
+	return given.length === expected.length && timingSafeEqual(given, expected);
+}
--- /dev/null
+++ b/packages/daemon/src/pipeline/exchange.ts
@@ -0,0 +1,87 @@
+/** One call on its way through the pipeline. */
+
+import {type Buffer} from 'node:buffer';
+import type {IncomingHttpHeaders} from 'node:http';
+import type {Readable} from 'node:stream';
+import type {
+	CallerClass,
+	Failure,
+	IdempotencyKey,
+	RequestId,
+} from '@bilberryscale/core';
+import type {ServiceDispatcher, TargetState} from '@bilberryscale/decisions';
+import type {Result} from 'ts-results-es';
+
+/** The call as it came in. */
+export type IncomingCall = {
+	readonly requestId: RequestId;
+	readonly method: string;
+	/** The path and the query as the caller wrote them. */
+	readonly url: string;
+	readonly headers: IncomingHttpHeaders;
+	readonly body: Readable;
+	/** When the head of the request was read, on the monotonic clock. */
+	readonly receivedAtMs: number;
+	/** Aborts when the caller has gone. */
+	readonly signal: AbortSignal;
+};
+
+/** What the call asks for, found out by the identify filter. */
+export type CallIdentity = {
+	readonly dispatcher: ServiceDispatcher;
+	readonly callerClass: CallerClass;
+	readonly isIdempotent: boolean;
+	readonly key: IdempotencyKey | undefined;
+	/** The path and the query for the target. */
+	readonly targetPath: string;
+	/** The deadline on the monotonic clock, in milliseconds. */
+	readonly deadlineMs: number;
+};
+
+/** The head of an answer and its body, still to be streamed. */
+export type Answer = {
+	readonly status: number;
+	readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+	readonly body: Readable | Buffer;
+};
+
+/** The end of a filter: an answer to pass on, or why there is none. */
+export type FilterResult = Result<Answer, Failure>;
+
+/** One call and what the filters found out about it. */
+export class Exchange {
+	readonly incoming: IncomingCall;
+	/** The request's body once it is wholly read; undefined while it streams. */
+	bodyBytes: Buffer | undefined;
+	/** The target of the current attempt. */
+	target: TargetState | undefined;
+	#identity: CallIdentity | undefined;
+
+	/**
+	 * @param incoming - The call as it came in.
+	 */
+	constructor(incoming: IncomingCall) {
+		this.incoming = incoming;
+	}
+
+	/** Keeps what the identify filter found out. */
+	setIdentity(identity: CallIdentity): void {
+		this.#identity = identity;
+	}
+
+	/**
+	 * Gets what the identify filter found out.
+	 *
+	 * @returns The identity.
+	 * @throws Error if the identify filter has not run.
+	 */
+	getIdentityOrThrow(): CallIdentity {
+		if (this.#identity === undefined) {
+			throw new Error(
+				`The call ${this.incoming.requestId} was not identified before this filter.`,
+			);
+		}
+
+		return this.#identity;
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/pipeline/filters/attempt.ts
@@ -0,0 +1,76 @@
+/** Takes a target and sends; sends again where that is safe. */
+
+import {notRun, type Clock, type TargetId} from '@bilberryscale/core';
+import type {Call} from '@bilberryscale/decisions';
+import {Err} from 'ts-results-es';
+import type {CallDesk} from '../../dispatch/call-desk.js';
+import type {Exchange, FilterResult} from '../exchange.js';
+import type {Filter} from '../filter.js';
+
+/** What the filter works with. */
+export type AttemptOptions = {
+	readonly desk: CallDesk;
+	readonly clock: Clock;
+};
+
+/**
+ * Makes the filter that takes a target for each attempt.
+ *
+ * @param options - Where targets come from.
+ * @returns The filter.
+ */
+export function makeAttemptFilter(options: AttemptOptions): Filter {
+	return async (exchange, next) => {
+		const {dispatcher} = exchange.getIdentityOrThrow();
+		const triedTargets: TargetId[] = [];
+		const {attempts} = dispatcher.service.retry;
+		let result: FilterResult = Err(notRun('no-target', 'Nothing was tried.'));
+		for (let attempt = 0; attempt < attempts; attempt++) {
+			const call = makeCall(exchange, triedTargets);
+			const acquired = await options.desk.acquire(
+				dispatcher,
+				call,
+				exchange.incoming.signal,
+			);
+			if (acquired.isErr()) {
+				return attempt === 0 ? acquired : result;
+			}
+
+			exchange.target = acquired.value;
+			triedTargets.push(acquired.value.target.id);
+			result = await next();
+			if (!mayTryAgain(exchange, result, options.clock)) {
+				return result;
+			}
+		}
+
+		return result;
+	};
+}
+
+function makeCall(exchange: Exchange, triedTargets: TargetId[]): Call {
+	const identity = exchange.getIdentityOrThrow();
+	return {
+		requestId: exchange.incoming.requestId,
+		callerClass: identity.callerClass,
+		isIdempotent: identity.isIdempotent,
+		deadlineMs: identity.deadlineMs,
+		triedTargets: [...triedTargets],
+	};
+}
+
+function mayTryAgain(
+	exchange: Exchange,
+	result: FilterResult,
+	clock: Clock,
+): boolean {
+	const {isIdempotent, deadlineMs} = exchange.getIdentityOrThrow();
+	if (result.isOk() || exchange.incoming.signal.aborted) {
+		return false;
+	}
+
+	return (
+		clock.monotonicMs() < deadlineMs &&
+		(isIdempotent || result.error.ran === 'not-run')
+	);
+}
--- /dev/null
+++ b/packages/peers/src/index.ts
@@ -0,0 +1,3 @@
+/** The protocol between entry hosts. */
+
+export type {PeerAddress} from './membership/peer-address.js';
--- /dev/null
+++ b/packages/peers/src/membership/peer-address.ts
@@ -0,0 +1,11 @@
+/** Where the process on another entry host listens for its peers. */
+
+import type {HostId} from '@bilberryscale/core';
+
+/** The address of a peer. */
+export type PeerAddress = {
+	readonly host: HostId;
+	/** The IP number. */
+	readonly address: string;
+	readonly port: number;
+};
--- /dev/null
+++ b/packages/standins/src/cluster/cluster.ts
@@ -0,0 +1,257 @@
+/** Runs a whole deployment as processes on this machine. */
+
+import fs from 'node:fs';
+import os from 'node:os';
+import path from 'node:path';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {fileURLToPath} from 'node:url';
+import {
+	AddressPlan,
+	ports,
+	type EntryPlace,
+	type TargetPlace,
+} from '../deployment/address-plan.js';
+import type {Deployment} from '../deployment/deployment.js';
+import {makeBundle} from '../deployment/make-bundle.js';
+import type {BalancedEntry, LoadPlan} from '../load/load-plan.js';
+import {PlatformStandin} from '../platform/platform-standin.js';
+import {readRunLog, type RunRecord} from '../target/run-log.js';
+import {Child} from './child.js';
+import {getEntrySettings} from './entry-settings.js';
+import {OperatorDesk} from './operator-desk.js';
+
+/** What a cluster is made from. */
+export type ClusterOptions = {
+	readonly deployment: Deployment;
+	readonly entryCount: number;
+	readonly seed: number;
+};
+
+const distFolder = path.join(
+	path.dirname(fileURLToPath(import.meta.url)),
+	'..',
+);
+const daemonFile = path.join(
+	distFolder,
+	'../../daemon/dist/bin/bilberryscaled.js',
+);
+const operatorToken = 'operators-of-this-run';
+const readyPollMs = 50;
+const readyTimeoutMs = 20_000;
+const stopTimeoutMs = 20_000;
+
+/** The processes, the platform and the operators of one run. */
+export class Cluster {
+	readonly platform = new PlatformStandin();
+	readonly operators = new OperatorDesk(['first-operator', 'second-operator']);
+	readonly entries: readonly EntryPlace[];
+	readonly targets: readonly TargetPlace[];
+	readonly folder: string;
+	readonly #options: ClusterOptions;
+	readonly #plan: AddressPlan;
+	readonly #children = new Map<string, Child>();
+	#version = 0;
+
+	private constructor(options: ClusterOptions, plan: AddressPlan) {
+		this.#options = options;
+		this.#plan = plan;
+		this.folder = fs.mkdtempSync(path.join(os.tmpdir(), 'bilberryscale-'));
+		this.entries = Array.from({length: options.entryCount}, (_, index) =>
+			plan.getEntry(options.deployment, index),
+		);
+		this.targets = plan.getTargets(options.deployment);
+	}
+
+	/**
+	 * Starts everything and waits until every entry host is ready.
+	 *
+	 * @param options - The deployment and its size.
+	 * @returns The running cluster.
+	 */
+	static async start(options: ClusterOptions): Promise<Cluster> {
+		const cluster = new Cluster(options, await AddressPlan.claim());
+		await cluster.#startAll();
+		return cluster;
+	}
+
+	/** Gets the entry hosts as the balancer knows them. */
+	get balanced(): readonly BalancedEntry[] {
+		return this.entries.map(({address}) => ({
+			callersUrl: `http://${address}:${ports.callers}`,
+			readyUrl: `http://${address}:${ports.operators}/ready`,
+		}));
+	}
+
+	/**
+	 * Rolls a bundle with the next version.
+	 *
+	 * @param out - The data centres that are out.
+	 */
+	roll(out: readonly string[] = []): void {
+		this.#version++;
+		const {deployment} = this.#options;
+		const {targets} = this;
+		this.operators.roll(
+			this.platform,
+			makeBundle({deployment, targets, version: this.#version, out}),
+		);
+	}
+
+	/**
+	 * Starts a load in a process of its own.
+	 *
+	 * @param plan - The load; entry hosts and addresses are filled in.
+	 * @returns The process and the file with the record of each call.
+	 */
+	startLoad(plan: Pick<LoadPlan, 'services' | 'durationMs' | 'seed'>): {
+		child: Child;
+		historyFile: string;
+	} {
+		const historyFile = path.join(this.folder, 'calls.jsonl');
+		const whole: LoadPlan = {
+			...plan,
+			entries: this.balanced,
+			localAddress: this.#plan.callers,
+			historyFile,
+		};
+		const planFile = this.#write('load.json', JSON.stringify(whole));
+		const child = this.#spawn('load', [
+			path.join(distFolder, 'bin/load.js'),
+			planFile,
+		]);
+		return {child, historyFile};
+	}
+
+	/** Gets what the targets logged so far. */
+	getRuns(): RunRecord[] {
+		return readRunLog(path.join(this.folder, 'runs.jsonl'));
+	}
+
+	/**
+	 * Gets the process of an entry host.
+	 *
+	 * @param host - The host.
+	 * @returns The process.
+	 * @throws Error if there is none.
+	 */
+	getChildOrThrow(host: string): Child {
+		const child = this.#children.get(host);
+		if (child === undefined) {
+			throw new Error(`No process "${host}" was started.`);
+		}
+
+		return child;
+	}
+
+	/**
+	 * Starts the process of an entry host, also again.
+	 *
+	 * @param place - The host.
+	 */
+	startEntry(place: EntryPlace): void {
+		const settings = getEntrySettings({
+			place,
+			platform: this.#plan.platform,
+			trusted: this.operators.trusted,
+			threshold: 2,
+			token: operatorToken,
+		});
+		const file = this.#write(`${place.host}.toml`, settings);
+		this.#spawn(place.host, [daemonFile, '--settings', file]);
+	}
+
+	/** Waits until every entry host is ready. */
+	async waitUntilReady(): Promise<void> {
+		await Promise.all(
+			this.balanced.map(async ({readyUrl}) => waitForReady(readyUrl)),
+		);
+	}
+
+	/** Ends every process and removes the files. */
+	async stop(): Promise<void> {
+		const children = [...this.#children.values()];
+		for (const child of children) {
+			child.kill('SIGTERM');
+		}
+
+		const timer = setTimeout(() => {
+			for (const child of children) {
+				child.kill('SIGKILL');
+			}
+		}, stopTimeoutMs);
+		await Promise.all(children.map(async (child) => child.waitForEnd()));
+		clearTimeout(timer);
+		await this.platform.close();
+		this.#plan.release();
+		fs.rmSync(this.folder, {recursive: true, force: true});
+	}
+
+	async #startAll(): Promise<void> {
+		await this.platform.listen(this.#plan.platform);
+		this.platform.setHosts(
+			this.entries.map(({host, dataCentre, address}) => ({
+				id: host,
+				dataCentre,
+				address,
+				peerPort: ports.peers,
+				state: 'live',
+			})),
+		);
+		this.roll();
+		await this.#startTargets();
+		for (const place of this.entries) {
+			this.startEntry(place);
+		}
+
+		await this.waitUntilReady();
+	}
+
+	async #startTargets(): Promise<void> {
+		const file = this.#write(
+			'targets.json',
+			JSON.stringify({
+				deployment: this.#options.deployment.name,
+				places: this.targets,
+				seed: this.#options.seed,
+				logFile: path.join(this.folder, 'runs.jsonl'),
+			}),
+		);
+		const child = this.#spawn('targets', [
+			path.join(distFolder, 'bin/targets.js'),
+			file,
+		]);
+		await child.waitForOutput('ready');
+	}
+
+	#spawn(name: string, args: readonly string[]): Child {
+		const child = new Child(name, args, path.join(this.folder, `${name}.log`));
+		this.#children.set(name, child);
+		return child;
+	}
+
+	#write(name: string, text: string): string {
+		const file = path.join(this.folder, name);
+		fs.writeFileSync(file, text);
+		return file;
+	}
+}
+
+async function waitForReady(url: string): Promise<void> {
+	const endAtMs = Date.now() + readyTimeoutMs;
+	while (!(await isReady(url))) {
+		if (Date.now() > endAtMs) {
+			throw new Error(`${url}: not ready after ${readyTimeoutMs} ms.`);
+		}
+
+		await sleep(readyPollMs);
+	}
+}
+
+async function isReady(url: string): Promise<boolean> {
+	try {
+		const answer = await fetch(url);
+		return answer.ok;
+	} catch {
+		return false;
+	}
+}
--- /dev/null
+++ b/packages/standins/src/cluster/entry-settings.ts
@@ -0,0 +1,42 @@
+/** Writes the settings of an entry process. */
+
+import {stringify} from 'smol-toml';
+import {
+	ports,
+	type Endpoint,
+	type EntryPlace,
+} from '../deployment/address-plan.js';
+
+/** A signer whose key the entry hosts trust. */
+export type TrustedSigner = {
+	readonly signer: string;
+	readonly publicKey: string;
+};
+
+/** What the settings are made from. */
+export type EntrySettingsPlan = {
+	readonly place: EntryPlace;
+	readonly platform: Endpoint;
+	readonly trusted: readonly TrustedSigner[];
+	readonly threshold: number;
+	readonly token: string;
+};
+
+/**
+ * Gets the settings of an entry process.
+ *
+ * @param plan - Where the process runs and whom it trusts.
+ * @returns The settings in TOML.
+ */
+export function getEntrySettings(plan: EntrySettingsPlan): string {
+	const {place, platform, trusted, threshold, token} = plan;
+	const {address} = place;
+	return stringify({
+		host: place.host,
+		dataCentre: place.dataCentre,
+		callers: {address, port: ports.callers},
+		operators: {address, port: ports.operators, token},
+		platform: {addresses: [`http://${platform.address}:${platform.port}`]},
+		trust: {threshold, keys: trusted},
+	});
+}
--- /dev/null
+++ b/packages/standins/src/cluster/summary.ts
@@ -0,0 +1,78 @@
+/** Sums up the calls of a run. */
+
+import {build, type Histogram} from 'hdr-histogram-js';
+import type {CallRecord} from '../load/load-plan.js';
+import type {RunRecord} from '../target/run-log.js';
+
+/** What a run came to for one service. */
+export type ServiceSummary = {
+	readonly service: string;
+	readonly served: number;
+	readonly refused: ReadonlyMap<string, number>;
+	readonly p50Ms: number;
+	readonly p99Ms: number;
+	readonly p999Ms: number;
+};
+
+const microsecondsPerMs = 1000;
+
+/**
+ * Sums up the calls by service.
+ *
+ * @param records - The calls.
+ * @returns One summary a service, in the order of first appearance.
+ */
+export function summarise(records: readonly CallRecord[]): ServiceSummary[] {
+	const services = [...new Set(records.map(({service}) => service))];
+	return services.map((service) =>
+		summariseService(
+			service,
+			records.filter((record) => record.service === service),
+		),
+	);
+}
+
+/**
+ * Counts the keys that began to run more than once.
+ *
+ * @param runs - What the targets logged.
+ * @returns The number of keys.
+ */
+export function countRunTwice(runs: readonly RunRecord[]): number {
+	const begun = runs.filter(
+		({event, key}) => event === 'begin' && key !== undefined,
+	);
+	const keys = new Set(begun.map(({key}) => key));
+	return begun.length - keys.size;
+}
+
+function summariseService(
+	service: string,
+	records: readonly CallRecord[],
+): ServiceSummary {
+	const histogram = build();
+	const refused = new Map<string, number>();
+	let served = 0;
+	for (const record of records) {
+		if (record.status === 200 && record.isWhole) {
+			served++;
+			histogram.recordValue(Math.round(record.latencyMs * microsecondsPerMs));
+		} else {
+			const kind = record.errorKind ?? 'not-whole';
+			refused.set(kind, (refused.get(kind) ?? 0) + 1);
+		}
+	}
+
+	return {
+		service,
+		served,
+		refused,
+		p50Ms: getPercentileMs(histogram, 50),
+		p99Ms: getPercentileMs(histogram, 99),
+		p999Ms: getPercentileMs(histogram, 99.9),
+	};
+}
+
+function getPercentileMs(histogram: Histogram, percentile: number): number {
+	return histogram.getValueAtPercentile(percentile) / microsecondsPerMs;
+}
--- /dev/null
+++ b/packages/standins/src/deployment/make-bundle.ts
@@ -0,0 +1,84 @@
+/** Makes the bundle of a deployment. */
+
+import type {Bundle, Service} from '@bilberryscale/bundle';
+import {
+	makeId,
+	type BundleVersion,
+	type CallerClass,
+	type DataCentreId,
+	type ServiceName,
+	type TargetId,
+} from '@bilberryscale/core';
+import type {TargetPlace} from './address-plan.js';
+import type {DeployedService, Deployment} from './deployment.js';
+
+const defaultLimits = {
+	queueLength: 64,
+	queueTimeMs: 500,
+	timeoutMs: 5000,
+	bodyBytes: 1_000_000,
+};
+const defaultRetry = {share: 0.1, attempts: 3};
+const defaultMeasuring = {callsPerSecond: 10, bytesPerSecond: 10_000};
+
+/** What a bundle is made from. */
+export type BundlePlan = {
+	readonly deployment: Deployment;
+	readonly targets: readonly TargetPlace[];
+	readonly version: number;
+	/** The data centres that are out. */
+	readonly out?: readonly string[];
+};
+
+/**
+ * Makes a bundle.
+ *
+ * @param plan - The deployment, its places and the version.
+ * @returns The bundle.
+ */
+export function makeBundle(plan: BundlePlan): Bundle {
+	const {deployment, version, out = []} = plan;
+	const centres = deployment.dataCentres.map((name) =>
+		makeId<DataCentreId>(name),
+	);
+	return {
+		version: makeId<BundleVersion>(version),
+		dataCentres: centres.map((id) => ({
+			id,
+			state: out.includes(id) ? 'out' : 'in',
+		})),
+		distances: centres.flatMap((first, index) =>
+			centres.slice(index + 1).map((second) => ({
+				between: [first, second] as const,
+				delayMs: deployment.delayMs,
+			})),
+		),
+		services: deployment.services.map((service) => makeService(service, plan)),
+	};
+}
+
+function makeService(service: DeployedService, plan: BundlePlan): Service {
+	const {deployment} = plan;
+	return {
+		name: makeId<ServiceName>(service.name),
+		idempotency: service.idempotency,
+		classes: service.classes.map((name) => ({
+			name: makeId<CallerClass>(name),
+			weight: 1,
+		})),
+		limits: defaultLimits,
+		retry: defaultRetry,
+		measuring: defaultMeasuring,
+		targets: plan.targets
+			.filter((place) => place.service === service.name)
+			.map((place) => ({
+				id: makeId<TargetId>(place.id),
+				address: place.address,
+				port: place.port,
+				dataCentre: makeId<DataCentreId>(place.dataCentre),
+				slots: deployment.slots,
+				connections: deployment.connections,
+				coldAllowance: deployment.coldAllowance,
+			})),
+	};
+}
--- /dev/null
+++ b/packages/standins/src/target/run-log.ts
@@ -0,0 +1,49 @@
+/** Logs each run that a target begins and ends, for history checking. */
+
+import fs from 'node:fs';
+
+/** One line of the log. */
+export type RunRecord = {
+	readonly event: 'begin' | 'end';
+	readonly target: string;
+	readonly requestId: string;
+	readonly key: string | undefined;
+	readonly method: string;
+	/** Milliseconds since the Unix epoch. */
+	readonly atMs: number;
+};
+
+/** Takes the records of all targets of a process. */
+export class RunLog {
+	readonly #descriptor: number;
+
+	/**
+	 * @param file - The file that takes the lines.
+	 */
+	constructor(file: string) {
+		this.#descriptor = fs.openSync(file, 'a');
+	}
+
+	/**
+	 * Writes a record.
+	 *
+	 * @param record - The record.
+	 */
+	add(record: RunRecord): void {
+		fs.writeSync(this.#descriptor, `${JSON.stringify(record)}\n`);
+	}
+}
+
+/**
+ * Reads the records of a file.
+ *
+ * @param file - The file.
+ * @returns The records in order.
+ */
+export function readRunLog(file: string): RunRecord[] {
+	return fs
+		.readFileSync(file, 'utf8')
+		.split('\n')
+		.filter((line) => line !== '')
+		.map((line) => JSON.parse(line) as RunRecord);
+}
