--- a/packages/daemon/src/http/caller-server.ts
+++ b/packages/daemon/src/http/caller-server.ts
@@ -61,7 +61,7 @@
 		method: methods,
 		url: '*',
 		async handler(request, reply) {
-			reply.hijack();
+			void reply.hijack();
 			await serve(request.raw, reply, options);
 		},
 	});
