Choose targets by expected time, share queues fairly, pace, eject and warm targets

Cause: the dispatcher filtered all targets and scanned the queue on every event, polled every 5 ms, and knew no fairness between classes, no pacing, no cold targets and no ejection. Change: an indexed set of available targets and heaps for wakes and expiries make each choice O(1) and each wait O(log n); policies are functions of one type; a small experiment tool compares them on real processes.

--- a/packages/daemon/src/context/entry-host.ts
+++ b/packages/daemon/src/context/entry-host.ts
@@ -67,7 +67,15 @@
 				this.#log.info('audit', record);
 			},
 		});
-		this.#desk = new CallDesk({clock, random: makeSeededRandom(options.seed)});
+		this.#desk = new CallDesk({
+			clock,
+			random: makeSeededRandom(options.seed),
+			dataCentre: settings.dataCentre,
+			choice: settings.decisions.choice,
+			audit: (event) => {
+				this.#audit.add(event);
+			},
+		});
 		this.#pools = new ConnectionPools({
 			localAddress: settings.callers.address,
 			getHostCount: () => assumedHostCount,
--- a/packages/daemon/src/dispatch/call-desk.ts
+++ b/packages/daemon/src/dispatch/call-desk.ts
@@ -1,41 +1,52 @@
 /** Joins the pure decisions with the calls that wait for them. */
 
-import type {Bundle} from '@bilberryscale/bundle';
-import type {
-	Clock,
-	Failure,
-	RandomSource,
-	ServiceName,
+import type {Bundle, Service} from '@bilberryscale/bundle';
+import {
+	notRun,
+	type AuditSink,
+	type Clock,
+	type DataCentreId,
+	type Failure,
+	type RandomSource,
+	type ServiceName,
 } from '@bilberryscale/core';
 import {
-	chooseOfTwo,
+	loneFleet,
+	makeChoice,
 	ServiceDispatcher,
 	type Call,
+	type ChoiceName,
+	type FleetView,
 	type Outcome,
 	type Settlement,
 	type TargetState,
 } from '@bilberryscale/decisions';
 import {Err, Ok, type Result} from 'ts-results-es';
+import {WakeTimer} from './wake-timer.js';
 
 /** What a desk works with. */
 export type CallDeskOptions = {
 	readonly clock: Clock;
 	readonly random: RandomSource;
+	/** The data centre of this host. */
+	readonly dataCentre: DataCentreId;
+	/** How targets are chosen. */
+	readonly choice: ChoiceName;
+	readonly audit: AuditSink;
 };
 
 type Waiter = (result: Result<TargetState, Failure>) => void;
 
-const settleIntervalMs = 5;
-
 /** Hands out targets to calls; it owns one dispatcher for each service. */
 export class CallDesk {
 	readonly #options: CallDeskOptions;
 	#dispatchers = new Map<ServiceName, ServiceDispatcher>();
+	readonly #timers = new Map<ServiceDispatcher, WakeTimer>();
 	readonly #waiters = new Map<Call, Waiter>();
-	#isSettling = false;
+	#fleet = loneFleet;
 
 	/**
-	 * @param options - The clock and the randomness of the decisions.
+	 * @param options - The clock and the policies of the decisions.
 	 */
 	constructor(options: CallDeskOptions) {
 		this.#options = options;
@@ -47,11 +58,35 @@
 	 * @param bundle - The bundle.
 	 */
 	setBundle(bundle: Bundle): void {
-		const entries = bundle.services.map(
-			(service) =>
-				[service.name, this.#makeDispatcher(service.name, bundle)] as const,
-		);
-		this.#dispatchers = new Map(entries);
+		const former = this.#dispatchers;
+		this.#dispatchers = new Map();
+		for (const service of bundle.services) {
+			const dispatcher = former.get(service.name);
+			former.delete(service.name);
+			this.#dispatchers.set(
+				service.name,
+				dispatcher === undefined
+					? this.#makeDispatcher(service, bundle)
+					: this.#updateDispatcher(dispatcher, service, bundle),
+			);
+		}
+
+		for (const dispatcher of former.values()) {
+			this.#removeDispatcher(dispatcher);
+		}
+	}
+
+	/**
+	 * Takes over how many hosts there are.
+	 *
+	 * @param fleet - The fleet and this host's place in it.
+	 */
+	setFleet(fleet: FleetView): void {
+		this.#fleet = fleet;
+		for (const dispatcher of this.#dispatchers.values()) {
+			dispatcher.setFleet(fleet, this.#nowMs());
+			this.#settle(dispatcher, dispatcher.settle(this.#nowMs()));
+		}
 	}
 
 	/**
@@ -77,16 +112,13 @@
 		call: Call,
 		signal: AbortSignal,
 	): Promise<Result<TargetState, Failure>> {
-		const decision = dispatcher.offer(call, this.#nowMs());
-		if (decision.kind === 'grant') {
-			return Ok(decision.target);
-		}
-
-		if (decision.kind === 'refusal') {
-			return Err(decision.failure);
-		}
-
-		return this.#wait(dispatcher, call, signal);
+		const {decision, settled} = dispatcher.offer(call, this.#nowMs());
+		const result =
+			decision.kind === 'wait'
+				? this.#wait(dispatcher, call, signal)
+				: getResult(decision);
+		this.#settle(dispatcher, settled);
+		return result;
 	}
 
 	/**
@@ -101,7 +133,7 @@
 		target: TargetState,
 		outcome: Outcome,
 	): void {
-		this.#settle(dispatcher.finish(target, outcome, this.#nowMs()));
+		this.#settle(dispatcher, dispatcher.finish(target, outcome, this.#nowMs()));
 	}
 
 	async #wait(
@@ -109,67 +141,77 @@
 		call: Call,
 		signal: AbortSignal,
 	): Promise<Result<TargetState, Failure>> {
-		signal.addEventListener(
-			'abort',
-			() => {
+		return new Promise((resolve) => {
+			const leave = () => {
 				dispatcher.withdraw(call);
+				this.#waiters.get(call)?.(
+					Err(notRun('internal', 'The caller has gone.')),
+				);
+			};
+
+			this.#waiters.set(call, (result) => {
 				this.#waiters.delete(call);
-			},
-			{once: true},
-		);
-		return new Promise((resolve) => {
-			this.#waiters.set(call, resolve);
-			this.#keepSettling();
+				signal.removeEventListener('abort', leave);
+				resolve(result);
+			});
+			signal.addEventListener('abort', leave, {once: true});
 		});
 	}
 
-	#keepSettling(): void {
-		if (this.#isSettling) {
-			return;
+	#settle(
+		dispatcher: ServiceDispatcher,
+		settlements: readonly Settlement[],
+	): void {
+		for (const settlement of settlements) {
+			this.#waiters.get(settlement.call)?.(getResult(settlement));
 		}
 
-		this.#isSettling = true;
-		this.#options.clock.schedule(settleIntervalMs, () => {
-			this.#isSettling = false;
-			for (const dispatcher of this.#dispatchers.values()) {
-				this.#settle(dispatcher.settle(this.#nowMs()));
-			}
+		this.#timers.get(dispatcher)?.set(dispatcher.getNextWakeMs());
+	}
 
-			if (this.#waiters.size > 0) {
-				this.#keepSettling();
-			}
+	#makeDispatcher(service: Service, bundle: Bundle): ServiceDispatcher {
+		const {clock, random, dataCentre, choice, audit} = this.#options;
+		const dispatcher = new ServiceDispatcher({
+			...bundle,
+			service,
+			dataCentre,
+			chooseTarget: makeChoice(choice),
+			random,
+			audit,
+			nowMs: this.#nowMs(),
 		});
+		dispatcher.setFleet(this.#fleet, this.#nowMs());
+		const timer = new WakeTimer(clock, () => {
+			this.#settle(dispatcher, dispatcher.settle(this.#nowMs()));
+		});
+		this.#timers.set(dispatcher, timer);
+		return dispatcher;
 	}
 
-	#settle(settlements: readonly Settlement[]): void {
-		for (const settlement of settlements) {
-			const waiter = this.#waiters.get(settlement.call);
-			this.#waiters.delete(settlement.call);
-			waiter?.(
-				settlement.kind === 'grant'
-					? Ok(settlement.target)
-					: Err(settlement.failure),
-			);
-		}
+	#updateDispatcher(
+		dispatcher: ServiceDispatcher,
+		service: Service,
+		bundle: Bundle,
+	): ServiceDispatcher {
+		const plan = {...bundle, service};
+		this.#settle(dispatcher, dispatcher.setPlan(plan, this.#nowMs()));
+		return dispatcher;
 	}
 
-	#makeDispatcher(name: ServiceName, bundle: Bundle): ServiceDispatcher {
-		const service = bundle.services.find((item) => item.name === name)!;
-		const former = this.#dispatchers.get(name);
-		if (former === undefined) {
-			return new ServiceDispatcher({
-				service,
-				dataCentres: bundle.dataCentres,
-				chooseTarget: chooseOfTwo,
-				random: this.#options.random,
-			});
-		}
-
-		former.setService(service, bundle.dataCentres);
-		return former;
+	#removeDispatcher(dispatcher: ServiceDispatcher): void {
+		const {name} = dispatcher.service;
+		const failure = notRun('service-unknown', `No service "${name}" any more.`);
+		this.#settle(dispatcher, dispatcher.refuseAll(failure));
+		this.#timers.delete(dispatcher);
 	}
 
 	#nowMs(): number {
 		return this.#options.clock.monotonicMs();
 	}
 }
+
+function getResult(settlement: Settlement): Result<TargetState, Failure> {
+	return settlement.kind === 'grant'
+		? Ok(settlement.target)
+		: Err(settlement.failure);
+}
--- a/packages/daemon/src/pipeline/filters/attempt.ts
+++ b/packages/daemon/src/pipeline/filters/attempt.ts
@@ -1,6 +1,11 @@
 /** Takes a target and sends; sends again where that is safe. */
 
-import {notRun, type Clock, type TargetId} from '@bilberryscale/core';
+import {
+	notRun,
+	type Clock,
+	type Failure,
+	type TargetId,
+} from '@bilberryscale/core';
 import type {Call} from '@bilberryscale/decisions';
 import {Err} from 'ts-results-es';
 import type {CallDesk} from '../../dispatch/call-desk.js';
@@ -33,7 +38,7 @@
 				exchange.incoming.signal,
 			);
 			if (acquired.isErr()) {
-				return attempt === 0 ? acquired : result;
+				return attempt === 0 ? acquired : addRetryAfter(result, acquired.error);
 			}
 
 			exchange.target = acquired.value;
@@ -42,12 +47,33 @@
 			if (!mayTryAgain(exchange, result, options.clock)) {
 				return result;
 			}
+
+			if (attempt + 1 < attempts && !dispatcher.takeRetry()) {
+				return addRetryAfter(result, {
+					retryAfterMs: dispatcher.getRetryAfterMs(
+						call,
+						options.clock.monotonicMs(),
+					),
+				});
+			}
 		}
 
 		return result;
 	};
 }
 
+/** Tells the caller when to come back, if the send did not run. */
+function addRetryAfter(
+	result: FilterResult,
+	{retryAfterMs}: Pick<Failure, 'retryAfterMs'>,
+): FilterResult {
+	return result.mapErr((failure) =>
+		failure.ran === 'not-run' && retryAfterMs !== undefined
+			? {...failure, retryAfterMs}
+			: failure,
+	);
+}
+
 function makeCall(exchange: Exchange, triedTargets: TargetId[]): Call {
 	const identity = exchange.getIdentityOrThrow();
 	return {
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -6,6 +6,7 @@
 	type HostId,
 	type SignerName,
 } from '@bilberryscale/core';
+import {choiceNames} from '@bilberryscale/decisions';
 import {z} from 'zod';
 
 const maxPort = 65_535;
@@ -65,6 +66,9 @@
 			level: z.enum(['debug', 'info', 'warn', 'error']),
 		})
 		.default({level: 'info'}),
+	decisions: z
+		.strictObject({choice: z.enum(choiceNames)})
+		.default({choice: 'least-cost-3'}),
 	limits: z
 		.strictObject({
 			headerBytes: z.int().positive().default(defaultHeaderBytes),
--- a/packages/decisions/src/dispatch/call.ts
+++ b/packages/decisions/src/dispatch/call.ts
@@ -44,3 +44,10 @@
 
 /** What is decided about a call that has waited. */
 export type Settlement = Grant | Refusal;
+
+/** What a new call brings about. */
+export type OfferResult = {
+	readonly decision: Decision;
+	/** The calls that waited before and are now settled. */
+	readonly settled: readonly Settlement[];
+};
--- a/packages/decisions/src/dispatch/service-dispatcher.ts
+++ b/packages/decisions/src/dispatch/service-dispatcher.ts
@@ -1,47 +1,68 @@
 /** Decides which calls of one service go where and when, without any I/O. */
 
-import type {DataCentre, Service} from '@bilberryscale/bundle';
+import type {DataCentre, Distance, Service} from '@bilberryscale/bundle';
 import {
 	notRun,
+	type AuditSink,
+	type DataCentreId,
 	type Failure,
 	type RandomSource,
-	type TargetId,
 } from '@bilberryscale/core';
 import type {TargetChoice} from '../choice/target-choice.js';
+import type {FleetView} from '../fleet/fleet-view.js';
+import {RetryBudget} from '../retry/retry-budget.js';
 import type {Outcome} from '../target/outcome.js';
-import {TargetState} from '../target/target-state.js';
-import type {Call, Decision, Grant, Refusal, Settlement} from './call.js';
+import {TargetRoster, type RosterEntry} from '../target/target-roster.js';
+import type {TargetState} from '../target/target-state.js';
+import {Admission} from './admission.js';
+import type {Call, Grant, OfferResult, Refusal, Settlement} from './call.js';
 
-/** What a dispatcher works with. */
-export type ServiceDispatcherOptions = {
+/** The parts of a bundle that the decisions about one service need. */
+export type ServicePlan = {
 	readonly service: Service;
 	readonly dataCentres: readonly DataCentre[];
+	readonly distances: readonly Distance[];
+};
+
+/** What a dispatcher works with. */
+export type ServiceDispatcherOptions = ServicePlan & {
+	/** The data centre of this host. */
+	readonly dataCentre: DataCentreId;
 	readonly chooseTarget: TargetChoice;
 	readonly random: RandomSource;
+	readonly audit: AuditSink;
+	/** The monotonic time in milliseconds. */
+	readonly nowMs: number;
 };
 
-type WaitingCall = {
-	readonly call: Call;
-	readonly expiresAtMs: number;
-};
+/** From this share of refusals on the service counts as refusing as a whole. */
+const refusingShare = 0.5;
 
 /** The decisions of one host about one service. */
 export class ServiceDispatcher {
 	#service: Service;
-	#targets = new Map<TargetId, TargetState>();
-	#eligible: readonly TargetState[] = [];
-	#queue: WaitingCall[] = [];
-	readonly #chooseTarget: TargetChoice;
-	readonly #random: RandomSource;
+	readonly #dataCentre: DataCentreId;
+	readonly #roster: TargetRoster;
+	readonly #admission: Admission;
+	readonly #retries: RetryBudget;
 
 	/**
 	 * @param options - The service and the policies.
 	 */
 	constructor(options: ServiceDispatcherOptions) {
-		this.#service = options.service;
-		this.#chooseTarget = options.chooseTarget;
-		this.#random = options.random;
-		this.setService(options.service, options.dataCentres);
+		const {service, chooseTarget, random, audit} = options;
+		this.#service = service;
+		this.#dataCentre = options.dataCentre;
+		this.#admission = new Admission(service);
+		this.#retries = new RetryBudget(service.retry.share);
+		this.#roster = new TargetRoster({
+			chooseTarget,
+			random,
+			audit(kind, {target}, cause) {
+				audit({kind, subject: target.id, cause});
+			},
+		});
+		this.setPlan(options, options.nowMs);
 	}
 
 	/** Gets the service as the bundle in force states it. */
@@ -52,42 +73,56 @@
 	/**
 	 * Takes a changed bundle into force; the state of kept targets stays.
 	 *
-	 * @param service - The service as the new bundle states it.
-	 * @param dataCentres - The data centres of the new bundle.
+	 * @param plan - What the new bundle states.
+	 * @param nowMs - The monotonic time in milliseconds.
+	 * @returns The calls that waited and are now settled.
 	 */
-	setService(service: Service, dataCentres: readonly DataCentre[]): void {
+	setPlan(plan: ServicePlan, nowMs: number): readonly Settlement[] {
+		const {service} = plan;
 		this.#service = service;
-		const states = service.targets.map((target) => {
-			const state = this.#targets.get(target.id) ?? new TargetState(target);
-			state.target = target;
-			return state;
-		});
-		this.#targets = new Map(states.map((state) => [state.target.id, state]));
-		const inService = new Set(
-			dataCentres.filter(({state}) => state === 'in').map(({id}) => id),
-		);
-		this.#eligible = states.filter(({target}) =>
-			inService.has(target.dataCentre),
-		);
+		this.#admission.setService(service);
+		this.#retries.setShare(service.retry.share);
+		this.#roster.setTargets(getRosterEntries(plan, this.#dataCentre), nowMs);
+		return this.#roster.inServiceCount === 0
+			? this.refuseAll(this.#describeNoTarget())
+			: this.settle(nowMs);
 	}
 
 	/**
-	 * Decides about a call that has just come.
+	 * Takes over how many hosts there are.
+	 *
+	 * @param fleet - The fleet.
+	 * @param nowMs - The monotonic time in milliseconds.
+	 */
+	setFleet(fleet: FleetView, nowMs: number): void {
+		this.#roster.setFleet(fleet, nowMs);
+	}
+
+	/**
+	 * Decides about a call that has just come, or comes again after a send.
 	 *
 	 * @param call - The call.
 	 * @param nowMs - The monotonic time in milliseconds.
 	 * @returns Where to send it, that it waits, or why it is refused.
 	 */
-	offer(call: Call, nowMs: number): Decision {
-		if (this.#eligible.length === 0) {
-			return refuse(
-				call,
-				notRun('no-target', `No target of "${this.#service.name}" is in.`),
-			);
+	offer(call: Call, nowMs: number): OfferResult {
+		if (this.#roster.inServiceCount === 0) {
+			const failure = this.#describeNoTarget();
+			return {decision: {kind: 'refusal', call, failure}, settled: []};
 		}
 
-		const grant = this.#grant(call, nowMs);
-		return grant ?? this.#enqueue(call, nowMs);
+		const settled = this.settle(nowMs);
+		if (call.triedTargets.length > 0) {
+			return {decision: this.#grantAgain(call, nowMs), settled};
+		}
+
+		const grant = this.#admission.size === 0 && this.#grant(call, nowMs);
+		if (grant) {
+			return {decision: grant, settled};
+		}
+
+		const result = this.#admission.enqueue(call, nowMs);
+		return {...result, settled: [...settled, ...result.settled]};
 	}
 
 	/**
@@ -103,7 +138,7 @@
 		outcome: Outcome,
 		nowMs: number,
 	): readonly Settlement[] {
-		target.end(outcome);
+		this.#roster.end(target, outcome, nowMs);
 		return this.settle(nowMs);
 	}
 
@@ -114,90 +149,118 @@
 	 * @returns The calls that are now settled.
 	 */
 	settle(nowMs: number): readonly Settlement[] {
-		const settled: Settlement[] = [];
-		const kept: WaitingCall[] = [];
-		for (const waiting of this.#queue) {
-			const settlement = this.#settleOne(waiting, nowMs);
-			if (settlement === undefined) {
-				kept.push(waiting);
-			} else {
-				settled.push(settlement);
-			}
+		this.#roster.wake(nowMs);
+		const settled: Settlement[] = this.#admission.takeExpired(nowMs);
+		while (this.#admission.size > 0 && this.#roster.hasAvailable) {
+			const call = this.#admission.shift(nowMs)!;
+			settled.push(this.#grant(call, nowMs)!);
 		}
 
-		this.#queue = kept;
 		return settled;
 	}
 
+	/** Gets when `settle` has something to do, in milliseconds, if ever. */
+	getNextWakeMs(): number | undefined {
+		const expiryMs = this.#admission.getNextExpiryMs();
+		if (expiryMs === undefined) {
+			return undefined;
+		}
+
+		return Math.min(expiryMs, this.#roster.getNextWakeMs() ?? expiryMs);
+	}
+
 	/**
 	 * Takes back a waiting call whose caller has gone.
 	 *
 	 * @param call - The call.
 	 */
 	withdraw(call: Call): void {
-		this.#queue = this.#queue.filter((waiting) => waiting.call !== call);
+		this.#admission.remove(call);
 	}
 
-	#settleOne(waiting: WaitingCall, nowMs: number): Settlement | undefined {
-		const {call, expiresAtMs} = waiting;
-		if (nowMs >= call.deadlineMs) {
-			return refuse(
-				call,
-				notRun('deadline-exceeded', 'The deadline passed in the queue.'),
-			);
-		}
+	/**
+	 * Refuses all waiting calls.
+	 *
+	 * @param failure - Why.
+	 * @returns The refusals.
+	 */
+	refuseAll(failure: Failure): readonly Refusal[] {
+		const calls = this.#admission.takeAll();
+		return calls.map((call) => ({kind: 'refusal', call, failure}));
+	}
 
-		return nowMs >= expiresAtMs
-			? refuse(call, this.#describeLongWait())
-			: this.#grant(call, nowMs);
+	/**
+	 * Takes a further send out of the budget.
+	 *
+	 * @returns Whether the budget and the state of the service allow one.
+	 */
+	takeRetry(): boolean {
+		const {refusedShare} = this.#roster.averages;
+		return refusedShare < refusingShare && this.#retries.take();
 	}
 
-	#describeLongWait(): Failure {
-		const {name, limits} = this.#service;
-		return notRun(
-			'queue-timeout',
-			`No target of "${name}" was free within ${limits.queueTimeMs} ms.`,
-		);
+	/**
+	 * Gets when a refused call may come back with hope.
+	 *
+	 * @param call - The call.
+	 * @param nowMs - The monotonic time in milliseconds.
+	 * @returns The time in milliseconds from now.
+	 */
+	getRetryAfterMs(call: Call, nowMs: number): number {
+		return this.#admission.getRetryAfterMs(call, nowMs);
 	}
 
 	#grant(call: Call, nowMs: number): Grant | undefined {
-		const free = this.#eligible.filter(
-			(state) => state.outstanding < state.target.slots,
-		);
-		const fresh = free.filter(
-			({target}) => !call.triedTargets.includes(target.id),
-		);
-		const candidates = fresh.length > 0 ? fresh : free;
-		if (candidates.length === 0) {
+		const target = this.#roster.take(call.triedTargets, nowMs);
+		if (target === undefined) {
 			return undefined;
 		}
 
-		const target = this.#chooseTarget({
-			candidates,
-			random: this.#random,
-			nowMs,
-		});
-		target.begin();
+		if (call.triedTargets.length === 0) {
+			this.#retries.addFirstSend();
+		}
+
 		return {kind: 'grant', call, target};
 	}
 
-	#enqueue(call: Call, nowMs: number): Decision {
-		const {queueLength, queueTimeMs} = this.#service.limits;
-		if (this.#queue.length >= queueLength) {
-			return refuse(
+	/** Sends a call again at once or not at all. */
+	#grantAgain(call: Call, nowMs: number): Settlement {
+		const grant = this.#grant(call, nowMs);
+		const retryAfterMs = this.getRetryAfterMs(call, nowMs);
+		const detail = `No other target of "${this.#service.name}" is free.`;
+		return (
+			grant ?? {
+				kind: 'refusal',
 				call,
-				notRun(
-					'over-capacity',
-					`${queueLength} calls of "${this.#service.name}" wait already.`,
-				),
-			);
-		}
+				failure: notRun('target-refused', detail, retryAfterMs),
+			}
+		);
+	}
 
-		this.#queue.push({call, expiresAtMs: nowMs + queueTimeMs});
-		return {kind: 'wait', call};
+	#describeNoTarget(): Failure {
+		return notRun('no-target', `No target of "${this.#service.name}" is in.`);
 	}
 }
 
-function refuse(call: Call, failure: Failure): Refusal {
-	return {kind: 'refusal', call, failure};
+function getRosterEntries(plan: ServicePlan, own: DataCentreId): RosterEntry[] {
+	const inService = new Set(
+		plan.dataCentres.filter(({state}) => state === 'in').map(({id}) => id),
+	);
+	return plan.service.targets.map((target) => ({
+		target,
+		isInService: inService.has(target.dataCentre),
+		roundTripMs: getRoundTripMs(plan.distances, own, target.dataCentre),
+	}));
+}
+
+function getRoundTripMs(
+	distances: readonly Distance[],
+	from: DataCentreId,
+	to: DataCentreId,
+): number {
+	const distance = distances.find(
+		({between}) =>
+			from !== to && between.includes(from) && between.includes(to),
+	);
+	return 2 * (distance?.delayMs ?? 0);
 }
--- a/packages/standins/src/bin/targets.ts
+++ b/packages/standins/src/bin/targets.ts
@@ -4,7 +4,7 @@
 import process from 'node:process';
 import type {TargetPlace} from '../deployment/address-plan.js';
 import {getDeploymentOrThrow} from '../deployment/deployment.js';
-import {makeTargets} from '../target/make-targets.js';
+import {makeTargets, type SlowTarget} from '../target/make-targets.js';
 import {RunLog} from '../target/run-log.js';
 
 type TargetsFile = {
@@ -12,6 +12,7 @@
 	readonly places: readonly TargetPlace[];
 	readonly seed: number;
 	readonly logFile: string;
+	readonly slowTargets: readonly SlowTarget[];
 };
 
 const file = JSON.parse(
@@ -22,6 +23,7 @@
 	places: file.places,
 	seed: file.seed,
 	log: new RunLog(file.logFile),
+	slowTargets: file.slowTargets,
 });
 await Promise.all(targets.map(async (target) => target.listen()));
 process.stdout.write('ready\n');
--- a/packages/standins/src/cluster/cluster.ts
+++ b/packages/standins/src/cluster/cluster.ts
@@ -15,6 +15,7 @@
 import {makeBundle} from '../deployment/make-bundle.js';
 import type {BalancedEntry, LoadPlan} from '../load/load-plan.js';
 import {PlatformStandin} from '../platform/platform-standin.js';
+import type {SlowTarget} from '../target/make-targets.js';
 import {readRunLog, type RunRecord} from '../target/run-log.js';
 import {Child} from './child.js';
 import {getEntrySettings} from './entry-settings.js';
@@ -25,6 +26,10 @@
 	readonly deployment: Deployment;
 	readonly entryCount: number;
 	readonly seed: number;
+	/** How targets are chosen; the default of the daemon if absent. */
+	readonly choice?: string;
+	/** The targets that are slower than the others. */
+	readonly slowTargets?: readonly SlowTarget[];
 };
 
 const distFolder = path.join(
@@ -155,6 +160,9 @@
 			trusted: this.operators.trusted,
 			threshold: 2,
 			token: operatorToken,
+			...(this.#options.choice !== undefined && {
+				choice: this.#options.choice,
+			}),
 		});
 		const file = this.#write(`${place.host}.toml`, settings);
 		this.#spawn(place.host, [daemonFile, '--settings', file]);
@@ -214,6 +222,7 @@
 				places: this.targets,
 				seed: this.#options.seed,
 				logFile: path.join(this.folder, 'runs.jsonl'),
+				slowTargets: this.#options.slowTargets ?? [],
 			}),
 		);
 		const child = this.#spawn('targets', [
--- a/packages/standins/src/cluster/entry-settings.ts
+++ b/packages/standins/src/cluster/entry-settings.ts
@@ -20,6 +20,8 @@
 	readonly trusted: readonly TrustedSigner[];
 	readonly threshold: number;
 	readonly token: string;
+	/** How targets are chosen; the default of the daemon if absent. */
+	readonly choice?: string;
 };
 
 /**
@@ -29,7 +31,7 @@
  * @returns The settings in TOML.
  */
 export function getEntrySettings(plan: EntrySettingsPlan): string {
-	const {place, platform, trusted, threshold, token} = plan;
+	const {place, platform, trusted, threshold, token, choice} = plan;
 	const {address} = place;
 	return stringify({
 		host: place.host,
@@ -38,5 +40,6 @@
 		operators: {address, port: ports.operators, token},
 		platform: {addresses: [`http://${platform.address}:${platform.port}`]},
 		trust: {threshold, keys: trusted},
+		...(choice !== undefined && {decisions: {choice}}),
 	});
 }
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -17,7 +17,11 @@
 	PlatformStandin,
 	type StandinHost,
 } from './platform/platform-standin.js';
-export {makeTargets, type TargetsPlan} from './target/make-targets.js';
+export {
+	makeTargets,
+	type SlowTarget,
+	type TargetsPlan,
+} from './target/make-targets.js';
 export {
 	TargetStandin,
 	type TargetStandinOptions,
--- a/packages/standins/src/target/make-targets.ts
+++ b/packages/standins/src/target/make-targets.ts
@@ -8,12 +8,20 @@
 
 const queuePerSlot = 2;
 
+/** A target that takes longer than its peers. */
+export type SlowTarget = {
+	readonly id: string;
+	/** The multiple of the usual service time. */
+	readonly factor: number;
+};
+
 /** What the targets are made from. */
 export type TargetsPlan = {
 	readonly deployment: Deployment;
 	readonly places: readonly TargetPlace[];
 	readonly seed: number;
 	readonly log: RunLog;
+	readonly slowTargets: readonly SlowTarget[];
 };
 
 /**
@@ -23,16 +31,17 @@
  * @returns The targets in the order of the places.
  */
 export function makeTargets(plan: TargetsPlan): TargetStandin[] {
-	const {deployment, places, seed, log} = plan;
+	const {deployment, places, seed, log, slowTargets} = plan;
 	return places.map((place, index) => {
 		const service = deployment.services.find(
 			({name}) => name === place.service,
 		)!;
+		const slow = slowTargets.find(({id}) => id === place.id);
 		return new TargetStandin({
 			place,
 			slots: deployment.slots,
 			queueLength: deployment.slots * queuePerSlot,
-			serviceTimeMs: service.serviceTimeMs,
+			serviceTimeMs: service.serviceTimeMs * (slow?.factor ?? 1),
 			spread: service.spread,
 			delayMs: deployment.delayMs,
 			newConnectionMs: deployment.newConnectionMs,
