Leave from the host's own IP number

Cause: undici takes the local address as an option of the client and ignores it among the options of connect, so that every connection to targets, to the platform and from callers left from 127.0.0.1. Seen: a target's log of its sources showed 127.0.0.1 alone, and every call was delayed as from a strange data centre. Change: the option stands where undici reads it. After: a target's test that cuts a source by its address passes; it failed before the change.

--- a/packages/daemon/src/upstream/connection-pools.ts
+++ b/packages/daemon/src/upstream/connection-pools.ts
@@ -54,10 +54,8 @@
 			keepAliveTimeout: idleTimeoutMs,
 			headersTimeout: 0,
 			bodyTimeout: 0,
-			connect: {
-				timeout: connectTimeoutMs,
-				localAddress: this.#options.localAddress,
-			},
+			localAddress: this.#options.localAddress,
+			connect: {timeout: connectTimeoutMs},
 		});
 	}
 }
--- a/packages/platform/src/client/platform-client.ts
+++ b/packages/platform/src/client/platform-client.ts
@@ -64,7 +64,7 @@
 		const {localAddress} = options;
 		this.#agent = new Agent({
 			maxResponseSize: maxAnswerBytes,
-			...(localAddress !== undefined && {connect: {localAddress}}),
+			...(localAddress !== undefined && {localAddress}),
 		});
 	}
 
--- a/packages/standins/src/load/run-load.ts
+++ b/packages/standins/src/load/run-load.ts
@@ -39,7 +39,7 @@
 ): Promise<readonly CallRecord[]> {
 	const agent = new Agent({
 		connections: connectionsPerEntry,
-		connect: {localAddress: plan.localAddress},
+		localAddress: plan.localAddress,
 	});
 	const balancer = new Balancer({
 		entries: plan.entries,
