Give the targets' stand-ins faults that are set at run time

Cause: the experiments and the proofs need targets that are slow, cold, stalling, draining, crashing, silent or cut off, and so far a target could only queue and refuse. Change: a control port of the targets' process takes a behaviour for each target and single actions; a client of it stands in Cluster. A cold target bears its allowance and collapses above it; cancelled and late requests do not begin and are logged; connections over the limit are refused; new ones take their time; the load endpoint lags.

--- a/packages/standins/src/bin/targets.ts
+++ b/packages/standins/src/bin/targets.ts
@@ -2,16 +2,18 @@
 
 import fs from 'node:fs';
 import process from 'node:process';
-import type {TargetPlace} from '../deployment/address-plan.js';
+import type {Endpoint, TargetPlace} from '../deployment/address-plan.js';
 import {getDeploymentOrThrow} from '../deployment/deployment.js';
 import {makeTargets} from '../target/make-targets.js';
 import {RunLog} from '../target/run-log.js';
+import {makeTargetsControlServer} from '../target/targets-control-server.js';
 
 type TargetsFile = {
 	readonly deployment: string;
 	readonly places: readonly TargetPlace[];
 	readonly seed: number;
 	readonly logFile: string;
+	readonly control: Endpoint;
 };
 
 const file = JSON.parse(
@@ -24,4 +26,8 @@
 	log: new RunLog(file.logFile),
 });
 await Promise.all(targets.map(async (target) => target.listen()));
+await makeTargetsControlServer(targets).listen({
+	host: file.control.address,
+	port: file.control.port,
+});
 process.stdout.write('ready\n');
--- a/packages/standins/src/cluster/cluster.ts
+++ b/packages/standins/src/cluster/cluster.ts
@@ -16,6 +16,7 @@
 import type {BalancedEntry, LoadPlan} from '../load/load-plan.js';
 import {PlatformStandin} from '../platform/platform-standin.js';
 import {readRunLog, type RunRecord} from '../target/run-log.js';
+import {TargetsControl} from '../target/targets-control.js';
 import {Child} from './child.js';
 import {getEntrySettings} from './entry-settings.js';
 import {OperatorDesk} from './operator-desk.js';
@@ -46,6 +47,8 @@
 	readonly operators = new OperatorDesk(['first-operator', 'second-operator']);
 	readonly entries: readonly EntryPlace[];
 	readonly targets: readonly TargetPlace[];
+	/** Gives orders to the targets. */
+	readonly targetsControl: TargetsControl;
 	readonly folder: string;
 	readonly #options: ClusterOptions;
 	readonly #plan: AddressPlan;
@@ -55,6 +58,7 @@
 	private constructor(options: ClusterOptions, plan: AddressPlan) {
 		this.#options = options;
 		this.#plan = plan;
+		this.targetsControl = new TargetsControl(plan.control);
 		this.folder = fs.mkdtempSync(path.join(os.tmpdir(), 'bilberryscale-'));
 		this.entries = Array.from({length: options.entryCount}, (_, index) =>
 			plan.getEntry(options.deployment, index),
@@ -214,6 +218,7 @@
 				places: this.targets,
 				seed: this.#options.seed,
 				logFile: path.join(this.folder, 'runs.jsonl'),
+				control: this.#plan.control,
 			}),
 		);
 		const child = this.#spawn('targets', [
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -18,11 +18,26 @@
 	type StandinHost,
 } from './platform/platform-standin.js';
 export {makeTargets, type TargetsPlan} from './target/make-targets.js';
+export {TargetStandin} from './target/target-standin.js';
+export type {TargetStandinOptions} from './target/target-standin-options.js';
 export {
-	TargetStandin,
-	type TargetStandinOptions,
-} from './target/target-standin.js';
-export {readRunLog, RunLog, type RunRecord} from './target/run-log.js';
+	readRunLog,
+	RunLog,
+	type RunEvent,
+	type RunRecord,
+} from './target/run-log.js';
+export {
+	usualBehaviour,
+	type LoadReporting,
+	type SourceLink,
+	type StallPattern,
+	type TargetAction,
+	type TargetBehaviour,
+	type TargetCounters,
+} from './target/behaviour.js';
+export {loadPath} from './target/load-reports.js';
+export {TargetsControl} from './target/targets-control.js';
+export {makeTargetsControlServer} from './target/targets-control-server.js';
 export type {
 	BalancedEntry,
 	CallRecord,
--- /dev/null
+++ b/packages/standins/src/target/load-reports.ts
@@ -0,0 +1,88 @@
+/** What a target says of its load, truly or not. */
+
+import type {ServerResponse} from 'node:http';
+import {targetHeaders, type Clock} from '@bilberryscale/core';
+import {usualBehaviour, type LoadReporting} from './behaviour.js';
+import {LoadHistory} from './load-history.js';
+
+/** How a target reports. */
+export type ReportingBehaviour = {
+	readonly loadReporting: LoadReporting;
+	readonly loadLagMs: number;
+};
+
+/** The path of the endpoint that tells the load. */
+export const loadPath = '/-/load';
+
+/** Answers with the load and tells it when asked. */
+export class LoadReports {
+	/** Counts the calls to the endpoint. */
+	endpointCalls = 0;
+	readonly #history: LoadHistory;
+	#behaviour: ReportingBehaviour = usualBehaviour;
+	#frozenInFlight = 0;
+
+	/**
+	 * @param clock - The clock.
+	 */
+	constructor(clock: Clock) {
+		this.#history = new LoadHistory(clock);
+	}
+
+	/**
+	 * Changes how the target reports.
+	 *
+	 * @param behaviour - How.
+	 */
+	setReporting(behaviour: ReportingBehaviour): void {
+		this.#behaviour = behaviour;
+		this.#frozenInFlight = this.#history.get(0);
+	}
+
+	/**
+	 * Takes in a change of the load.
+	 *
+	 * @param inFlight - How many requests run or wait.
+	 */
+	setInFlight(inFlight: number): void {
+		this.#history.add(inFlight);
+	}
+
+	/**
+	 * Gets the headers that every answer carries.
+	 *
+	 * @param inFlight - How many requests run or wait.
+	 * @param bootId - Names the life of the target.
+	 * @returns The headers.
+	 */
+	getHeaders(inFlight: number, bootId: string): Record<string, string> {
+		return this.#behaviour.loadReporting === 'none'
+			? {}
+			: {
+					[targetHeaders.load]: String(this.#distort(inFlight)),
+					[targetHeaders.bootId]: bootId,
+				};
+	}
+
+	/**
+	 * Answers a call to the endpoint, with the load as it was.
+	 *
+	 * @param response - The answer.
+	 * @param bootId - Names the life of the target.
+	 */
+	answer(response: ServerResponse, bootId: string): void {
+		this.endpointCalls++;
+		const inFlight = this.#history.get(this.#behaviour.loadLagMs);
+		response.writeHead(200, {'content-type': 'application/json'});
+		response.end(JSON.stringify({inFlight: this.#distort(inFlight), bootId}));
+	}
+
+	#distort(inFlight: number): number {
+		const {loadReporting} = this.#behaviour;
+		if (loadReporting === 'frozen') {
+			return this.#frozenInFlight;
+		}
+
+		return loadReporting === 'zero' ? 0 : inFlight;
+	}
+}
--- a/packages/standins/src/target/make-targets.ts
+++ b/packages/standins/src/target/make-targets.ts
@@ -31,6 +31,8 @@
 		return new TargetStandin({
 			place,
 			slots: deployment.slots,
+			connections: deployment.connections,
+			coldAllowance: deployment.coldAllowance,
 			queueLength: deployment.slots * queuePerSlot,
 			serviceTimeMs: service.serviceTimeMs,
 			spread: service.spread,
--- a/packages/standins/src/target/run-log.ts
+++ b/packages/standins/src/target/run-log.ts
@@ -2,13 +2,21 @@
 
 import fs from 'node:fs';
 
+/**
+ * What happened: a run began, ended or crashed the target, or a request was
+ * refused or withdrawn before its run began.
+ */
+export type RunEvent = 'begin' | 'end' | 'crash' | 'refuse' | 'withdraw';
+
 /** One line of the log. */
 export type RunRecord = {
-	readonly event: 'begin' | 'end';
+	readonly event: RunEvent;
 	readonly target: string;
 	readonly requestId: string;
 	readonly key: string | undefined;
 	readonly method: string;
+	/** The IP number that the request came from. */
+	readonly source: string;
 	/** Milliseconds since the Unix epoch. */
 	readonly atMs: number;
 };
--- /dev/null
+++ b/packages/standins/src/target/target-listener.ts
@@ -0,0 +1,63 @@
+/** The listening side of a target, which can end and come back. */
+
+import http, {type RequestListener} from 'node:http';
+import type {TargetPlace} from '../deployment/address-plan.js';
+import type {Links} from './links.js';
+
+/** What a listener works with. */
+export type TargetListenerOptions = {
+	readonly place: TargetPlace;
+	/** How many connections may be open at once. */
+	readonly connections: number;
+	readonly links: Links;
+	readonly handle: RequestListener;
+};
+
+/** The server of one target over all its lives. */
+export class TargetListener {
+	/** Counts the connections over the limit. */
+	refusedConnections = 0;
+	/** Counts the lives; each `close` ends one. */
+	life = 0;
+	readonly #options: TargetListenerOptions;
+	#server: http.Server | undefined;
+
+	/**
+	 * @param options - Where to listen and who takes the requests.
+	 */
+	constructor(options: TargetListenerOptions) {
+		this.#options = options;
+	}
+
+	/** Tells whether the target listens. */
+	get isListening(): boolean {
+		return this.#server !== undefined;
+	}
+
+	/** Starts to listen. */
+	async listen(): Promise<void> {
+		const {place, connections, links, handle} = this.#options;
+		const server = http.createServer(handle);
+		server.keepAliveTimeout = 0;
+		server.maxConnections = connections;
+		server.on('connection', (socket) => {
+			links.add(socket);
+		});
+		server.on('drop', () => {
+			this.refusedConnections++;
+		});
+		this.#server = server;
+		await new Promise<void>((resolve, reject) => {
+			server.once('error', reject);
+			server.listen(place.port, place.address, resolve);
+		});
+	}
+
+	/** Stops to listen and cuts every connection. */
+	close(): void {
+		this.life++;
+		this.#server?.close();
+		this.#server = undefined;
+		this.#options.links.cutAll();
+	}
+}
--- a/packages/standins/src/target/target-standin.ts
+++ b/packages/standins/src/target/target-standin.ts
@@ -1,84 +1,232 @@
-/** Stands in for a target: slots, a short queue, load reports and refusals. */
+/** Stands in for a target: slots, a short queue, load reports and faults. */
 
-import {Buffer} from 'node:buffer';
-import http, {type IncomingMessage, type ServerResponse} from 'node:http';
+import type {Buffer} from 'node:buffer';
+import {randomUUID} from 'node:crypto';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {createHash, randomUUID} from 'node:crypto';
+import {targetHeaders} from '@bilberryscale/core';
 import {
-	targetHeaders,
-	type Clock,
-	type RandomSource,
-} from '@bilberryscale/core';
-import type {TargetPlace} from '../deployment/address-plan.js';
-import type {RunLog} from './run-log.js';
-import {drawServiceTimeMs} from './service-time.js';
-
-/** How a target behaves. */
-export type TargetStandinOptions = {
-	readonly place: TargetPlace;
-	readonly slots: number;
-	/** How many requests may wait before the target refuses. */
-	readonly queueLength: number;
-	readonly serviceTimeMs: number;
-	readonly spread: number;
-	/** The one-way delay to other data centres in milliseconds. */
-	readonly delayMs: number;
-	readonly newConnectionMs: number;
-	readonly random: RandomSource;
-	readonly clock: Clock;
-	readonly log: RunLog;
-};
+	usualBehaviour,
+	type TargetAction,
+	type TargetBehaviour,
+	type TargetCounters,
+} from './behaviour.js';
+import {Links} from './links.js';
+import {LoadReports, loadPath} from './load-reports.js';
+import {RunRecorder} from './run-recorder.js';
+import {
+	isCrashing,
+	readBody,
+	watchForClose,
+	writeAnswer,
+	type TargetExchange,
+} from './target-exchange.js';
+import {TargetListener} from './target-listener.js';
+import type {TargetStandinOptions} from './target-standin-options.js';
+import {TargetWork} from './target-work.js';
 
 const unavailable = 503;
+const crashAfterMs = 5;
 
 /** One target. */
 export class TargetStandin {
 	readonly #options: TargetStandinOptions;
-	readonly #server: http.Server;
-	readonly #waiting: Array<() => void> = [];
-	readonly #bootId = randomUUID();
-	#running = 0;
+	readonly #links: Links;
+	readonly #work: TargetWork;
+	readonly #reports: LoadReports;
+	readonly #recorder: RunRecorder;
+	readonly #listener: TargetListener;
+	#behaviour = usualBehaviour;
+	#bootId = randomUUID();
 
 	/**
-	 * @param options - How the target behaves.
+	 * @param options - How the target is made.
 	 */
 	constructor(options: TargetStandinOptions) {
 		this.#options = options;
-		this.#server = http.createServer((request, response) => {
-			void this.#handle(request, response);
+		const {clock, place, log} = options;
+		this.#links = new Links({
+			...options,
+			dataCentreIndex: place.dataCentreIndex,
+		});
+		this.#work = new TargetWork(options);
+		this.#reports = new LoadReports(clock);
+		this.#recorder = new RunRecorder({target: place.id, clock, log});
+		this.#listener = new TargetListener({
+			...options,
+			links: this.#links,
+			handle: (request, response) => {
+				void this.#handle(request, response);
+			},
 		});
-		this.#server.keepAliveTimeout = 0;
+	}
+
+	/** Gets the id of the target. */
+	get id(): string {
+		return this.#options.place.id;
+	}
+
+	/** Gets what was counted. */
+	get counters(): TargetCounters {
+		return {
+			begun: this.#recorder.getCount('begin'),
+			ended: this.#recorder.getCount('end'),
+			refused: this.#recorder.getCount('refuse'),
+			withdrawn: this.#recorder.getCount('withdraw'),
+			crashes: this.#recorder.getCount('crash'),
+			mostRunning: this.#work.mostRunning,
+			refusedConnections: this.#listener.refusedConnections,
+			openConnections: this.#links.openCount,
+			loadCalls: this.#reports.endpointCalls,
+			isCold: this.#work.isCold,
+		};
 	}
 
 	/** Starts to listen. */
 	async listen(): Promise<void> {
-		const {address, port} = this.#options.place;
-		await new Promise<void>((resolve, reject) => {
-			this.#server.once('error', reject);
-			this.#server.listen(port, address, resolve);
-		});
+		await this.#listener.listen();
+	}
+
+	/** Stops to listen and cuts every connection. */
+	close(): void {
+		this.#listener.close();
+	}
+
+	/**
+	 * Changes how the target behaves.
+	 *
+	 * @param change - What changes; the rest stays.
+	 */
+	setBehaviour(change: Partial<TargetBehaviour>): void {
+		this.#behaviour = {...this.#behaviour, ...change};
+		this.#links.setChanged(this.#behaviour.links);
+		this.#reports.setReporting(this.#behaviour);
+		this.#work.slowdown = this.#behaviour.slowdown;
+		if (change.stalls !== undefined) {
+			this.#work.setStalls(change.stalls);
+		}
+	}
+
+	/**
+	 * Does something once.
+	 *
+	 * @param action - What to do.
+	 */
+	async act(action: TargetAction): Promise<void> {
+		switch (action.kind) {
+			case 'turn-cold': {
+				this.#turnCold(action.changesBootId);
+				return;
+			}
+
+			case 'crash': {
+				void this.#crash();
+				return;
+			}
+
+			case 'kill': {
+				this.close();
+				return;
+			}
+
+			case 'start': {
+				await this.#restart();
+				return;
+			}
+
+			case 'silence-open-connections': {
+				this.#links.silenceOpen();
+			}
+		}
 	}
 
 	async #handle(
 		request: IncomingMessage,
 		response: ServerResponse,
 	): Promise<void> {
-		const body = readBody(request);
-		const delayMs = this.#getDelayMs(request);
-		await sleep(delayMs);
-		if (this.#waiting.length >= this.#options.queueLength) {
+		const {socket} = request;
+		const signal = watchForClose(response);
+		const arrivedAtMs = this.#options.clock.monotonicMs();
+		const delayMs = this.#links.getDelayMs(socket);
+		await sleepFor(delayMs + this.#links.getSetUpMs(socket));
+		if (this.#links.isSilent(socket)) {
+			return;
+		}
+
+		if (request.url === loadPath) {
+			this.#reports.answer(response, this.#bootId);
+			return;
+		}
+
+		const body = await readBody(request);
+		if (body === undefined) {
+			this.#recorder.add('withdraw', request);
+			return;
+		}
+
+		await this.#serve({request, response, body, signal, arrivedAtMs});
+	}
+
+	async #serve(exchange: TargetExchange): Promise<void> {
+		const {request, response, signal} = exchange;
+		const isWanted = !this.#behaviour.isDraining && !this.#isLate(exchange);
+		const outcome = isWanted ? await this.#work.takeSlot(signal) : 'refused';
+		if (outcome === 'taken' && !this.#isLate(exchange)) {
+			await this.#run(exchange);
+			return;
+		}
+
+		if (outcome === 'taken') {
+			this.#work.freeSlot();
+		}
+
+		this.#recorder.add(
+			outcome === 'withdrawn' ? 'withdraw' : 'refuse',
+			request,
+		);
+		if (outcome !== 'withdrawn' && !this.#links.isSilent(request.socket)) {
 			this.#refuse(response);
+		}
+	}
+
+	async #run(exchange: TargetExchange): Promise<void> {
+		const {request, response, body} = exchange;
+		const {life} = this.#listener;
+		this.#reports.setInFlight(this.#work.inFlight);
+		this.#recorder.add('begin', request);
+		if (isCrashing(request)) {
+			await sleep(crashAfterMs);
+			this.#recorder.add('crash', request);
+			this.#work.freeSlot();
+			await this.#crash();
+			return;
+		}
+
+		await this.#work.run();
+		this.#work.freeSlot();
+		this.#reports.setInFlight(this.#work.inFlight);
+		if (life !== this.#listener.life) {
 			return;
 		}
 
-		await this.#takeSlot();
-		this.#logRun('begin', request);
-		const {serviceTimeMs, spread, random} = this.#options;
-		await sleep(drawServiceTimeMs(serviceTimeMs, spread, random));
-		this.#logRun('end', request);
-		this.#freeSlot();
-		await sleep(delayMs);
-		this.#answer(request, response, await body);
+		this.#recorder.add('end', request);
+		await sleepFor(this.#links.getDelayMs(request.socket));
+		if (!this.#links.isSilent(request.socket)) {
+			writeAnswer({
+				request,
+				response,
+				body,
+				target: this.id,
+				headers: this.#getReport(),
+				isBroken: this.#options.random() < this.#behaviour.brokenAnswerShare,
+			});
+		}
+	}
+
+	#isLate({request, arrivedAtMs}: TargetExchange): boolean {
+		const given = request.headers[targetHeaders.timeout];
+		const timeoutMs = given === undefined ? Infinity : Number(given);
+		return this.#options.clock.monotonicMs() - arrivedAtMs >= timeoutMs;
 	}
 
 	#refuse(response: ServerResponse): void {
@@ -89,82 +237,36 @@
 		response.end();
 	}
 
-	#answer(
-		request: IncomingMessage,
-		response: ServerResponse,
-		body: Buffer,
-	): void {
-		const text = JSON.stringify({
-			target: this.#options.place.id,
-			path: request.url,
-			requestId: request.headers[targetHeaders.requestId],
-			bodyDigest: createHash('sha256').update(body).digest('hex'),
-		});
-		response.writeHead(200, {
-			...this.#getReport(),
-			'content-type': 'application/json',
-			'content-length': Buffer.byteLength(text),
-		});
-		response.end(text);
-	}
-
 	#getReport(): Record<string, string> {
-		return {
-			[targetHeaders.load]: String(this.#running + this.#waiting.length),
-			[targetHeaders.bootId]: this.#bootId,
-		};
+		return this.#reports.getHeaders(this.#work.inFlight, this.#bootId);
 	}
 
-	/** Gets the delay of a request, from the data centre that it came from. */
-	#getDelayMs(request: IncomingMessage): number {
-		const centre = Number(request.socket.remoteAddress?.split('.')[2]);
-		const {place, delayMs} = this.#options;
-		return centre === place.dataCentreIndex ? 0 : delayMs;
-	}
-
-	async #takeSlot(): Promise<void> {
-		if (this.#running < this.#options.slots) {
-			this.#running++;
-			return;
+	#turnCold(changesBootId: boolean): void {
+		this.#work.turnCold();
+		if (changesBootId) {
+			this.#bootId = randomUUID();
 		}
-
-		await new Promise<void>((resolve) => {
-			this.#waiting.push(resolve);
-		});
 	}
 
-	/** Hands the slot to the next request, or leaves it free. */
-	#freeSlot(): void {
-		const next = this.#waiting.shift();
-		if (next === undefined) {
-			this.#running--;
-			return;
+	async #crash(): Promise<void> {
+		this.close();
+		const {life} = this.#listener;
+		await sleep(this.#behaviour.restartMs);
+		if (life === this.#listener.life) {
+			await this.#restart();
 		}
-
-		next();
 	}
 
-	#logRun(event: 'begin' | 'end', request: IncomingMessage): void {
-		this.#options.log.add({
-			event,
-			target: this.#options.place.id,
-			requestId: String(request.headers[targetHeaders.requestId]),
-			key: getSingle(request.headers[targetHeaders.idempotencyKey]),
-			method: request.method ?? '',
-			atMs: this.#options.clock.now().getTime(),
-		});
+	async #restart(): Promise<void> {
+		if (!this.#listener.isListening) {
+			this.#turnCold(true);
+			await this.listen();
+		}
 	}
 }
 
-function getSingle(value: string | string[] | undefined): string | undefined {
-	return typeof value === 'string' ? value : value?.[0];
-}
-
-async function readBody(request: IncomingMessage): Promise<Buffer> {
-	const chunks: Buffer[] = [];
-	for await (const chunk of request) {
-		chunks.push(chunk as Buffer);
+async function sleepFor(durationMs: number): Promise<void> {
+	if (durationMs > 0) {
+		await sleep(durationMs);
 	}
-
-	return Buffer.concat(chunks);
 }
--- /dev/null
+++ b/packages/standins/test/target/stalls.test.ts
@@ -0,0 +1,22 @@
+import {ManualClock, makeSeededRandom} from '@bilberryscale/core';
+import {describe, it} from '@bilberryscale/testing';
+import * as assert from 'uvu/assert';
+import {Stalls} from '../../src/target/stalls.js';
+
+describe('Stalls', () => {
+	it('stalls for the drawn share of the time, then not at all', () => {
+		const clock = new ManualClock();
+		const stalls = new Stalls(clock, makeSeededRandom(7));
+		stalls.setPattern({perSecond: 2, shortestMs: 5, longestMs: 50});
+		let stalledMs = 0;
+		for (let atMs = 0; atMs < 10_000; atMs++) {
+			clock.advance(1);
+			stalledMs += stalls.getRemainingMs() > 0 ? 1 : 0;
+		}
+
+		assert.ok(stalledMs > 200 && stalledMs < 1200, `${stalledMs} ms`);
+		stalls.setPattern(undefined);
+		clock.advance(5000);
+		assert.is(stalls.getRemainingMs(), 0);
+	});
+});
--- /dev/null
+++ b/packages/standins/test/target/target-fixture.ts
@@ -0,0 +1,76 @@
+/** One target on addresses of its own, for tests. */
+
+import fs from 'node:fs';
+import os from 'node:os';
+import path from 'node:path';
+import {makeSeededRandom, systemClock} from '@bilberryscale/core';
+import {Agent, request, type Dispatcher} from 'undici';
+import {
+	AddressPlan,
+	getDeploymentOrThrow,
+	readRunLog,
+	RunLog,
+	TargetStandin,
+	type RunRecord,
+} from '../../src/index.js';
+
+/** A listening target, a client and the target's log. */
+export type TargetFixture = {
+	readonly target: TargetStandin;
+	readonly url: string;
+	readonly callerAddress: string;
+	readonly send: (
+		path: string,
+		options?: Partial<Dispatcher.RequestOptions>,
+	) => Promise<Dispatcher.ResponseData>;
+	readonly getRuns: () => RunRecord[];
+};
+
+const serviceTimeMs = 20;
+
+/**
+ * Runs a test with a target that has one slot and a queue of one.
+ *
+ * @param body - The test.
+ */
+export async function withTarget(
+	body: (fixture: TargetFixture) => Promise<void>,
+): Promise<void> {
+	const plan = await AddressPlan.claim();
+	const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'target-'));
+	const logFile = path.join(folder, 'runs.jsonl');
+	const [place] = plan.getTargets(getDeploymentOrThrow('mongolia'));
+	const target = new TargetStandin({
+		place: place!,
+		slots: 1,
+		queueLength: 1,
+		connections: 10,
+		coldAllowance: 1,
+		serviceTimeMs,
+		spread: 0,
+		delayMs: 0,
+		newConnectionMs: 0,
+		random: makeSeededRandom(1),
+		clock: systemClock,
+		log: new RunLog(logFile),
+	});
+	await target.listen();
+	const agent = new Agent({localAddress: plan.callers});
+	const url = `http://${place!.address}:${place!.port}`;
+	const send: TargetFixture['send'] = async (pathName, options) =>
+		request(`${url}${pathName}`, {
+			dispatcher: agent,
+			headers: {'x-request-id': pathName.slice(1)},
+			...options,
+		});
+	try {
+		const callerAddress = plan.callers;
+		const getRuns = () => readRunLog(logFile);
+		await body({target, url, callerAddress, send, getRuns});
+	} finally {
+		target.close();
+		await agent.destroy();
+		plan.release();
+		fs.rmSync(folder, {recursive: true});
+	}
+}
