Keep the bundle in force in one order on every host

Cause: two contents under one version had no defined answer, a part that could not be fetched lost its version until the next change, and every adoption verified and parsed all parts again.

Change: bundles are ordered by version, then by the lower digest of the manifest; 'bundle-conflict' is audited only for contents that enough keys signed. A manifest whose parts are missing stays pending and keeps what was fetched. Signatures are cached under content, signature and key. Trusted keys are read again on SIGHUP; signatures by new keys over the bundle in force are merged, so that a host that trusts only these can adopt it. The watch waits 2 s instead of 20 s, so that a silent connection costs at most 4.5 s, and reads in full every 5 minutes.

--- a/packages/bundle/src/index.ts
+++ b/packages/bundle/src/index.ts
@@ -22,7 +22,18 @@
 	SignedManifest,
 } from './published/published-bundle.js';
 export {splitBundle, type SplitBundle} from './published/split-bundle.js';
-export {joinBundle, type PartSource} from './published/join-bundle.js';
+export {
+	joinBundle,
+	joinServices,
+	type PartSource,
+} from './published/join-bundle.js';
+export {parsePart} from './published/parse-part.js';
+export {checkSize} from './published/check-size.js';
+export {
+	maxParts,
+	maxSignatures,
+	maxValueBytes,
+} from './published/size-limits.js';
 export {parseSignedManifest} from './published/manifest-schema.js';
 export {
 	generateKeyPair,
@@ -33,6 +44,14 @@
 	type TrustPolicy,
 } from './signing/signer-key.js';
 export {signManifest} from './signing/sign-manifest.js';
-export {verifyManifest} from './signing/verify-manifest.js';
+export {
+	checkSignature,
+	makeCachedCheck,
+	type SignatureCheck,
+} from './signing/signature-cache.js';
+export {getValidSignatures, verifyManifest} from './signing/verify-manifest.js';
+export {readTrust, trustSchema} from './signing/trust-schema.js';
 export {getCanonicalText, getDigest} from './utils/canonical.js';
 export {describeIssues} from './utils/describe-issues.js';
+export {parseJson} from './utils/parse-json.js';
+export {parseToml} from './utils/parse-toml.js';
--- a/packages/bundle/src/model/find-contradictions.ts
+++ b/packages/bundle/src/model/find-contradictions.ts
@@ -57,8 +57,13 @@
 }
 
 function findRepeats(what: string, names: readonly string[]): string[] {
-	const repeats = names.filter((name, index) => names.indexOf(name) !== index);
-	return [...new Set(repeats)].map(
+	const seen = new Set<string>();
+	const repeats = new Set<string>();
+	for (const name of names) {
+		(seen.has(name) ? repeats : seen).add(name);
+	}
+
+	return [...repeats].map(
 		(name) => `the ${what} "${name}" stands more than once`,
 	);
 }
--- a/packages/bundle/src/model/parse-bundle.ts
+++ b/packages/bundle/src/model/parse-bundle.ts
@@ -1,8 +1,8 @@
 /** Reads a bundle as operators write it. */
 
-import {parse, TomlError} from 'smol-toml';
 import {Err, Ok, type Result} from 'ts-results-es';
 import {describeIssues} from '../utils/describe-issues.js';
+import {parseToml} from '../utils/parse-toml.js';
 import type {Bundle} from './bundle.js';
 import {bundleSchema} from './bundle-schema.js';
 import {findContradictions} from './find-contradictions.js';
@@ -18,9 +18,9 @@
 	text: string,
 	fileName: string,
 ): Result<Bundle, readonly string[]> {
-	const document = parseToml(text);
+	const document = parseToml(text, fileName);
 	if (document.isErr()) {
-		return Err([`${fileName}: ${document.error}`]);
+		return Err([document.error]);
 	}
 
 	const checked = bundleSchema.safeParse(document.value);
@@ -33,15 +33,3 @@
 		? Err(contradictions.map((message) => `${fileName}: ${message}`))
 		: Ok(checked.data);
 }
-
-function parseToml(text: string): Result<unknown, string> {
-	try {
-		return Ok(parse(text));
-	} catch (error) {
-		if (error instanceof TomlError) {
-			return Err(error.message);
-		}
-
-		throw error;
-	}
-}
--- a/packages/bundle/src/published/join-bundle.ts
+++ b/packages/bundle/src/published/join-bundle.ts
@@ -2,11 +2,9 @@
 
 import type {Digest} from '@bilberryscale/core';
 import {Err, Ok, type Result} from 'ts-results-es';
-import {serviceSchema} from '../model/bundle-schema.js';
 import type {Bundle, Service} from '../model/bundle.js';
 import {findContradictions} from '../model/find-contradictions.js';
-import {getDigest} from '../utils/canonical.js';
-import {describeIssues} from '../utils/describe-issues.js';
+import {parsePart} from './parse-part.js';
 import type {Manifest, PartReference} from './published-bundle.js';
 
 /** Gives the text of a part, if it is at hand. */
@@ -34,9 +32,26 @@
 		}
 	}
 
+	const joined = joinServices(manifest, services);
+	return faults.length > 0
+		? Err([...faults, ...(joined.isErr() ? joined.error : [])])
+		: joined;
+}
+
+/**
+ * Joins a manifest with services that were read before.
+ *
+ * @param manifest - A manifest whose signatures were verified.
+ * @param services - The services of its parts, in their order.
+ * @returns The bundle, or every contradiction that was found.
+ */
+export function joinServices(
+	manifest: Manifest,
+	services: readonly Service[],
+): Result<Bundle, readonly string[]> {
 	const {version, dataCentres, distances} = manifest;
 	const bundle: Bundle = {version, dataCentres, distances, services};
-	faults.push(...findContradictions(bundle));
+	const faults = findContradictions(bundle);
 	return faults.length > 0 ? Err(faults) : Ok(bundle);
 }
 
@@ -44,23 +59,7 @@
 	reference: PartReference,
 	text: string | undefined,
 ): Result<Service, readonly string[]> {
-	const label = `part "${reference.service}"`;
-	if (text === undefined) {
-		return Err([`${label}: missing; digest ${reference.digest}`]);
-	}
-
-	const digest = getDigest(text);
-	if (digest !== reference.digest) {
-		return Err([`${label}: digest ${digest} is not ${reference.digest}`]);
-	}
-
-	const document: unknown = JSON.parse(text);
-	const checked = serviceSchema.safeParse(document);
-	if (!checked.success) {
-		return Err(describeIssues(label, checked.error, document));
-	}
-
-	return checked.data.name === reference.service
-		? Ok(checked.data)
-		: Err([`${label}: holds the service "${checked.data.name}"`]);
+	return text === undefined
+		? Err([`part "${reference.service}": missing; digest ${reference.digest}`])
+		: parsePart(reference, text);
 }
--- a/packages/bundle/src/published/manifest-schema.ts
+++ b/packages/bundle/src/published/manifest-schema.ts
@@ -14,7 +14,10 @@
 	versionSchema,
 } from '../model/bundle-schema.js';
 import {describeIssues} from '../utils/describe-issues.js';
+import {parseJson} from '../utils/parse-json.js';
+import {checkSize} from './check-size.js';
 import type {SignedManifest} from './published-bundle.js';
+import {maxParts, maxSignatures} from './size-limits.js';
 
 const digestPattern = /^[\da-f]{64}$/v;
 
@@ -42,9 +45,9 @@
 		version: versionSchema,
 		dataCentres: z.array(dataCentreSchema).min(1),
 		distances: z.array(distanceSchema),
-		parts: z.array(partSchema).min(1),
+		parts: z.array(partSchema).min(1).max(maxParts),
 	}),
-	signatures: z.array(signatureSchema),
+	signatures: z.array(signatureSchema).max(maxSignatures),
 });
 
 /**
@@ -58,15 +61,13 @@
 	text: string,
 	label: string,
 ): Result<SignedManifest, readonly string[]> {
-	let document: unknown;
-	try {
-		document = JSON.parse(text);
-	} catch {
-		return Err([`${label}: is not JSON; ${text.length} characters`]);
+	const document = checkSize(text, label).andThen(() => parseJson(text, label));
+	if (document.isErr()) {
+		return Err([document.error]);
 	}
 
-	const checked = signedManifestSchema.safeParse(document);
+	const checked = signedManifestSchema.safeParse(document.value);
 	return checked.success
 		? Ok(checked.data)
-		: Err(describeIssues(label, checked.error, document));
+		: Err(describeIssues(label, checked.error, document.value));
 }
--- a/packages/bundle/src/signing/verify-manifest.ts
+++ b/packages/bundle/src/signing/verify-manifest.ts
@@ -1,11 +1,13 @@
 /** Verifies the signatures of a manifest. */
 
-import {Buffer} from 'node:buffer';
-import {verify} from 'node:crypto';
 import type {SignerName} from '@bilberryscale/core';
 import {Err, Ok, type Result} from 'ts-results-es';
-import type {SignedManifest} from '../published/published-bundle.js';
+import type {
+	ManifestSignature,
+	SignedManifest,
+} from '../published/published-bundle.js';
 import {getCanonicalText} from '../utils/canonical.js';
+import {checkSignature, type SignatureCheck} from './signature-cache.js';
 import type {TrustPolicy} from './signer-key.js';
 
 /**
@@ -13,31 +15,40 @@
  *
  * @param signed - The manifest and its signatures.
  * @param policy - The trusted keys and how many must sign.
+ * @param check - Verifies one signature.
  * @returns The signers whose signatures hold, or why they are too few.
  */
 export function verifyManifest(
 	signed: SignedManifest,
 	policy: TrustPolicy,
+	check: SignatureCheck = checkSignature,
 ): Result<readonly SignerName[], string> {
-	const content = Buffer.from(getCanonicalText(signed.manifest));
-	const signers = policy.keys
-		.filter(({signer, publicKey}) =>
-			signed.signatures.some(
-				(item) =>
-					item.signer === signer &&
-					verify(
-						undefined,
-						content,
-						publicKey,
-						Buffer.from(item.signature, 'base64'),
-					),
-			),
-		)
-		.map(({signer}) => signer);
-	const distinct = [...new Set(signers)];
-	return distinct.length >= policy.threshold
-		? Ok(distinct)
+	const valid = getValidSignatures(signed, policy, check);
+	const signers = [...new Set(valid.map(({signer}) => signer))];
+	return signers.length >= policy.threshold
+		? Ok(signers)
 		: Err(
-				`signed by ${distinct.length} trusted keys (${distinct.join(', ') || 'none'}), needs ${policy.threshold}`,
+				`signed by ${signers.length} trusted keys (${signers.join(', ') || 'none'}), needs ${policy.threshold}`,
 			);
 }
+
+/**
+ * Gets the signatures that a trusted key made.
+ *
+ * @param signed - The manifest and its signatures.
+ * @param policy - The trusted keys.
+ * @param check - Verifies one signature.
+ * @returns The signatures that hold.
+ */
+export function getValidSignatures(
+	signed: SignedManifest,
+	policy: TrustPolicy,
+	check: SignatureCheck = checkSignature,
+): readonly ManifestSignature[] {
+	const content = getCanonicalText(signed.manifest);
+	return signed.signatures.filter(({signer, signature}) =>
+		policy.keys.some(
+			(key) => key.signer === signer && check(content, signature, key),
+		),
+	);
+}
--- /dev/null
+++ b/packages/bundle/test/signing/signature-cache.test.ts
@@ -0,0 +1,71 @@
+import {makeId, type SignerName} from '@bilberryscale/core';
+import {describe, it} from '@bilberryscale/testing';
+import * as assert from 'uvu/assert';
+import {
+	generateKeyPair,
+	makeCachedCheck,
+	parsePublicKey,
+	type TrustedKey,
+} from '../../src/index.js';
+
+function makeKey(): TrustedKey {
+	return {
+		signer: makeId<SignerName>('ana'),
+		publicKey: parsePublicKey(generateKeyPair().publicKey).unwrap(),
+	};
+}
+
+describe('makeCachedCheck', () => {
+	const doTest = (
+		calls: ReadonlyArray<readonly [string, string, TrustedKey]>,
+		expected: number,
+		capacity?: number,
+	) => {
+		let count = 0;
+		const check = makeCachedCheck(() => {
+			count++;
+			return true;
+		}, capacity);
+		for (const call of calls) {
+			check(...call);
+		}
+
+		assert.is(count, expected);
+	};
+
+	const key = makeKey();
+
+	it('verifies the same signature once', () => {
+		doTest(
+			[
+				['text', 's1', key],
+				['text', 's1', key],
+			],
+			1,
+		);
+	});
+
+	it('tells contents, signatures and keys of one name apart', () => {
+		doTest(
+			[
+				['text', 's1', key],
+				['other', 's1', key],
+				['text', 's2', key],
+				['text', 's1', makeKey()],
+			],
+			4,
+		);
+	});
+
+	it('forgets the oldest above its capacity', () => {
+		doTest(
+			[
+				['a', 's', key],
+				['b', 's', key],
+				['a', 's', key],
+			],
+			3,
+			1,
+		);
+	});
+});
--- a/packages/daemon/src/bin/bilberryscaled.ts
+++ b/packages/daemon/src/bin/bilberryscaled.ts
@@ -47,10 +47,23 @@
 		clock: systemClock,
 		seed: Date.now(),
 	});
+	reloadOnSignal(host, flags.settings);
 	stopOnSignals(host, loaded.value.settings.limits.shutdownMs);
 	await host.start();
 }
 
+/** Settings that are wrong are told and leave the former in force. */
+function reloadOnSignal(host: EntryHost, file: string): void {
+	process.on('SIGHUP', () => {
+		const loaded = loadSettings(file);
+		if (loaded.isOk()) {
+			host.reload(loaded.value);
+		} else {
+			writeErrors(loaded.error);
+		}
+	});
+}
+
 function stopOnSignals(host: EntryHost, shutdownMs: number): void {
 	let isStopping = false;
 	const stop = async () => {
@@ -79,9 +92,12 @@
 }
 
 function fail(messages: readonly string[]): void {
+	writeErrors(messages);
+	process.exitCode = badSettingsCode;
+}
+
+function writeErrors(messages: readonly string[]): void {
 	for (const message of messages) {
 		process.stderr.write(`${message}\n`);
 	}
-
-	process.exitCode = badSettingsCode;
 }
--- /dev/null
+++ b/packages/daemon/src/bundle-store/bundle-rank.ts
@@ -0,0 +1,61 @@
+/** The one order of bundles, the same on every host. */
+
+import {
+	getCanonicalText,
+	getDigest,
+	type Manifest,
+} from '@bilberryscale/bundle';
+import type {BundleVersion, Digest} from '@bilberryscale/core';
+import {Err, Ok, type Result} from 'ts-results-es';
+import {makeRefusal, type BundleRefusal} from './bundle-refusal.js';
+
+/** The place of a bundle in the order. */
+export type BundleRank = {
+	readonly version: BundleVersion;
+	/** The digest of the manifest without its signatures. */
+	readonly digest: Digest;
+};
+
+/**
+ * Gets the place of a manifest in the order.
+ *
+ * @param manifest - The manifest.
+ * @returns Its place.
+ */
+export function getRank(manifest: Manifest): BundleRank {
+	return {
+		version: manifest.version,
+		digest: getDigest(getCanonicalText(manifest)),
+	};
+}
+
+/**
+ * Checks that one bundle goes before another: it has the higher version or, under one version, the lower digest.
+ *
+ * @param candidate - The place of the bundle that is offered.
+ * @param current - The place of the bundle in force; undefined before the first.
+ * @returns Nothing, or why the candidate does not replace the other.
+ */
+export function checkRank(
+	candidate: BundleRank,
+	current: BundleRank | undefined,
+): Result<void, BundleRefusal> {
+	if (current === undefined || candidate.version > current.version) {
+		return Ok(undefined);
+	}
+
+	if (candidate.version < current.version) {
+		const cause = `version ${candidate.version} is below ${current.version}, which is in force`;
+		return Err(makeRefusal('older', cause));
+	}
+
+	if (candidate.digest === current.digest) {
+		const cause = `version ${current.version} is in force already`;
+		return Err(makeRefusal('in-force', cause));
+	}
+
+	const cause = `version ${current.version} has another content in force, whose digest is lower`;
+	return candidate.digest < current.digest
+		? Ok(undefined)
+		: Err(makeRefusal('conflict', cause));
+}
--- a/packages/daemon/src/bundle-store/bundle-store.ts
+++ b/packages/daemon/src/bundle-store/bundle-store.ts
@@ -1,7 +1,11 @@
 /** Keeps the bundle in force; it never goes back to a lower version. */
 
 import {
-	joinBundle,
+	getValidSignatures,
+	joinServices,
+	makeCachedCheck,
+	maxSignatures,
+	parseSignedManifest,
 	verifyManifest,
 	type Bundle,
 	type SignedManifest,
@@ -9,9 +13,10 @@
 } from '@bilberryscale/bundle';
 import type {AuditSink, BundleVersion, Digest} from '@bilberryscale/core';
 import {Err, Ok, type Result} from 'ts-results-es';
-
-/** Fetches the text of a part; undefined if it cannot be had. */
-export type PartFetch = (digest: Digest) => Promise<string | undefined>;
+import {BundleAudit} from './bundle-audit.js';
+import {checkRank, getRank, type BundleRank} from './bundle-rank.js';
+import {makeRefusal, type BundleRefusal} from './bundle-refusal.js';
+import {PartShelf, type PartFetch} from './part-shelf.js';
 
 /** What a store works with. */
 export type BundleStoreOptions = {
@@ -21,38 +26,87 @@
 	readonly onAdopted: (bundle: Bundle) => void;
 };
 
+/** What became of an offered bundle: its version, or why it was refused. */
+export type Adoption = Result<BundleVersion, BundleRefusal>;
+
+type InForce = {
+	readonly bundle: Bundle;
+	readonly signed: SignedManifest;
+	readonly rank: BundleRank;
+};
+
 /** The bundle in force in this process. */
 export class BundleStore {
 	readonly #options: BundleStoreOptions;
-	#bundle: Bundle | undefined;
-	#signed: SignedManifest | undefined;
-	#parts = new Map<Digest, string>();
+	readonly #audit: BundleAudit;
+	readonly #check = makeCachedCheck();
+	readonly #shelf = new PartShelf();
+	readonly #onTheirWay = new Set<SignedManifest>();
+	#trust: TrustPolicy;
+	#inForce: InForce | undefined;
 
 	/**
 	 * @param options - Whom to trust and whom to tell.
 	 */
 	constructor(options: BundleStoreOptions) {
 		this.#options = options;
+		this.#audit = new BundleAudit(options.audit);
+		this.#trust = options.trust;
+		this.#audit.addTrust(undefined, options.trust);
 	}
 
 	/** Gets the bundle in force; undefined before the first. */
 	get bundle(): Bundle | undefined {
-		return this.#bundle;
+		return this.#inForce?.bundle;
 	}
 
 	/** Gets the manifest in force, for peers; undefined before the first. */
 	get signed(): SignedManifest | undefined {
-		return this.#signed;
+		return this.#inForce?.signed;
+	}
+
+	/** Gets the place of the bundle in force in the order of bundles. */
+	get rank(): BundleRank | undefined {
+		return this.#inForce?.rank;
 	}
 
 	/**
-	 * Gets the text of a part in force.
+	 * Gets the text of a part that is at hand.
 	 *
 	 * @param digest - The digest of the part.
-	 * @returns The text, if the bundle in force has the part.
+	 * @returns The text, if it is at hand.
 	 */
 	getPart(digest: Digest): string | undefined {
-		return this.#parts.get(digest);
+		return this.#shelf.getText(digest);
+	}
+
+	/**
+	 * Replaces the trusted keys; the bundle in force stays.
+	 *
+	 * @param trust - The keys and how many must sign.
+	 */
+	setTrust(trust: TrustPolicy): void {
+		this.#audit.addTrust(this.#trust, trust);
+		this.#trust = trust;
+	}
+
+	/**
+	 * Takes a manifest into force if it is signed and newer.
+	 *
+	 * @param text - The manifest as JSON, as it came from the platform or a peer.
+	 * @param source - Names where it came from.
+	 * @param fetchPart - Fetches the parts that are not at hand.
+	 * @returns The version adopted, or why it was refused.
+	 */
+	async adoptText(
+		text: string,
+		source: string,
+		fetchPart: PartFetch,
+	): Promise<Adoption> {
+		const parsed = parseSignedManifest(text, source);
+		return parsed.isOk()
+			? this.adopt(parsed.value, fetchPart)
+			: this.#refuse(source, makeRefusal('malformed', parsed.error.join('; ')));
 	}
 
 	/**
@@ -61,101 +115,110 @@
 	 * @param signed - The manifest, as it came from the platform or a peer.
 	 * @param fetchPart - Fetches the parts that are not at hand.
 	 * @returns The version adopted, or why it was refused.
+	 *
+	 * @remarks Several calls may run at once; whichever ends last, the highest stays in force.
 	 */
-	async adopt(
+	async adopt(signed: SignedManifest, fetchPart: PartFetch): Promise<Adoption> {
+		const rank = getRank(signed.manifest);
+		const admitted = this.#admit(rank, signed);
+		if (admitted.isErr()) {
+			return this.#refuse(`version ${rank.version}`, admitted.error);
+		}
+
+		this.#onTheirWay.add(signed);
+		const adopted = await this.#fetchAndAdopt(signed, rank, fetchPart);
+		this.#onTheirWay.delete(signed);
+		return adopted;
+	}
+
+	async #fetchAndAdopt(
 		signed: SignedManifest,
+		rank: BundleRank,
 		fetchPart: PartFetch,
-	): Promise<Result<BundleVersion, string>> {
-		const {version} = signed.manifest;
-		const verified = this.#checkVersion(version).andThen(() =>
-			verifyManifest(signed, this.#options.trust),
+	): Promise<Adoption> {
+		const {manifest} = signed;
+		const services = await this.#shelf.collect(manifest, fetchPart);
+		const joined = services.andThen((value) =>
+			joinServices(manifest, value).mapErr((faults) =>
+				makeRefusal('malformed', faults.join('; ')),
+			),
 		);
-		if (verified.isErr()) {
-			return this.#refuse(version, verified.error);
+		// Keys and the bundle in force may have changed during the fetch.
+		const admitted = this.#admit(rank, signed).andThen(() => joined);
+		if (admitted.isErr()) {
+			return this.#refuse(`version ${rank.version}`, admitted.error);
+		}
+
+		this.#putInForce({bundle: admitted.value, signed, rank});
+		return Ok(rank.version);
+	}
+
+	#admit(
+		rank: BundleRank,
+		signed: SignedManifest,
+	): Result<void, BundleRefusal> {
+		const current = this.#inForce?.rank;
+		const order = checkRank(rank, current);
+		if (order.isErr() && order.error.kind === 'older') {
+			return order;
 		}
 
-		const parts = await this.#collectParts(signed, fetchPart);
-		const joined = joinBundle(signed.manifest, (digest) => parts.get(digest));
-		if (joined.isErr()) {
-			return this.#refuse(version, joined.error.join('; '));
+		const isInForce = order.isErr() && order.error.kind === 'in-force';
+		const verified = verifyManifest(signed, this.#trust, this.#check);
+		if (verified.isErr() && !isInForce) {
+			return Err(makeRefusal('unsigned', verified.error));
 		}
 
-		const stillNewer = this.#checkVersion(version);
-		if (stillNewer.isErr()) {
-			return this.#refuse(version, stillNewer.error);
+		this.#audit.addSeen(rank, signed);
+		if (isInForce) {
+			this.#mergeSignatures(signed);
+		} else if (rank.version === current?.version) {
+			this.#auditConflict(rank, current, order.isOk());
 		}
 
-		this.#putInForce(signed, joined.value, parts);
-		return Ok(version);
+		return order;
 	}
 
-	#checkVersion(version: BundleVersion): Result<void, string> {
-		const current = this.#bundle?.version;
-		return current !== undefined && version <= current
-			? Err(`version ${version} is not above ${current}, which is in force`)
-			: Ok(undefined);
+	#auditConflict(
+		offered: BundleRank,
+		current: BundleRank,
+		offeredWins: boolean,
+	): void {
+		if (offeredWins) {
+			this.#audit.addConflict(offered, current);
+		} else {
+			this.#audit.addConflict(current, offered);
+		}
 	}
 
-	async #collectParts(
-		signed: SignedManifest,
-		fetchPart: PartFetch,
-	): Promise<Map<Digest, string>> {
-		const entries = await Promise.all(
-			signed.manifest.parts.map(
-				async ({digest}) =>
-					[
-						digest,
-						this.#parts.get(digest) ?? (await fetchPart(digest)),
-					] as const,
-			),
+	#mergeSignatures(offered: SignedManifest): void {
+		const current = this.#inForce!;
+		const known = new Set(
+			current.signed.signatures.map(({signature}) => signature),
 		);
-		return new Map(
-			entries.filter(
-				(entry): entry is [Digest, string] => entry[1] !== undefined,
-			),
+		const added = getValidSignatures(offered, this.#trust, this.#check).filter(
+			({signature}) => !known.has(signature),
 		);
+		const {manifest, signatures} = current.signed;
+		const all = [...added, ...signatures].slice(0, maxSignatures);
+		this.#inForce = {...current, signed: {manifest, signatures: all}};
 	}
 
-	#putInForce(
-		signed: SignedManifest,
-		bundle: Bundle,
-		parts: Map<Digest, string>,
-	): void {
-		const former = this.#bundle;
-		this.#bundle = bundle;
-		this.#signed = signed;
-		this.#parts = parts;
-		this.#options.audit({
-			kind: 'bundle-adopted',
-			subject: `version ${bundle.version}`,
-			cause: 'signed by enough keys and newer',
-			...(former !== undefined && {former: `version ${former.version}`}),
-		});
-		this.#auditDataCentres(former, bundle);
-		this.#options.onAdopted(bundle);
+	#putInForce(next: InForce): void {
+		const former = this.#inForce?.bundle;
+		this.#inForce = next;
+		this.#shelf.keepOnly(
+			[next.signed, ...this.#onTheirWay].map(({manifest}) => manifest),
+		);
+		this.#audit.addAdopted(former, next.bundle);
+		this.#options.onAdopted(next.bundle);
 	}
 
-	#auditDataCentres(former: Bundle | undefined, current: Bundle): void {
-		for (const {id, state} of current.dataCentres) {
-			const before = former?.dataCentres.find((item) => item.id === id)?.state;
-			if (before !== undefined && before !== state) {
-				this.#options.audit({
-					kind: state === 'out' ? 'data-centre-out' : 'data-centre-in',
-					subject: id,
-					cause: `bundle version ${current.version}`,
-					former: before,
-					current: state,
-				});
-			}
+	#refuse(subject: string, refusal: BundleRefusal): Adoption {
+		if (refusal.kind !== 'in-force') {
+			this.#audit.addRefused(subject, refusal);
 		}
-	}
 
-	#refuse(version: BundleVersion, cause: string): Result<never, string> {
-		this.#options.audit({
-			kind: 'bundle-refused',
-			subject: `version ${version}`,
-			cause,
-		});
-		return Err(cause);
+		return Err(refusal);
 	}
 }
--- a/packages/daemon/src/bundle-store/bundle-watch.ts
+++ b/packages/daemon/src/bundle-store/bundle-watch.ts
@@ -1,6 +1,5 @@
 /** Watches the platform for newer bundles. */
 
-import {parseSignedManifest} from '@bilberryscale/bundle';
 import {
 	getPartValueName,
 	manifestValueName,
@@ -11,22 +10,31 @@
 import type {PlatformClient} from '@bilberryscale/platform';
 import type {Log} from '../logging/make-logger.js';
 import type {BundleStore} from './bundle-store.js';
+import {makePacer, type Pacer} from './pacer.js';
 
 /** What a watch works with. */
 export type BundleWatchOptions = {
-	readonly platform: PlatformClient;
+	readonly platform: Pick<PlatformClient, 'readValue'>;
 	readonly store: BundleStore;
 	readonly clock: Clock;
 	readonly log: Log;
 };
 
-const waitMs = 20_000;
+// Twice this and the client's own timeout stay within the 6 s of a change.
+const waitMs = 2000;
 const pauseAfterFailureMs = 500;
+const retryMs = 500;
+const partSpacingMs = 8;
+const fullReadEveryMs = 300_000;
 
 /** A loop that reads the manifest and waits for the next one. */
 export class BundleWatch {
 	readonly #options: BundleWatchOptions;
+	readonly #pace: Pacer;
 	#revision = 0;
+	#lastFullReadMs = 0;
+	/** A manifest whose parts could not all be had yet. */
+	#pending: string | undefined;
 	#isStopped = false;
 	#cancelPause: Cancellation | undefined;
 
@@ -35,6 +43,7 @@
 	 */
 	constructor(options: BundleWatchOptions) {
 		this.#options = options;
+		this.#pace = makePacer(options.clock, partSpacingMs);
 	}
 
 	/** Starts the loop. */
@@ -48,59 +57,88 @@
 		this.#cancelPause?.();
 	}
 
+	/** Makes the next read a full one, as after a change of the trusted keys. */
+	refresh(): void {
+		this.#revision = 0;
+	}
+
 	async #readOnce(): Promise<void> {
-		const waits = this.#revision > 0;
-		const outcome = await this.#options.platform.readValue(
-			manifestValueName,
-			this.#revision,
-			waits ? waitMs : 0,
-		);
+		const after = this.#getKnownRevision();
+		const wait = this.#getWaitMs(after);
+		const {platform, log} = this.#options;
+		const outcome = await platform.readValue(manifestValueName, after, wait);
 		if (this.#isStopped) {
 			return;
 		}
 
 		if (outcome.isErr()) {
-			this.#options.log.warn('platform read failed', {cause: outcome.error});
-			this.#readAgainAfter(pauseAfterFailureMs);
-			return;
+			log.warn('platform read failed', {cause: outcome.error});
+		} else if (outcome.value !== undefined) {
+			this.#revision = outcome.value.revision;
+			this.#pending = outcome.value.value;
 		}
 
-		const published = outcome.value;
-		if (published === undefined) {
-			this.#readAgainAfter(waits ? 0 : pauseAfterFailureMs);
-			return;
+		await this.#takePending();
+		const isQuiet =
+			outcome.isErr() || (outcome.value === undefined && wait === 0);
+		this.#readAgainAfter(isQuiet ? pauseAfterFailureMs : 0);
+	}
+
+	/** Gets 0 now and then: a platform that was replaced may count anew. */
+	#getKnownRevision(): number {
+		const nowMs = this.#options.clock.monotonicMs();
+		if (this.#revision > 0 && nowMs - this.#lastFullReadMs < fullReadEveryMs) {
+			return this.#revision;
 		}
 
-		this.#revision = published.revision;
-		await this.#take(published.value);
-		this.#readAgainAfter(0);
+		this.#lastFullReadMs = nowMs;
+		return 0;
+	}
+
+	#getWaitMs(after: number): number {
+		if (after === 0) {
+			return 0;
+		}
+
+		return this.#pending === undefined ? waitMs : retryMs;
 	}
 
 	#readAgainAfter(delayMs: number): void {
+		if (this.#isStopped) {
+			return;
+		}
+
 		this.#cancelPause = this.#options.clock.schedule(delayMs, () => {
 			void this.#readOnce();
 		});
 	}
 
-	async #take(text: string): Promise<void> {
-		const parsed = parseSignedManifest(text, manifestValueName);
-		if (parsed.isErr()) {
-			this.#options.log.error('manifest is malformed', {
-				faults: parsed.error,
-			});
+	async #takePending(): Promise<void> {
+		if (this.#pending === undefined) {
 			return;
 		}
 
-		const adopted = await this.#options.store.adopt(
-			parsed.value,
+		const adopted = await this.#options.store.adoptText(
+			this.#pending,
+			manifestValueName,
 			async (digest) => this.#fetchPart(digest),
 		);
-		if (adopted.isErr()) {
-			this.#options.log.warn('bundle refused', {cause: adopted.error});
+		if (adopted.isOk()) {
+			this.#pending = undefined;
+			return;
+		}
+
+		if (adopted.error.kind !== 'in-force') {
+			this.#options.log.warn('bundle refused', adopted.error);
+		}
+
+		if (adopted.error.kind !== 'part-missing') {
+			this.#pending = undefined;
 		}
 	}
 
 	async #fetchPart(digest: Digest): Promise<string | undefined> {
+		await this.#pace();
 		const outcome = await this.#options.platform.readValue(
 			getPartValueName(digest),
 		);
--- a/packages/daemon/src/context/entry-host.ts
+++ b/packages/daemon/src/context/entry-host.ts
@@ -127,6 +127,21 @@
 		this.#watch.start();
 	}
 
+	/**
+	 * Takes over the trusted keys of settings that were read again; all else needs a restart.
+	 *
+	 * @param loaded - The checked settings.
+	 */
+	reload({trust}: LoadedSettings): void {
+		this.#audit.add({
+			kind: 'settings-loaded',
+			subject: 'trusted keys',
+			cause: 'the settings were read again',
+		});
+		this.#store.setTrust(trust);
+		this.#watch.refresh();
+	}
+
 	/** Stops taking work, finishes every request and closes. */
 	async stop(): Promise<void> {
 		this.#isShuttingDown = true;
--- a/packages/daemon/src/settings/load-settings.ts
+++ b/packages/daemon/src/settings/load-settings.ts
@@ -3,10 +3,10 @@
 import fs from 'node:fs';
 import {
 	describeIssues,
-	parsePublicKey,
+	parseToml,
+	readTrust,
 	type TrustPolicy,
 } from '@bilberryscale/bundle';
-import {parse} from 'smol-toml';
 import {Err, Ok, type Result} from 'ts-results-es';
 import {settingsSchema, type Settings} from './settings.js';
 
@@ -38,43 +38,24 @@
  * @param text - The TOML text.
  * @param fileName - The file's name, for messages.
  * @returns The settings, or every fault that was found.
- * @throws TomlError if the text is not TOML.
  */
 export function parseSettings(
 	text: string,
 	fileName: string,
 ): Result<LoadedSettings, readonly string[]> {
-	const document = parse(text);
-	const checked = settingsSchema.safeParse(document);
-	if (!checked.success) {
-		return Err(describeIssues(fileName, checked.error, document));
+	const document = parseToml(text, fileName);
+	if (document.isErr()) {
+		return Err([document.error]);
 	}
 
-	const settings = checked.data;
-	return readTrust(settings, fileName).map((trust) => ({settings, trust}));
-}
-
-function readTrust(
-	settings: Settings,
-	fileName: string,
-): Result<TrustPolicy, readonly string[]> {
-	const {keys, threshold} = settings.trust;
-	const faults: string[] = [];
-	const trusted = keys.flatMap(({signer, publicKey}) => {
-		const key = parsePublicKey(publicKey);
-		if (key.isErr()) {
-			faults.push(`${fileName}: trust.keys: "${signer}" ${key.error}`);
-			return [];
-		}
-
-		return [{signer, publicKey: key.value}];
-	});
-	const signers = new Set(keys.map(({signer}) => signer));
-	if (threshold > signers.size) {
-		faults.push(
-			`${fileName}: trust.threshold: ${threshold} signers are needed but only ${signers.size} are named`,
-		);
+	const checked = settingsSchema.safeParse(document.value);
+	if (!checked.success) {
+		return Err(describeIssues(fileName, checked.error, document.value));
 	}
 
-	return faults.length > 0 ? Err(faults) : Ok({keys: trusted, threshold});
+	const settings = checked.data;
+	return readTrust(settings.trust, `${fileName}: trust.`).map((trust) => ({
+		settings,
+		trust,
+	}));
 }
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -1,11 +1,7 @@
 /** The settings of an entry process. */
 
-import {
-	makeId,
-	type DataCentreId,
-	type HostId,
-	type SignerName,
-} from '@bilberryscale/core';
+import {trustSchema} from '@bilberryscale/bundle';
+import {makeId, type DataCentreId, type HostId} from '@bilberryscale/core';
 import {z} from 'zod';
 
 const maxPort = 65_535;
@@ -45,20 +41,7 @@
 	platform: z.strictObject({
 		addresses: z.array(z.url()).min(1),
 	}),
-	trust: z.strictObject({
-		threshold: z.int().positive(),
-		keys: z
-			.array(
-				z.strictObject({
-					signer: z
-						.string()
-						.min(1)
-						.transform((value) => makeId<SignerName>(value)),
-					publicKey: z.string().min(1),
-				}),
-			)
-			.min(1),
-	}),
+	trust: trustSchema,
 	metrics: endpoint.optional(),
 	logs: z
 		.strictObject({
--- a/packages/platform/src/client/platform-client.ts
+++ b/packages/platform/src/client/platform-client.ts
@@ -48,7 +48,8 @@
 const notModified = 304;
 const notFound = 404;
 const success = 200;
-const maxAnswerBytes = 1_200_000;
+// A value of a megabyte grows to twice that when JSON escapes each character.
+const maxAnswerBytes = 2_200_000;
 
 /** A reader of the platform; it never writes. */
 export class PlatformClient {
