--- a/packages/decisions/src/target/cold-start.ts
+++ b/packages/decisions/src/target/cold-start.ts
@@ -6,8 +6,8 @@
 
 /** How long hosts without a share wait for the next request to be allowed. */
 const stepMs = 500;
-/** A target is warm when the fleet may give it this multiple of its slots. */
-const warmRatio = 2;
+/** How many requests must be served before one more at once is allowed. */
+const successesPerStep = 10;
 
 /** One start of a target: an allowance of the fleet that grows by successes. */
 export class ColdStart {
@@ -46,7 +46,7 @@
 	/** Gets whether the successes show that the target is warm. */
 	get isWarm(): boolean {
 		const {slots, coldAllowance} = this.#target;
-		return coldAllowance + this.#successes >= slots * warmRatio;
+		return coldAllowance + this.#getEarned() >= slots;
 	}
 
 	/**
@@ -59,7 +59,7 @@
 	getShare(fleet: FleetView, nowMs: number): number {
 		const {coldAllowance, id} = this.#target;
 		const steps = Math.floor((nowMs - this.#beganAtMs) / stepMs);
-		const allowed = coldAllowance + this.#successes + steps;
+		const allowed = coldAllowance + this.#getEarned() + steps;
 		return getFleetShare(allowed, id, fleet);
 	}
 
@@ -73,4 +73,8 @@
 		const steps = Math.floor((nowMs - this.#beganAtMs) / stepMs);
 		return this.#beganAtMs + (steps + 1) * stepMs;
 	}
+
+	#getEarned(): number {
+		return Math.floor(this.#successes / successesPerStep);
+	}
 }
--- a/packages/decisions/src/target/target-state.ts
+++ b/packages/decisions/src/target/target-state.ts
@@ -127,8 +127,7 @@
 	#takeReport(report: LoadReport): void {
 		this.report = report;
 		this.#othersAtReport = Math.max(0, report.inFlight - this.outstanding);
-		this.#meanOthers +=
-			loadWeight * (this.#othersAtReport - this.#meanOthers);
+		this.#meanOthers += loadWeight * (this.#othersAtReport - this.#meanOthers);
 	}
 
 	#averageLatency(sampleMs: number, nowMs: number): void {
--- a/packages/experiment/src/index.ts
+++ b/packages/experiment/src/index.ts
@@ -1,6 +1,10 @@
 /** Experiments that compare policies on real processes. */
 
-export type {Roll, Scenario, ScenarioLoad} from './scenario/scenario.js';
+export type {
+	Scenario,
+	ScenarioLoad,
+	ScenarioStep,
+} from './scenario/scenario.js';
 export {
 	makeScenario,
 	scenarioNames,
--- a/packages/experiment/src/run/run-once.ts
+++ b/packages/experiment/src/run/run-once.ts
@@ -32,13 +32,12 @@
  */
 export async function runOnce(plan: RunPlan): Promise<RunSummary> {
 	const {scenario, policy, entryCount, seed} = plan;
-	const {deployment, slowTargets} = scenario;
+	const {deployment} = scenario;
 	const cluster = await Cluster.start({
 		deployment,
 		entryCount,
 		seed,
 		choice: policy,
-		slowTargets,
 	});
 	try {
 		const records = await runLoad(cluster, plan);
@@ -67,15 +66,15 @@
 	cluster: Cluster,
 	{scenario, seed}: RunPlan,
 ): Promise<CallRecord[]> {
-	const {deployment, durationMs, rolls} = scenario;
+	const {deployment, durationMs, steps} = scenario;
 	const services = scenario.loads.map((load) => makeLoad(deployment, load));
 	const {child, historyFile} = cluster.startLoad({services, durationMs, seed});
 	await child.waitForOutput('ready');
 	let passedMs = 0;
-	for (const {atMs, out} of rolls) {
+	for (const {atMs, act} of steps) {
 		await sleep(atMs - passedMs);
 		passedMs = atMs;
-		cluster.roll(out);
+		await act(cluster);
 	}
 
 	await child.waitForEnd();
--- a/packages/experiment/src/scenario/scenario.ts
+++ b/packages/experiment/src/scenario/scenario.ts
@@ -1,12 +1,12 @@
 /** What an experiment does to a deployment. */
 
-import type {Deployment, SlowTarget} from '@bilberryscale/standins';
+import type {Cluster, Deployment} from '@bilberryscale/standins';
 
-/** A change of the data centres in the course of a run. */
-export type Roll = {
+/** Something that happens in the course of a run. */
+export type ScenarioStep = {
+	/** When, from the start of the load, in milliseconds. */
 	readonly atMs: number;
-	/** The data centres that are out from then on. */
-	readonly out: readonly string[];
+	readonly act: (cluster: Cluster) => void | Promise<void>;
 };
 
 /** The load on one service. */
@@ -22,7 +22,7 @@
 export type Scenario = {
 	readonly deployment: Deployment;
 	readonly loads: readonly ScenarioLoad[];
-	readonly slowTargets: readonly SlowTarget[];
-	readonly rolls: readonly Roll[];
+	/** The steps in the order of their times. */
+	readonly steps: readonly ScenarioStep[];
 	readonly durationMs: number;
 };
--- a/packages/experiment/src/scenario/scenarios.ts
+++ b/packages/experiment/src/scenario/scenarios.ts
@@ -1,7 +1,7 @@
 /** The scenarios by name. */
 
-import type {Deployment} from '@bilberryscale/standins';
-import type {Scenario} from './scenario.js';
+import type {Deployment, TargetBehaviour} from '@bilberryscale/standins';
+import type {Scenario, ScenarioStep} from './scenario.js';
 
 /** The services that an experiment on one machine runs with. */
 const servicesOfDeployment: Readonly<Record<string, readonly string[]>> = {
@@ -12,6 +12,7 @@
 const durationMs = 8000;
 const rollDurationMs = 12_000;
 const slowFactor = 5;
+const coldAtMs = 3000;
 
 type ScenarioMaker = (deployment: Deployment) => Scenario;
 
@@ -20,7 +21,15 @@
 	'steady-70': (deployment) => makeSteady(deployment, 0.7),
 	'steady-85': (deployment) => makeSteady(deployment, 0.85),
 	'burst-150': (deployment) => makeSteady(deployment, 1.5),
-	'slow-target': makeSlowTarget,
+	'slow-target': (deployment) =>
+		makeFaulty(deployment, 0.6, {slowdown: slowFactor}),
+	'lying-target': (deployment) =>
+		makeFaulty(deployment, 0.6, {loadReporting: 'zero', slowdown: 2}),
+	'frozen-reports': (deployment) =>
+		makeFaulty(deployment, 0.6, {loadReporting: 'frozen'}),
+	'noisy-targets': makeNoisy,
+	'cold-target': (deployment) => makeCold(deployment, [1]),
+	'all-cold': (deployment) => makeCold(deployment, undefined),
 	'data-centre': makeDataCentre,
 	'one-overloaded': makeOneOverloaded,
 	'class-ten-times': makeClassTenTimes,
@@ -53,26 +62,94 @@
 			utilisation,
 			classIndex: 0,
 		})),
-		slowTargets: [],
-		rolls: [],
+		steps: [],
 		durationMs,
 	};
 }
 
-function makeSlowTarget(deployment: Deployment): Scenario {
-	const slowTargets = deployment.services.map(({name}) => ({
-		id: `${name}-1`,
-		factor: slowFactor,
-	}));
-	return {...makeSteady(deployment, 0.6), slowTargets};
+/** The first target of each service misbehaves from the start. */
+function makeFaulty(
+	deployment: Deployment,
+	utilisation: number,
+	fault: Partial<TargetBehaviour>,
+): Scenario {
+	return {
+		...makeSteady(deployment, utilisation),
+		steps: [makeFaultStep(deployment, fault, [1])],
+	};
+}
+
+function makeNoisy(deployment: Deployment): Scenario {
+	const stalls = {perSecond: 4, shortestMs: 5, longestMs: 50};
+	return {
+		...makeSteady(deployment, 0.6),
+		steps: [makeFaultStep(deployment, {stalls}, undefined)],
+	};
+}
+
+function makeCold(
+	deployment: Deployment,
+	numbers: readonly number[] | undefined,
+): Scenario {
+	const ids = getTargetIds(deployment, numbers);
+	const step: ScenarioStep = {
+		atMs: coldAtMs,
+		async act({targetsControl}) {
+			await Promise.all(
+				ids.map(async (id) =>
+					targetsControl.act(id, {kind: 'turn-cold', changesBootId: true}),
+				),
+			);
+		},
+	};
+	return {...makeSteady(deployment, 0.6), steps: [step]};
+}
+
+function makeFaultStep(
+	deployment: Deployment,
+	fault: Partial<TargetBehaviour>,
+	numbers: readonly number[] | undefined,
+): ScenarioStep {
+	const ids = getTargetIds(deployment, numbers);
+	return {
+		atMs: 0,
+		async act({targetsControl}) {
+			await Promise.all(
+				ids.map(async (id) => targetsControl.setBehaviour(id, fault)),
+			);
+		},
+	};
+}
+
+/** Gets the ids of some targets of each service, or of all. */
+function getTargetIds(
+	deployment: Deployment,
+	numbers: readonly number[] | undefined,
+): string[] {
+	return deployment.services.flatMap(({name, targets}) =>
+		Array.from({length: targets}, (_, index) => index + 1)
+			.filter((number) => numbers?.includes(number) ?? true)
+			.map((number) => `${name}-${number}`),
+	);
 }
 
 function makeDataCentre(deployment: Deployment): Scenario {
+	const out = [deployment.dataCentres[1]!];
 	return {
 		...makeSteady(deployment, 0.5),
-		rolls: [
-			{atMs: 3000, out: [deployment.dataCentres[1]!]},
-			{atMs: 7000, out: []},
+		steps: [
+			{
+				atMs: 3000,
+				act(cluster) {
+					cluster.roll(out);
+				},
+			},
+			{
+				atMs: 7000,
+				act(cluster) {
+					cluster.roll([]);
+				},
+			},
 		],
 		durationMs: rollDurationMs,
 	};
--- a/packages/standins/src/cluster/cluster.ts
+++ b/packages/standins/src/cluster/cluster.ts
@@ -15,8 +15,8 @@
 import {makeBundle} from '../deployment/make-bundle.js';
 import type {BalancedEntry, LoadPlan} from '../load/load-plan.js';
 import {PlatformStandin} from '../platform/platform-standin.js';
-import type {SlowTarget} from '../target/make-targets.js';
 import {readRunLog, type RunRecord} from '../target/run-log.js';
+import {TargetsControl} from '../target/targets-control.js';
 import {Child} from './child.js';
 import {getEntrySettings} from './entry-settings.js';
 import {OperatorDesk} from './operator-desk.js';
@@ -28,8 +28,6 @@
 	readonly seed: number;
 	/** How targets are chosen; the default of the daemon if absent. */
 	readonly choice?: string;
-	/** The targets that are slower than the others. */
-	readonly slowTargets?: readonly SlowTarget[];
 };
 
 const distFolder = path.join(
@@ -51,6 +49,8 @@
 	readonly operators = new OperatorDesk(['first-operator', 'second-operator']);
 	readonly entries: readonly EntryPlace[];
 	readonly targets: readonly TargetPlace[];
+	/** Gives orders to the targets. */
+	readonly targetsControl: TargetsControl;
 	readonly folder: string;
 	readonly #options: ClusterOptions;
 	readonly #plan: AddressPlan;
@@ -60,6 +60,7 @@
 	private constructor(options: ClusterOptions, plan: AddressPlan) {
 		this.#options = options;
 		this.#plan = plan;
+		this.targetsControl = new TargetsControl(plan.control);
 		this.folder = fs.mkdtempSync(path.join(os.tmpdir(), 'bilberryscale-'));
 		this.entries = Array.from({length: options.entryCount}, (_, index) =>
 			plan.getEntry(options.deployment, index),
@@ -222,7 +223,7 @@
 				places: this.targets,
 				seed: this.#options.seed,
 				logFile: path.join(this.folder, 'runs.jsonl'),
-				slowTargets: this.#options.slowTargets ?? [],
+				control: this.#plan.control,
 			}),
 		);
 		const child = this.#spawn('targets', [
