--- a/packages/decisions/src/dispatch/admission.ts
+++ b/packages/decisions/src/dispatch/admission.ts
@@ -143,7 +143,7 @@
 			this.#drain.restart(nowMs);
 		}
 
-		this.#queue.push(call, nowMs, expiresAtMs);
+		this.#queue.add(call, nowMs, expiresAtMs);
 		return {kind: 'wait', call};
 	}
 
--- a/packages/decisions/src/dispatch/fair-queue.ts
+++ b/packages/decisions/src/dispatch/fair-queue.ts
@@ -47,7 +47,7 @@
 	 * @param nowMs - The monotonic time in milliseconds.
 	 * @param expiresAtMs - When its wait ends, in milliseconds.
 	 */
-	push(call: Call, nowMs: number, expiresAtMs: number): void {
+	add(call: Call, nowMs: number, expiresAtMs: number): void {
 		const waiting = {call, enqueuedAtMs: nowMs, expiresAtMs, isGone: false};
 		const lane = this.#getLane(call.callerClass);
 		if (lane.size === 0) {
--- /dev/null
+++ b/packages/decisions/test/fixtures.ts
@@ -0,0 +1,117 @@
+/** Services, calls and outcomes for the tests of the decisions. */
+
+import type {DataCentre, Service, Target} from '@bilberryscale/bundle';
+import {
+	makeId,
+	makeSeededRandom,
+	type AuditEvent,
+	type BootId,
+	type CallerClass,
+	type DataCentreId,
+	type RequestId,
+	type ServiceName,
+	type TargetId,
+} from '@bilberryscale/core';
+import {
+	chooseAtRandom,
+	ServiceDispatcher,
+	type Call,
+	type Outcome,
+	type OutcomeKind,
+	type TargetChoice,
+} from '../src/index.js';
+
+export const east = makeId<DataCentreId>('east');
+export const west = makeId<DataCentreId>('west');
+export const firstBoot = makeId<BootId>('boot-1');
+export const secondBoot = makeId<BootId>('boot-2');
+export const bothIn: readonly DataCentre[] = [
+	{id: east, state: 'in'},
+	{id: west, state: 'in'},
+];
+
+let nextCall = 0;
+
+export function makeTarget(number: number, dataCentre = east): Target {
+	return {
+		id: makeId<TargetId>(`target-${number}`),
+		address: '127.0.0.1',
+		port: 8100 + number,
+		dataCentre,
+		slots: 4,
+		connections: 220,
+		coldAllowance: 1,
+	};
+}
+
+export function makeService(
+	targetCount: number,
+	change: Partial<Service> = {},
+): Service {
+	return {
+		name: makeId<ServiceName>('archive'),
+		idempotency: 'all',
+		classes: [
+			{name: makeId<CallerClass>('reader'), weight: 1},
+			{name: makeId<CallerClass>('press'), weight: 1},
+		],
+		limits: {
+			queueLength: 8,
+			queueTimeMs: 500,
+			timeoutMs: 5000,
+			bodyBytes: 1000,
+		},
+		retry: {share: 0.1, attempts: 3},
+		measuring: {callsPerSecond: 0, bytesPerSecond: 0},
+		targets: Array.from({length: targetCount}, (_, index) => makeTarget(index)),
+		...change,
+	};
+}
+
+export function makeCall(change: Partial<Call> = {}): Call {
+	nextCall++;
+	return {
+		requestId: makeId<RequestId>(`call-${nextCall}`),
+		callerClass: makeId<CallerClass>('reader'),
+		isIdempotent: true,
+		deadlineMs: Number.MAX_SAFE_INTEGER,
+		triedTargets: [],
+		...change,
+	};
+}
+
+export function makeOutcome(
+	kind: OutcomeKind,
+	change: {latencyMs?: number; bootId?: BootId; inFlight?: number} = {},
+	nowMs = 0,
+): Outcome {
+	const {latencyMs = 20, bootId = firstBoot, inFlight = 0} = change;
+	return kind === 'unreachable' || kind === 'failed'
+		? {kind, latencyMs}
+		: {kind, latencyMs, report: {inFlight, bootId, receivedAtMs: nowMs}};
+}
+
+export type DispatcherFixture = {
+	readonly dispatcher: ServiceDispatcher;
+	readonly audited: AuditEvent[];
+};
+
+export function makeDispatcher(
+	service: Service,
+	chooseTarget: TargetChoice = chooseAtRandom,
+): DispatcherFixture {
+	const audited: AuditEvent[] = [];
+	const dispatcher = new ServiceDispatcher({
+		service,
+		dataCentres: bothIn,
+		distances: [{between: [east, west], delayMs: 5}],
+		dataCentre: east,
+		chooseTarget,
+		random: makeSeededRandom(1),
+		audit(event) {
+			audited.push(event);
+		},
+		nowMs: 0,
+	});
+	return {dispatcher, audited};
+}
--- /dev/null
+++ b/packages/decisions/test/target/cold-start.test.ts
@@ -0,0 +1,131 @@
+/** Targets that have just started. */
+
+import {describe, it} from '@bilberryscale/testing';
+import fc from 'fast-check';
+import * as assert from 'uvu/assert';
+import {ColdStart, getFleetShare, type Grant} from '../../src/index.js';
+import {
+	firstBoot,
+	makeCall,
+	makeDispatcher,
+	makeOutcome,
+	makeService,
+	makeTarget,
+	secondBoot,
+} from '../fixtures.js';
+
+describe('getFleetShare', () => {
+	it('adds up to the whole over all hosts', () => {
+		const number = fc.integer({min: 0, max: 100});
+		const size = fc.integer({min: 1, max: 40});
+		fc.assert(
+			fc.property(number, size, fc.string(), (whole, hosts, subject) => {
+				let sum = 0;
+				for (let rank = 0; rank < hosts; rank++) {
+					sum += getFleetShare(whole, subject, {size: hosts, rank});
+				}
+
+				assert.is(sum, whole);
+			}),
+			{seed: 1},
+		);
+	});
+});
+
+describe('ColdStart', () => {
+	it('grows by time for hosts that send nothing', () => {
+		const start = new ColdStart(makeTarget(0), secondBoot, 0);
+		const sum = (nowMs: number) => {
+			let total = 0;
+			for (let rank = 0; rank < 16; rank++) {
+				total += start.getShare({size: 16, rank}, nowMs);
+			}
+
+			return total;
+		};
+
+		assert.equal(
+			[0, 499, 500, 1500].map((nowMs) => sum(nowMs)),
+			[1, 1, 2, 4],
+		);
+	});
+
+	it('starts again after a refusal', () => {
+		const start = new ColdStart(makeTarget(0), secondBoot, 0);
+		for (let success = 0; success < 20; success++) {
+			start.addSuccess();
+		}
+
+		const fleet = {size: 1, rank: 0};
+		assert.is(start.getShare(fleet, 0), 3);
+		start.addRefusal(100);
+		assert.is(start.getShare(fleet, 100), 1);
+	});
+});
+
+describe('a target that turns cold', () => {
+	const turnCold = (targetCount: number) => {
+		const fixture = makeDispatcher(makeService(targetCount));
+		const {dispatcher} = fixture;
+		for (const bootId of [firstBoot, secondBoot]) {
+			const grants = Array.from(
+				{length: 4 * targetCount},
+				() => dispatcher.offer(makeCall(), 0).decision as Grant,
+			);
+			for (const {target} of grants) {
+				dispatcher.finish(target, makeOutcome('served', {bootId}), 0);
+			}
+		}
+
+		return fixture;
+	};
+
+	const countGrants = ({dispatcher}: ReturnType<typeof turnCold>) => {
+		let grants = 0;
+		for (let call = 0; call < 5; call++) {
+			const {decision} = dispatcher.offer(makeCall(), 0);
+			grants += decision.kind === 'grant' ? 1 : 0;
+		}
+
+		return grants;
+	};
+
+	it('gets no more than its allowance and is audited', () => {
+		const fixture = turnCold(1);
+		assert.is(countGrants(fixture), 1);
+		assert.equal(
+			fixture.audited.map(({kind}) => kind),
+			['target-cold'],
+		);
+	});
+
+	it('gets nothing from a host without a share', () => {
+		const shares = [0, 1, 2].map((rank) => {
+			const fixture = turnCold(1);
+			fixture.dispatcher.setFleet({size: 3, rank}, 0);
+			return countGrants(fixture);
+		});
+		assert.is(shares.filter((share) => share === 1).length, 1);
+		assert.is(shares.filter((share) => share === 0).length, 2);
+	});
+
+	it('is warm again after its successes', () => {
+		const fixture = turnCold(1);
+		const {dispatcher} = fixture;
+		for (let success = 0; success < 30; success++) {
+			const {decision} = dispatcher.offer(makeCall(), 0);
+			const outcome = makeOutcome('served', {bootId: secondBoot});
+			dispatcher.finish((decision as Grant).target, outcome, 0);
+		}
+
+		assert.is(countGrants(fixture), 4);
+	});
+
+	it('is not taken for cold again by a late answer of its former life', () => {
+		const {dispatcher, audited} = turnCold(1);
+		const {decision} = dispatcher.offer(makeCall(), 0);
+		const late = makeOutcome('served', {bootId: firstBoot});
+		dispatcher.finish((decision as Grant).target, late, 0);
+		assert.is(audited.length, 1);
+	});
+});
