Decide by leases of a quorum who may run a key

Cause: a non-idempotent request must run at most once although hosts keep nothing and no store is shared. Change: packages/once has the pure rules: 256 buckets of keys, a grantor that promises each bucket to one incarnation at a time, a holder that counts leases from the send of its claim, a keeper that checks lease and key time with one clock reading, and records bounded by bytes that never forget inside the window.

--- /dev/null
+++ b/packages/once/test/model/fleet-model.ts
@@ -0,0 +1,287 @@
+/** Runs commands against real grantors, holders and keepers. */
+
+import {Buffer} from 'node:buffer';
+import {
+	makeId,
+	makeSeededRandom,
+	type IdempotencyKey,
+} from '@bilberryscale/core';
+import {
+	BucketSet,
+	KeyMaker,
+	getKeyTimeMs,
+	type Bucket,
+	type RunEnd,
+	type TenurePolicy,
+} from '../../src/index.js';
+import {hostCount, type Command} from './commands.js';
+import {ModelHost, getTrueDateMs} from './model-host.js';
+
+/** A fleet that follows the rules, or breaks one of them. */
+export type Variant = {
+	readonly policy: TenurePolicy;
+	readonly skipsSilence?: boolean;
+	readonly countsFromReply?: boolean;
+	readonly readsClockTwice?: boolean;
+};
+
+type Message = {
+	readonly dueMs: number;
+	readonly host: ModelHost;
+	readonly deliver: () => void;
+};
+
+type Claim = Extract<Command, {kind: 'claim'}>;
+type Submission = Extract<Command, {kind: 'submit'}>;
+
+const bucket = makeId<Bucket>(7);
+const bucketSet = new BucketSet([bucket]);
+const answer = {status: 200, headers: {}, body: Buffer.alloc(0)};
+
+/** What a run came to. */
+export type RunCounts = {
+	readonly begun: number;
+	readonly begunTwice: number;
+};
+
+/** A fleet whose hosts all want the one bucket that all keys are in. */
+export class FleetModel {
+	readonly #variant: Variant;
+	readonly #hosts = Array.from(
+		{length: hostCount},
+		(_, index) => new ModelHost(index),
+	);
+
+	readonly #keyMaker = new KeyMaker(makeSeededRandom(1));
+	readonly #keys: IdempotencyKey[] = [];
+	readonly #runs = new Map<IdempotencyKey, number>();
+	#messages: Message[] = [];
+	#nowMs = 0;
+
+	constructor(variant: Variant) {
+		this.#variant = variant;
+		for (const host of this.#hosts) {
+			this.#restart(host);
+		}
+
+		this.#advance(2 * variant.policy.leaseMs);
+	}
+
+	run(commands: readonly Command[]): RunCounts {
+		for (const command of commands) {
+			this.#apply(command);
+		}
+
+		const counts = [...this.#runs.values()];
+		return {
+			begun: counts.filter((count) => count > 0).length,
+			begunTwice: counts.filter((count) => count > 1).length,
+		};
+	}
+
+	#apply(command: Command): void {
+		switch (command.kind) {
+			case 'claim': {
+				this.#claim(this.#hosts[command.host]!, command);
+				break;
+			}
+
+			case 'submit': {
+				this.#submit(this.#hosts[command.host]!, command);
+				break;
+			}
+
+			case 'advance': {
+				this.#advance(command.ms);
+				break;
+			}
+
+			case 'pause': {
+				const host = this.#hosts[command.host]!;
+				host.pausedUntilMs = this.#nowMs + command.ms;
+				break;
+			}
+
+			case 'kill': {
+				for (const host of this.#hosts) {
+					if (isIn(command.hosts, host)) {
+						this.#restart(host);
+					}
+				}
+
+				break;
+			}
+
+			case 'list': {
+				const host = this.#hosts[command.host]!;
+				host.hasNewList = command.isNew;
+				this.#publish(host);
+				break;
+			}
+		}
+	}
+
+	#restart(host: ModelHost): void {
+		const {policy, skipsSilence} = this.#variant;
+		this.#messages = this.#messages.filter((item) => item.host !== host);
+		host.restart(this.#nowMs, policy, !skipsSilence);
+		this.#publish(host);
+	}
+
+	#publish(host: ModelHost): void {
+		const left = host.hasNewList ? 0 : hostCount - 1;
+		const published = this.#hosts.filter(({index}) => index !== left);
+		host.holder.setPublished(
+			published.map(({id}) => id),
+			host.getMonotonicMs(this.#nowMs),
+		);
+	}
+
+	#claim(host: ModelHost, command: Claim): void {
+		if (host.pausedUntilMs > this.#nowMs) {
+			return;
+		}
+
+		if (!command.wants) {
+			host.holder.giveUp(bucketSet, host.sequence);
+		}
+
+		host.sequence++;
+		for (const grantor of this.#hosts) {
+			if (isIn(command.reach, grantor)) {
+				this.#sendClaim(host, grantor, command);
+			}
+		}
+
+		this.#advance(0);
+	}
+
+	#sendClaim(host: ModelHost, grantor: ModelHost, command: Claim): void {
+		const {sequence, incarnation} = host;
+		const sentAtMs = host.getMonotonicMs(this.#nowMs);
+		const wanted = command.wants ? bucketSet : BucketSet.empty;
+		const deliver = () => {
+			const granted = grantor.grantor.grant(
+				{claimant: incarnation, sequence, wanted},
+				grantor.getMonotonicMs(this.#nowMs),
+			);
+			const reply = () => {
+				const nowMs = host.getMonotonicMs(this.#nowMs);
+				if (host.incarnation === incarnation) {
+					const countsFrom = this.#variant.countsFromReply ? nowMs : sentAtMs;
+					host.holder.addGrants(
+						{
+							grantor: grantor.id,
+							sequence,
+							sentAtMs: countsFrom,
+							buckets: granted,
+						},
+						nowMs,
+					);
+				}
+			};
+
+			this.#send(host, command.replyDelayMs, reply);
+			if (command.isDoubled) {
+				this.#send(host, command.replyDelayMs + 700, reply);
+			}
+		};
+
+		this.#send(grantor, command.delayMs, deliver);
+		if (command.isDoubled) {
+			this.#send(grantor, command.delayMs + 900, deliver);
+		}
+	}
+
+	#send(host: ModelHost, delayMs: number, deliver: () => void): void {
+		this.#messages.push({dueMs: this.#nowMs + delayMs, host, deliver});
+	}
+
+	#advance(durationMs: number): void {
+		const endMs = this.#nowMs + durationMs;
+		for (;;) {
+			const next = this.#takeDueBy(endMs);
+			if (next === undefined) {
+				break;
+			}
+
+			this.#nowMs = Math.max(this.#nowMs, getDueMs(next));
+			next.deliver();
+		}
+
+		this.#nowMs = endMs;
+	}
+
+	#takeDueBy(endMs: number): Message | undefined {
+		const due = this.#messages
+			.filter((message) => getDueMs(message) <= endMs)
+			.toSorted((a, b) => getDueMs(a) - getDueMs(b));
+		this.#messages = this.#messages.filter((message) => message !== due[0]);
+		return due[0];
+	}
+
+	#submit(host: ModelHost, command: Submission): void {
+		if (host.pausedUntilMs > this.#nowMs) {
+			return;
+		}
+
+		const readMs = host.getMonotonicMs(this.#nowMs);
+		const isHeld = host.holder.getTenure(bucket, readMs) !== undefined;
+		host.pausedUntilMs = this.#nowMs + command.pauseMs;
+		this.#send(host, command.pauseMs, () => {
+			const key = this.#getKey(command);
+			const mayRun = this.#variant.readsClockTwice
+				? isHeld && this.#mayRunByTime(host, key)
+				: host.keeper.begin(key, 'same', readMs).kind === 'run';
+			if (mayRun) {
+				this.#runs.set(key, (this.#runs.get(key) ?? 0) + 1);
+				this.#finish(host, key, command.end);
+			}
+		});
+		this.#advance(0);
+	}
+
+	#getKey({back, skewMs}: Submission): IdempotencyKey {
+		const known = back === 0 ? undefined : this.#keys.at(-back);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const keyTimeMs = getTrueDateMs(this.#nowMs) + skewMs;
+		const key = this.#keyMaker.make(keyTimeMs, bucket);
+		this.#keys.push(key);
+		return key;
+	}
+
+	/** Decides all but the lease by a second reading of the clock. */
+	#mayRunByTime(host: ModelHost, key: IdempotencyKey): boolean {
+		const nowMs = host.getMonotonicMs(this.#nowMs);
+		const decision = host.keeper.begin(key, 'same', nowMs);
+		return (
+			decision.kind === 'run' ||
+			(decision.kind === 'refuse' && decision.failure.kind === 'no-tenure')
+		);
+	}
+
+	#finish(host: ModelHost, key: IdempotencyKey, end: Submission['end']): void {
+		if (end === 'running') {
+			return;
+		}
+
+		if (end === 'not-run') {
+			this.#runs.set(key, this.#runs.get(key)! - 1);
+		}
+
+		const runEnd: RunEnd =
+			end === 'answered' ? {kind: end, answer} : {kind: end};
+		host.keeper.finish(key, runEnd);
+	}
+}
+
+function getDueMs({dueMs, host}: Message): number {
+	return Math.max(dueMs, host.pausedUntilMs);
+}
+
+function isIn(mask: number, {index}: ModelHost): boolean {
+	return Math.floor(mask / 2 ** index) % 2 === 1;
+}
