--- a/packages/core/test/random/random-source.test.ts
+++ b/packages/core/test/random/random-source.test.ts
@@ -10,9 +10,17 @@
 }
 
 describe('makeSeededRandom', () => {
-	it('repeats itself for the same seed and not for another', () => {
-		assert.equal(draw(7), draw(7));
-		assert.not.equal(draw(7), draw(8));
+	it('gives equal sequences for equal seeds and not for others', () => {
+		assert.equal(draw(5), draw(5));
+		assert.not.equal(draw(5), draw(6));
+	});
+
+	it('spreads the first draws of small seeds over the range', () => {
+		const draws = Array.from({length: 100}, (_, seed) =>
+			makeSeededRandom(seed)(),
+		);
+		const below = draws.filter((draw) => draw < 0.5).length;
+		assert.ok(below > 30 && below < 70, `${below} of 100 below one half`);
 	});
 
 	it('draws evenly from 0 to below 1', () => {
