Add the messages, the view and the transport between peers

Cause: hosts must confirm leases, forward calls and pass bundles to each other. Change: packages/peers has the view (published list joined with heartbeats, ended incarnations are dropped), schema-checked messages, and JSON-RPC over HTTPS with mutual TLS, the host's name being the certificate's subject.

--- /dev/null
+++ b/packages/peers/src/transport/peer-server.ts
@@ -0,0 +1,172 @@
+/** Answers peers: JSON-RPC over HTTP with mutual TLS. */
+
+import type {TLSSocket} from 'node:tls';
+import type {Server} from 'node:https';
+import {makeId, type HostId, type IncarnationId} from '@bilberryscale/core';
+import {fastify, type FastifyInstance} from 'fastify';
+import {JSONRPCErrorException, JSONRPCServer} from 'json-rpc-2.0';
+import type {z} from 'zod';
+import {
+	forwardedCallSchema,
+	heartbeatSchema,
+	manifestRequestSchema,
+	partRequestSchema,
+	type ForwardedCall,
+	type ForwardedReply,
+	type Heartbeat,
+	type HeartbeatReply,
+	type PartRequest,
+	type TextReply,
+} from '../protocol/messages.js';
+import type {PeerIdentity} from '../membership/peer-state.js';
+import type {TlsMaterial} from './tls-files.js';
+
+/** What a host does for its peers. */
+export type PeerHandlers = {
+	readonly heartbeat: (message: Heartbeat) => HeartbeatReply;
+	readonly call: (message: ForwardedCall) => Promise<ForwardedReply>;
+	readonly getManifest: () => TextReply;
+	readonly getPart: (message: PartRequest) => TextReply;
+};
+
+/** What a server works with. */
+export type PeerServerOptions = {
+	readonly incarnation: IncarnationId;
+	readonly tls: TlsMaterial;
+	readonly handlers: PeerHandlers;
+	/** Takes each message that was refused and why. */
+	readonly onRefused: (peer: HostId, cause: string) => void;
+};
+
+type Sender = {readonly host: HostId};
+type Envelope = {
+	readonly from: PeerIdentity;
+	readonly to?: IncarnationId | undefined;
+};
+
+const maxMessageBytes = 16 * 1024 * 1024;
+const invalidParameters = -32_602;
+const refusedByRule = -32_001;
+
+/** The server that peers talk to. */
+export class PeerServer {
+	readonly #options: PeerServerOptions;
+	readonly #rpc: JSONRPCServer<Sender>;
+	readonly #http: FastifyInstance<Server>;
+
+	/**
+	 * @param options - The certificate and what answers the messages.
+	 */
+	constructor(options: PeerServerOptions) {
+		this.#options = options;
+		this.#rpc = new JSONRPCServer<Sender>({errorListener: () => undefined});
+		this.#rpc.mapErrorToJSONRPCErrorResponse = (id, error: Error) => ({
+			jsonrpc: '2.0',
+			id,
+			error: {
+				code:
+					error instanceof JSONRPCErrorException ? error.code : refusedByRule,
+				message: error.message,
+			},
+		});
+		this.#addMethods();
+		this.#http = this.#makeHttp();
+	}
+
+	/**
+	 * Starts to listen.
+	 *
+	 * @param address - The IP number.
+	 * @param port - The port.
+	 */
+	async listen(address: string, port: number): Promise<void> {
+		await this.#http.listen({host: address, port});
+	}
+
+	/**
+	 * Takes renewed certificates for connections to come.
+	 *
+	 * @param tls - The certificates.
+	 */
+	setTls(tls: TlsMaterial): void {
+		this.#http.server.setSecureContext(tls);
+	}
+
+	/** Answers what has come and closes. */
+	async close(): Promise<void> {
+		await this.#http.close();
+	}
+
+	#makeHttp(): FastifyInstance<Server> {
+		const http = fastify({
+			logger: false,
+			bodyLimit: maxMessageBytes,
+			forceCloseConnections: 'idle',
+			https: {
+				...this.#options.tls,
+				requestCert: true,
+				rejectUnauthorized: true,
+				minVersion: 'TLSv1.3',
+			},
+		});
+		http.server.on('tlsClientError', (error) => {
+			this.#options.onRefused(makeId<HostId>('unauthenticated'), error.message);
+		});
+		http.removeAllContentTypeParsers();
+		http.addContentTypeParser(
+			'*',
+			{parseAs: 'string'},
+			async (_: unknown, body: unknown) => body,
+		);
+		http.post('/rpc', async (request, reply) => {
+			const socket = request.raw.socket as TLSSocket;
+			const host = makeId<HostId>(
+				String(socket.getPeerCertificate().subject?.CN),
+			);
+			const answer = await this.#rpc.receiveJSON(String(request.body), {host});
+			return reply.type('application/json').send(JSON.stringify(answer));
+		});
+		return http;
+	}
+
+	#addMethods(): void {
+		const {handlers} = this.#options;
+		this.#add('heartbeat', heartbeatSchema, handlers.heartbeat);
+		this.#add('call', forwardedCallSchema, handlers.call);
+		this.#add('manifest', manifestRequestSchema, handlers.getManifest);
+		this.#add('part', partRequestSchema, handlers.getPart);
+	}
+
+	#add<Message extends Envelope, Reply>(
+		name: string,
+		schema: z.ZodType<Message>,
+		handle: (message: Message) => Reply,
+	): void {
+		this.#rpc.addMethod(name, (parameters, sender) => {
+			const checked = schema.safeParse(parameters);
+			if (!checked.success) {
+				const cause = `${name}: ${checked.error.issues[0]?.message}`;
+				this.#options.onRefused(sender.host, cause);
+				throw new JSONRPCErrorException(cause, invalidParameters);
+			}
+
+			this.#checkEnvelope(name, checked.data, sender);
+			return handle(checked.data);
+		});
+	}
+
+	#checkEnvelope(name: string, message: Envelope, sender: Sender): void {
+		if (message.from.host !== sender.host) {
+			const cause = `${name}: says it is from "${message.from.host}"`;
+			this.#options.onRefused(sender.host, cause);
+			throw new JSONRPCErrorException(cause, refusedByRule);
+		}
+
+		if (message.to !== undefined && message.to !== this.#options.incarnation) {
+			throw new JSONRPCErrorException(
+				`${name}: is for a former incarnation`,
+				refusedByRule,
+			);
+		}
+	}
+}
