--- a/packages/bundle/src/index.ts
+++ b/packages/bundle/src/index.ts
@@ -27,6 +27,7 @@
 	joinServices,
 	type PartSource,
 } from './published/join-bundle.js';
+export {getManifestDigest, getManifestText} from './published/manifest-text.js';
 export {parsePart} from './published/parse-part.js';
 export {checkSize} from './published/check-size.js';
 export {
@@ -48,6 +49,7 @@
 	checkSignature,
 	makeCachedCheck,
 	type SignatureCheck,
+	type SignedContent,
 } from './signing/signature-cache.js';
 export {getValidSignatures, verifyManifest} from './signing/verify-manifest.js';
 export {readTrust, trustSchema} from './signing/trust-schema.js';
--- a/packages/bundle/src/model/find-contradictions.ts
+++ b/packages/bundle/src/model/find-contradictions.ts
@@ -57,6 +57,10 @@
 }
 
 function findRepeats(what: string, names: readonly string[]): string[] {
+	if (new Set(names).size === names.length) {
+		return [];
+	}
+
 	const seen = new Set<string>();
 	const repeats = new Set<string>();
 	for (const name of names) {
--- a/packages/bundle/src/signing/sign-manifest.ts
+++ b/packages/bundle/src/signing/sign-manifest.ts
@@ -4,7 +4,7 @@
 import {sign, type KeyObject} from 'node:crypto';
 import type {SignerName} from '@bilberryscale/core';
 import type {SignedManifest} from '../published/published-bundle.js';
-import {getCanonicalText} from '../utils/canonical.js';
+import {getManifestText} from '../published/manifest-text.js';
 
 /**
  * Adds a signature to a manifest; a former one of the same signer is replaced.
@@ -19,7 +19,7 @@
 	signer: SignerName,
 	privateKey: KeyObject,
 ): SignedManifest {
-	const text = getCanonicalText(signed.manifest);
+	const text = getManifestText(signed.manifest);
 	const signature = sign(undefined, Buffer.from(text), privateKey);
 	const others = signed.signatures.filter((item) => item.signer !== signer);
 	return {
--- a/packages/bundle/src/signing/signature-cache.ts
+++ b/packages/bundle/src/signing/signature-cache.ts
@@ -2,11 +2,18 @@
 
 import {Buffer} from 'node:buffer';
 import {verify} from 'node:crypto';
-import {getDigest} from '../utils/canonical.js';
+import type {Digest} from '@bilberryscale/core';
 import type {TrustedKey} from './signer-key.js';
 
 const defaultCapacity = 1024;
 
+/** What was signed. */
+export type SignedContent = {
+	readonly text: string;
+	/** The digest of the text. */
+	readonly digest: Digest;
+};
+
 /**
  * Tells whether a signature holds.
  *
@@ -16,7 +23,7 @@
  * @returns True if it holds.
  */
 export type SignatureCheck = (
-	content: string,
+	content: SignedContent,
 	signature: string,
 	key: TrustedKey,
 ) => boolean;
@@ -25,7 +32,7 @@
 export const checkSignature: SignatureCheck = (content, signature, key) =>
 	verify(
 		undefined,
-		Buffer.from(content),
+		Buffer.from(content.text),
 		key.publicKey,
 		Buffer.from(signature, 'base64'),
 	);
@@ -45,7 +52,7 @@
 ): SignatureCheck {
 	const results = new Map<string, boolean>();
 	return (content, signature, key) => {
-		const name = `${getDigest(content)} ${signature} ${getFingerprint(key)}`;
+		const name = `${content.digest} ${signature} ${getFingerprint(key)}`;
 		const known = results.get(name);
 		if (known !== undefined) {
 			return known;
--- a/packages/bundle/src/signing/verify-manifest.ts
+++ b/packages/bundle/src/signing/verify-manifest.ts
@@ -2,12 +2,19 @@
 
 import type {SignerName} from '@bilberryscale/core';
 import {Err, Ok, type Result} from 'ts-results-es';
+import {
+	getManifestDigest,
+	getManifestText,
+} from '../published/manifest-text.js';
 import type {
 	ManifestSignature,
 	SignedManifest,
 } from '../published/published-bundle.js';
-import {getCanonicalText} from '../utils/canonical.js';
-import {checkSignature, type SignatureCheck} from './signature-cache.js';
+import {
+	checkSignature,
+	type SignatureCheck,
+	type SignedContent,
+} from './signature-cache.js';
 import type {TrustPolicy} from './signer-key.js';
 
 /**
@@ -45,7 +52,10 @@
 	policy: TrustPolicy,
 	check: SignatureCheck = checkSignature,
 ): readonly ManifestSignature[] {
-	const content = getCanonicalText(signed.manifest);
+	const content: SignedContent = {
+		text: getManifestText(signed.manifest),
+		digest: getManifestDigest(signed.manifest),
+	};
 	return signed.signatures.filter(({signer, signature}) =>
 		policy.keys.some(
 			(key) => key.signer === signer && check(content, signature, key),
--- a/packages/bundle/test/signing/signature-cache.test.ts
+++ b/packages/bundle/test/signing/signature-cache.test.ts
@@ -3,6 +3,7 @@
 import * as assert from 'uvu/assert';
 import {
 	generateKeyPair,
+	getDigest,
 	makeCachedCheck,
 	parsePublicKey,
 	type TrustedKey,
@@ -27,7 +28,8 @@
 			return true;
 		}, capacity);
 		for (const call of calls) {
-			check(...call);
+			const [text, signature, trustedKey] = call;
+			check({text, digest: getDigest(text)}, signature, trustedKey);
 		}
 
 		assert.is(count, expected);
--- a/packages/daemon/src/bundle-store/bundle-rank.ts
+++ b/packages/daemon/src/bundle-store/bundle-rank.ts
@@ -1,10 +1,6 @@
 /** The one order of bundles, the same on every host. */
 
-import {
-	getCanonicalText,
-	getDigest,
-	type Manifest,
-} from '@bilberryscale/bundle';
+import {getManifestDigest, type Manifest} from '@bilberryscale/bundle';
 import type {BundleVersion, Digest} from '@bilberryscale/core';
 import {Err, Ok, type Result} from 'ts-results-es';
 import {makeRefusal, type BundleRefusal} from './bundle-refusal.js';
@@ -25,7 +21,7 @@
 export function getRank(manifest: Manifest): BundleRank {
 	return {
 		version: manifest.version,
-		digest: getDigest(getCanonicalText(manifest)),
+		digest: getManifestDigest(manifest),
 	};
 }
 
