Let the platform's stand-in be down, stale, slow and lagging

Cause: the proofs need outages of the platform that also end waiting watches, content that is frozen, and host lists that come late or differ by reader. Change: methods for each; calls are counted by the second.

--- a/packages/standins/src/platform/platform-standin.ts
+++ b/packages/standins/src/platform/platform-standin.ts
@@ -1,7 +1,16 @@
 /** Stands in for the platform: values and the host list, to read and watch. */
 
-import {fastify, type FastifyInstance, type FastifyReply} from 'fastify';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {systemClock} from '@bilberryscale/core';
+import {
+	fastify,
+	type FastifyInstance,
+	type FastifyReply,
+	type FastifyRequest,
+} from 'fastify';
 import type {Endpoint} from '../deployment/address-plan.js';
+import {CallCounts} from './call-counts.js';
+import {Published} from './published.js';
 
 /** An entry host in the platform's list. */
 export type StandinHost = {
@@ -12,11 +21,6 @@
 	readonly state: 'live' | 'leaving';
 };
 
-type Versioned = {
-	readonly revision: number;
-	readonly content: unknown;
-};
-
 type ReadQuery = {
 	readonly after?: string;
 	readonly wait?: string;
@@ -25,18 +29,22 @@
 const notModified = 304;
 const notFound = 404;
 const unavailable = 503;
-const hostListName = 'hosts';
+const hostListKey = 'hosts';
 
 /** The platform's stand-in; operators publish by its methods. */
 export class PlatformStandin {
 	/** Counts each call; a waiting watch counts as one. */
-	callCount = 0;
-	/** While true, every call is answered with an error. */
-	isDown = false;
+	readonly calls = new CallCounts(systemClock);
+	/** How long each answer takes besides, in milliseconds. */
+	answerDelayMs = 0;
+	/** How long a new host list takes to be seen, in milliseconds. */
+	hostListLagMs = 0;
+	/** The IP numbers of readers that get no answer at all. */
+	readonly cutReaders = new Set<string>();
 	readonly #server: FastifyInstance;
-	readonly #values = new Map<string, Versioned>();
+	readonly #published = new Published();
 	readonly #watchers = new Set<() => void>();
-	#revision = 0;
+	#isDown = false;
 
 	/** Makes the stand-in; it does not listen yet. */
 	constructor() {
@@ -44,15 +52,53 @@
 		this.#server.get<{Params: {name: string}; Querystring: ReadQuery}>(
 			'/v1/values/:name',
 			async (request, reply) =>
-				this.#answer(`value:${request.params.name}`, request.query, reply),
+				this.#answer(`value:${request.params.name}`, request, reply),
 		);
 		this.#server.get<{Querystring: ReadQuery}>(
 			'/v1/hosts',
-			async (request, reply) =>
-				this.#answer(hostListName, request.query, reply),
+			async (request, reply) => {
+				const ownKey = getReaderKey(request.ip);
+				const hasOwn = this.#published.get(ownKey) !== undefined;
+				return this.#answer(hasOwn ? ownKey : hostListKey, request, reply);
+			},
 		);
 	}
 
+	/** Gets the number of all calls so far. */
+	get callCount(): number {
+		return this.calls.total;
+	}
+
+	/** Tells whether every call, also one that waits, is answered with an error. */
+	get isDown(): boolean {
+		return this.#isDown;
+	}
+
+	/** Tells whether readers see only what was published before. */
+	get isStale(): boolean {
+		return this.#published.isStale;
+	}
+
+	/**
+	 * Takes the platform down or up again.
+	 *
+	 * @param isDown - Whether it is down from now on.
+	 */
+	setDown(isDown: boolean): void {
+		this.#isDown = isDown;
+		this.#wakeAll();
+	}
+
+	/**
+	 * Freezes what readers see, or lets them see everything again.
+	 *
+	 * @param isStale - Whether it is frozen from now on.
+	 */
+	setStale(isStale: boolean): void {
+		this.#published.setStale(isStale);
+		this.#wakeAll();
+	}
+
 	/**
 	 * Starts to listen.
 	 *
@@ -78,17 +124,37 @@
 	}
 
 	/**
-	 * Publishes the host list.
+	 * Publishes the host list; readers see it after the lag.
 	 *
 	 * @param hosts - The hosts.
 	 */
 	setHosts(hosts: readonly StandinHost[]): void {
-		this.#set(hostListName, {hosts});
+		if (this.hostListLagMs === 0) {
+			this.#set(hostListKey, {hosts});
+			return;
+		}
+
+		setTimeout(() => {
+			this.#set(hostListKey, {hosts});
+		}, this.hostListLagMs).unref();
+	}
+
+	/**
+	 * Publishes a host list that one reader sees in place of the others'.
+	 *
+	 * @param reader - The IP number of the reader.
+	 * @param hosts - The hosts.
+	 */
+	setHostsFor(reader: string, hosts: readonly StandinHost[]): void {
+		this.#set(getReaderKey(reader), {hosts});
 	}
 
 	#set(key: string, content: unknown): void {
-		this.#revision++;
-		this.#values.set(key, {revision: this.#revision, content});
+		this.#published.set(key, content);
+		this.#wakeAll();
+	}
+
+	#wakeAll(): void {
 		for (const wake of this.#watchers) {
 			wake();
 		}
@@ -96,17 +162,22 @@
 
 	async #answer(
 		key: string,
-		query: ReadQuery,
+		request: FastifyRequest<{Querystring: ReadQuery}>,
 		reply: FastifyReply,
 	): Promise<FastifyReply> {
-		this.callCount++;
-		const after = Number(query.after ?? 0);
-		await this.#waitForNewer(key, after, Number(query.wait ?? 0));
-		if (this.isDown) {
+		this.calls.add();
+		const after = Number(request.query.after ?? 0);
+		await sleep(this.answerDelayMs);
+		await this.#waitForNewer(key, after, Number(request.query.wait ?? 0));
+		if (this.cutReaders.has(request.ip)) {
+			return reply.hijack();
+		}
+
+		if (this.#isDown) {
 			return reply.code(unavailable).send({error: 'down'});
 		}
 
-		const entry = this.#values.get(key);
+		const entry = this.#published.get(key);
 		if (entry === undefined) {
 			return reply.code(notFound).send({error: 'no such value'});
 		}
@@ -124,8 +195,9 @@
 		after: number,
 		waitMs: number,
 	): Promise<void> {
-		const isNewer = () => (this.#values.get(key)?.revision ?? 0) > after;
-		if (waitMs === 0 || isNewer()) {
+		const isDone = () =>
+			this.#isDown || (this.#published.get(key)?.revision ?? 0) > after;
+		if (waitMs === 0 || isDone()) {
 			return;
 		}
 
@@ -137,7 +209,7 @@
 			};
 
 			const wake = () => {
-				if (isNewer()) {
+				if (isDone()) {
 					finish();
 				}
 			};
@@ -147,3 +219,7 @@
 		});
 	}
 }
+
+function getReaderKey(reader: string): string {
+	return `${hostListKey}:${reader}`;
+}
