Let callers send a call again with its key

Cause: at most once can only be checked if callers send again, through other hosts and also at once.

--- a/packages/standins/src/cluster/cluster.ts
+++ b/packages/standins/src/cluster/cluster.ts
@@ -107,7 +107,7 @@
 	 * @param plan - The load; entry hosts and addresses are filled in.
 	 * @returns The process and the file with the record of each call.
 	 */
-	startLoad(plan: Pick<LoadPlan, 'services' | 'durationMs' | 'seed'>): {
+	startLoad(plan: Omit<LoadPlan, 'entries' | 'localAddress'>): {
 		child: Child;
 		historyFile: string;
 	} {
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -42,6 +42,7 @@
 	BalancedEntry,
 	CallRecord,
 	LoadPlan,
+	Resending,
 	ServiceLoad,
 } from './load/load-plan.js';
 export {runLoad, type CallSink} from './load/run-load.js';
--- a/packages/standins/src/target/target-exchange.ts
+++ b/packages/standins/src/target/target-exchange.ts
@@ -110,6 +110,7 @@
 		target,
 		path: request.url,
 		requestId: request.headers[targetHeaders.requestId],
+		key: request.headers[targetHeaders.idempotencyKey],
 		bodyDigest: createHash('sha256').update(body).digest('hex'),
 		...(length > 0 && {padding: 'x'.repeat(length)}),
 	};
