Check histories against what must always hold

Change: seven rules as pure functions from a history to its breaches: at most once, truth of not run, whole answers, no late work, nothing cut off by a shutdown, no reverted bundle, bundles in force within 6 s.

--- /dev/null
+++ b/packages/proofs/src/index.ts
@@ -0,0 +1,13 @@
+/** The history checker, the faults and the golden files. */
+
+export type {
+	Absence,
+	AuditEntry,
+	History,
+	Roll,
+	Shutdown,
+	Span,
+	TargetSite,
+} from './history/history.js';
+export {inForceWithinMs, type Breach, type Rule} from './rules/breach.js';
+export {checkHistory} from './rules/check-history.js';
