--- a/packages/daemon/src/context/entry-host.ts
+++ b/packages/daemon/src/context/entry-host.ts
@@ -105,6 +105,9 @@
 				desk: this.#desk,
 				pools: this.#pools,
 				clock,
+				audit: (event) => {
+					this.#audit.add(event);
+				},
 				bodyIdleMs: settings.limits.bodyIdleMs,
 			}),
 			clock,
--- a/packages/daemon/src/dispatch/call-desk.ts
+++ b/packages/daemon/src/dispatch/call-desk.ts
@@ -11,6 +11,7 @@
 	type ServiceName,
 } from '@bilberryscale/core';
 import {
+	CrashSuspects,
 	loneFleet,
 	makeChoice,
 	ServiceDispatcher,
@@ -39,6 +40,8 @@
 
 /** Hands out targets to calls; it owns one dispatcher for each service. */
 export class CallDesk {
+	/** The requests that may have crashed targets. */
+	readonly suspects = new CrashSuspects();
 	readonly #options: CallDeskOptions;
 	#dispatchers = new Map<ServiceName, ServiceDispatcher>();
 	readonly #timers = new Map<ServiceDispatcher, WakeTimer>();
--- /dev/null
+++ b/packages/daemon/src/dispatch/request-signature.ts
@@ -0,0 +1,22 @@
+/** Names what a request asks for, so that it is known when it comes again. */
+
+import {createHash} from 'node:crypto';
+import {makeId, type Digest} from '@bilberryscale/core';
+import type {Exchange} from '../pipeline/exchange.js';
+
+/**
+ * Gets the signature of a request.
+ *
+ * @param exchange - The call, its body read.
+ * @returns The digest of the service, method, path and body.
+ */
+export function getRequestSignature(exchange: Exchange): Digest {
+	const {incoming, bodyBytes} = exchange;
+	const hash = createHash('sha256');
+	hash.update(`${incoming.method} ${incoming.url}\n`);
+	if (bodyBytes !== undefined) {
+		hash.update(bodyBytes);
+	}
+
+	return makeId<Digest>(hash.digest('hex'));
+}
--- a/packages/daemon/src/pipeline/filters/attempt.ts
+++ b/packages/daemon/src/pipeline/filters/attempt.ts
@@ -18,6 +18,9 @@
 	readonly clock: Clock;
 };
 
+/** A request under which two targets were lost is not sent again. */
+const mostLost = 2;
+
 /**
  * Makes the filter that takes a target for each attempt.
  *
@@ -30,31 +33,30 @@
 		const triedTargets: TargetId[] = [];
 		const {attempts} = dispatcher.service.retry;
 		let result: FilterResult = Err(notRun('no-target', 'Nothing was tried.'));
+		let lostCount = 0;
+		let mayHaveRun = false;
 		for (let attempt = 0; attempt < attempts; attempt++) {
 			const call = makeCall(exchange, triedTargets);
-			const acquired = await options.desk.acquire(
-				dispatcher,
-				call,
-				exchange.incoming.signal,
-			);
+			const {signal} = exchange.incoming;
+			const acquired = await options.desk.acquire(dispatcher, call, signal);
 			if (acquired.isErr()) {
 				return attempt === 0 ? acquired : addRetryAfter(result, acquired.error);
 			}
 
 			exchange.target = acquired.value;
 			triedTargets.push(acquired.value.target.id);
-			result = await next();
-			if (!mayTryAgain(exchange, result, options.clock)) {
+			result = keepRunState(await next(), mayHaveRun);
+			mayHaveRun ||= result.isErr() && result.error.ran === 'unknown';
+			lostCount += isLost(result) ? 1 : 0;
+			const isLast = attempt + 1 === attempts || lostCount === mostLost;
+			if (isLast || !mayTryAgain(exchange, result, options.clock)) {
 				return result;
 			}
 
-			if (attempt + 1 < attempts && !dispatcher.takeRetry()) {
-				return addRetryAfter(result, {
-					retryAfterMs: dispatcher.getRetryAfterMs(
-						call,
-						options.clock.monotonicMs(),
-					),
-				});
+			if (!dispatcher.takeRetry()) {
+				const nowMs = options.clock.monotonicMs();
+				const retryAfterMs = dispatcher.getRetryAfterMs(call, nowMs);
+				return addRetryAfter(result, {retryAfterMs});
 			}
 		}
 
@@ -62,6 +64,17 @@
 	};
 }
 
+function isLost(result: FilterResult): boolean {
+	return result.isErr() && result.error.kind === 'target-failed';
+}
+
+/** Once a send may have run, a later refusal does not undo it. */
+function keepRunState(result: FilterResult, mayHaveRun: boolean): FilterResult {
+	return result.mapErr((failure) =>
+		mayHaveRun ? {...failure, ran: 'unknown' as const} : failure,
+	);
+}
+
 /** Tells the caller when to come back, if the send did not run. */
 function addRetryAfter(
 	result: FilterResult,
--- a/packages/daemon/src/pipeline/filters/send.ts
+++ b/packages/daemon/src/pipeline/filters/send.ts
@@ -38,6 +38,9 @@
 	readonly release: (kind: OutcomeKind, report?: LoadReport) => void;
 };
 
+/** From this status on an answer tells of a fault of the target. */
+const lowestFaultStatus = 500;
+
 const neverSentCodes = new Set([
 	'ECONNREFUSED',
 	'EHOSTUNREACH',
@@ -159,7 +162,9 @@
 	const {body} = response;
 	body.once('close', () => {
 		cleanUp();
-		attempt.release(body.readableEnded ? 'served' : 'failed', report);
+		const isWhole = body.readableEnded;
+		const isServed = isWhole && response.statusCode < lowestFaultStatus;
+		attempt.release(isServed ? 'served' : 'failed', report);
 	});
 	return Ok({
 		status: response.statusCode,
--- a/packages/decisions/src/dispatch/admission.ts
+++ b/packages/decisions/src/dispatch/admission.ts
@@ -6,6 +6,8 @@
 import {DrainRate} from './drain-rate.js';
 import {FairQueue} from './fair-queue.js';
 
+/** In a queue that stands for long, calls may wait this share of the bound. */
+const standingShare = 1 / 4;
 const lowestRetryAfterMs = 50;
 const highestRetryAfterMs = 10_000;
 
@@ -14,6 +16,7 @@
 	readonly #queue: FairQueue;
 	readonly #drain = new DrainRate();
 	#service: Service;
+	#standsSinceMs = 0;
 
 	/**
 	 * @param service - The service as the bundle states it.
@@ -46,8 +49,8 @@
 	 * @returns That it waits or why not, and who had to leave for it.
 	 */
 	enqueue(call: Call, nowMs: number): OfferResult {
-		const {queueTimeMs, queueLength} = this.#service.limits;
-		const allowedMs = Math.min(queueTimeMs, call.deadlineMs - nowMs);
+		const {queueLength} = this.#service.limits;
+		const allowedMs = this.#getAllowedMs(call, nowMs);
 		const isPredictedLate =
 			this.size > 0 && this.#predictWaitMs(call, nowMs) > allowedMs;
 		if (isPredictedLate || allowedMs <= 0 || queueLength === 0) {
@@ -141,12 +144,27 @@
 	#push(call: Call, nowMs: number, expiresAtMs: number): Decision {
 		if (this.size === 0) {
 			this.#drain.restart(nowMs);
+			this.#standsSinceMs = nowMs;
 		}
 
 		this.#queue.add(call, nowMs, expiresAtMs);
 		return {kind: 'wait', call};
 	}
 
+	/**
+	 * Gets how long a call may wait.
+	 *
+	 * @remarks A queue that does not empty for its whole bound serves no burst
+	 * any more; waiting in it only adds to every call's latency.
+	 */
+	#getAllowedMs(call: Call, nowMs: number): number {
+		const {queueTimeMs} = this.#service.limits;
+		const isStanding =
+			this.size > 0 && nowMs - this.#standsSinceMs > queueTimeMs;
+		const boundMs = isStanding ? queueTimeMs * standingShare : queueTimeMs;
+		return Math.min(boundMs, call.deadlineMs - nowMs);
+	}
+
 	#predictWaitMs(call: Call, nowMs: number): number {
 		const ahead = this.#queue.countAhead(call.callerClass);
 		return this.#drain.predictWaitMs(ahead, nowMs);
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -38,6 +38,11 @@
 	Wait,
 } from './dispatch/call.js';
 export {FairQueue} from './dispatch/fair-queue.js';
+export {
+	CrashSuspects,
+	type CrashIncident,
+	type CrashSuspect,
+} from './crash/crash-suspects.js';
 export {RetryBudget} from './retry/retry-budget.js';
 export {
 	ServiceDispatcher,
--- a/packages/decisions/src/target/target-judge.ts
+++ b/packages/decisions/src/target/target-judge.ts
@@ -22,6 +22,8 @@
 
 /** The most targets of a service that this host may have ejected at once. */
 const highestEjectedShare = 1 / 3;
+/** A target has enough to do with this multiple of its slots. */
+const enoughRatio = 2;
 
 /** Ejects, restores, paces and warms the targets of one service. */
 export class TargetJudge {
@@ -64,9 +66,7 @@
 	judge(state: TargetState, outcome: Outcome, nowMs: number): void {
 		this.#noteLife(state, outcome, nowMs);
 		if (outcome.report !== undefined) {
-			this.#options.averages.addLoad(
-				Math.max(0, outcome.report.inFlight - state.outstanding),
-			);
+			this.#takeLoad(state, outcome.report.inFlight, nowMs);
 		}
 
 		switch (outcome.kind) {
@@ -92,6 +92,21 @@
 		}
 	}
 
+	/** Leaves a target alone for as long as it has enough to do. */
+	#takeLoad(state: TargetState, inFlight: number, nowMs: number): void {
+		const {averages, random} = this.#options;
+		averages.addLoad(Math.max(0, inFlight - state.outstanding));
+		const {slots} = state.target;
+		const excess = inFlight - slots * enoughRatio + 1;
+		if (excess > 0) {
+			const drainMs = (excess * averages.latencyMs) / (slots * enoughRatio);
+			state.pausedUntilMs = Math.max(
+				state.pausedUntilMs,
+				nowMs + drainMs * (0.5 + random()),
+			);
+		}
+	}
+
 	/** Notices that the target has started again. */
 	#noteLife(state: TargetState, outcome: Outcome, nowMs: number): void {
 		const bootId = outcome.report?.bootId;
--- a/packages/decisions/src/target/target-roster.ts
+++ b/packages/decisions/src/target/target-roster.ts
@@ -138,7 +138,7 @@
 		}
 
 		if (chosen !== undefined) {
-			chosen.begin();
+			chosen.begin(nowMs);
 			this.#refresh(chosen, nowMs);
 		}
 
--- a/packages/decisions/src/target/target-state.ts
+++ b/packages/decisions/src/target/target-state.ts
@@ -45,6 +45,7 @@
 	#othersAtReport = 0;
 	#meanOthers = 0;
 	#latencyAtMs = 0;
+	#progressAtMs = 0;
 
 	/**
 	 * @param target - What the bundle says of the target.
@@ -54,8 +55,16 @@
 		this.limit = new TargetLimit(target.slots);
 	}
 
-	/** Counts a send that begins. */
-	begin(): void {
+	/**
+	 * Counts a send that begins.
+	 *
+	 * @param nowMs - The monotonic time in milliseconds.
+	 */
+	begin(nowMs: number): void {
+		if (this.outstanding === 0) {
+			this.#progressAtMs = nowMs;
+		}
+
 		this.outstanding++;
 	}
 
@@ -67,6 +76,7 @@
 	 */
 	end(outcome: Outcome, nowMs: number): void {
 		this.outstanding--;
+		this.#progressAtMs = nowMs;
 		if (outcome.report !== undefined) {
 			this.#takeReport(outcome.report);
 		}
@@ -109,19 +119,23 @@
 	}
 
 	/**
-	 * Estimates the latency; without new samples it nears that of the peers.
+	 * Estimates the latency.
 	 *
+	 * @remarks Without new samples the estimate nears that of the peers, but it
+	 * is never below the time for which the target has answered nothing.
 	 * @param averages - What its peers are like.
 	 * @param nowMs - The monotonic time in milliseconds.
 	 * @returns The estimate in milliseconds.
 	 */
 	estimateLatencyMs(averages: ServiceAverages, nowMs: number): number {
+		const silenceMs = this.outstanding > 0 ? nowMs - this.#progressAtMs : 0;
 		if (this.#samples === 0) {
-			return averages.latencyMs;
+			return Math.max(averages.latencyMs, silenceMs);
 		}
 
 		const worth = Math.exp(-(nowMs - this.#latencyAtMs) / latencyMemoryMs);
-		return averages.latencyMs + worth * (this.#meanMs - averages.latencyMs);
+		const faded = worth * (this.#meanMs - averages.latencyMs);
+		return Math.max(averages.latencyMs + faded, silenceMs);
 	}
 
 	#takeReport(report: LoadReport): void {
--- a/packages/decisions/test/choice/least-cost.test.ts
+++ b/packages/decisions/test/choice/least-cost.test.ts
@@ -25,7 +25,7 @@
 function makeState(past: Past, number = 0): TargetState {
 	const state = new TargetState(makeTarget(number));
 	const {inFlight = 0, ageMs = 0, latencyMs = 20} = past;
-	state.begin();
+	state.begin(-ageMs);
 	state.end(makeOutcome('served', {inFlight, latencyMs}, -ageMs), -ageMs);
 	state.outstanding = past.outstanding ?? 0;
 	state.roundTripMs = past.roundTripMs ?? 0;
@@ -54,7 +54,7 @@
 
 	it('believes a low report of a while ago less than a low one of now', () => {
 		const stale = makeState({inFlight: 8, ageMs: 1000});
-		stale.begin();
+		stale.begin(-500);
 		stale.end(makeOutcome('served', {inFlight: 0}, -500), -500);
 		const fresh = makeState({inFlight: 0});
 		assert.ok(
@@ -74,6 +74,17 @@
 		doTest({inFlight: 4}, {inFlight: 0, latencyMs: 200});
 	});
 
+	it('avoids a target that has answered nothing for long', () => {
+		const silent = makeState({});
+		silent.begin(0);
+		const far = makeState({roundTripMs: 30});
+		const doCompare = (nowMs: number) =>
+			getExpectedMs(silent, averages, nowMs) <
+			getExpectedMs(far, averages, nowMs);
+		assert.is(doCompare(10), true);
+		assert.is(doCompare(200), false);
+	});
+
 	it('forgets slowness that was not seen again for long', () => {
 		doTest({latencyMs: 200, ageMs: 30_000}, {latencyMs: 200, ageMs: 100});
 	});
--- a/packages/decisions/test/dispatch/service-dispatcher.test.ts
+++ b/packages/decisions/test/dispatch/service-dispatcher.test.ts
@@ -94,6 +94,21 @@
 			assert.is(retryAfterMs, 600);
 		});
 
+		it('lets calls wait less in a queue that does not empty', () => {
+			const {dispatcher} = makeDispatcher(makeService(1));
+			const [target] = saturate(dispatcher);
+			for (let wait = 0; wait < 3; wait++) {
+				offer(dispatcher);
+			}
+
+			const kinds = [100, 200, 300, 400, 500, 600, 700].map((nowMs) => {
+				dispatcher.finish(target!, makeOutcome('served'), nowMs);
+				return offer(dispatcher, nowMs).kind;
+			});
+			assert.equal(new Set(kinds.slice(0, 5)), new Set(['wait']));
+			assert.equal(kinds.slice(5), ['refusal', 'refusal']);
+		});
+
 		it('takes the place of a class that has more than its share', () => {
 			const {dispatcher} = makeDispatcher(makeService(1));
 			saturate(dispatcher);
--- a/packages/decisions/test/target/target-roster.test.ts
+++ b/packages/decisions/test/target/target-roster.test.ts
@@ -100,3 +100,22 @@
 		assert.ok(later[0]! > 50);
 	});
 });
+
+describe('a target that reports twice its slots', () => {
+	const doTest = (inFlight: number, expected: string) => {
+		const {dispatcher} = makeDispatcher(makeService(1));
+		const outcome = makeOutcome('served', {inFlight});
+		send(dispatcher, () => outcome, {fromMs: 0, calls: 1});
+		assert.is(dispatcher.offer(makeCall(), 1).decision.kind, expected);
+		dispatcher.settle(400);
+		assert.is(dispatcher.getNextWakeMs(), undefined);
+	};
+
+	it('is left alone until it has worked them off', () => {
+		doTest(12, 'wait');
+	});
+
+	it('gets more below that', () => {
+		doTest(7, 'grant');
+	});
+});
