Add the operators' commands

Cause: operators could check and sign only, without warnings, and a user's mistake could end in a stack trace.

--- a/packages/bundle/src/index.ts
+++ b/packages/bundle/src/index.ts
@@ -12,6 +12,14 @@
 	ServiceLimits,
 	Target,
 } from './model/bundle.js';
+export {diffBundles} from './model/diff-bundles.js';
+export {
+	findWarnings,
+	warningKinds,
+	type Warning,
+	type WarningContext,
+	type WarningKind,
+} from './model/find-warnings.js';
 export {parseBundle} from './model/parse-bundle.js';
 export type {
 	Manifest,
--- /dev/null
+++ b/packages/cli/src/commands/all-commands.ts
@@ -0,0 +1,27 @@
+/** All commands of the tool, in the order of the help. */
+
+import {audit} from './audit.js';
+import {bundleCheck} from './bundle-check.js';
+import {bundleDiff} from './bundle-diff.js';
+import {bundleShow} from './bundle-show.js';
+import {bundleSign} from './bundle-sign.js';
+import {bundleVerify} from './bundle-verify.js';
+import type {Command} from './command.js';
+import {explain} from './explain.js';
+import {keysGenerate} from './keys-generate.js';
+import {settingsCheck} from './settings-check.js';
+import {status} from './status.js';
+
+/** The commands. */
+export const allCommands: readonly Command[] = [
+	bundleCheck,
+	bundleSign,
+	bundleVerify,
+	bundleDiff,
+	bundleShow,
+	settingsCheck,
+	status,
+	audit,
+	explain,
+	keysGenerate,
+];
--- /dev/null
+++ b/packages/cli/src/commands/audit.ts
@@ -0,0 +1,135 @@
+/** `audit`: merges the audit trails of hosts and verifies each chain. */
+
+import {verifyAuditTrail, type AuditRecord} from '@bilberryscale/daemon';
+import {z} from 'zod';
+import {
+	askHosts,
+	hostOptions,
+	readSelectionOrThrow,
+	type HostAnswers,
+	type HostSelection,
+} from '../hosts/ask-hosts.js';
+import {exitCodes, type ExitCode} from '../output/exit-codes.js';
+import {printReport} from '../output/output.js';
+import {jsonOption, type Command, type Surroundings} from './command.js';
+import type {Flags} from './flags.js';
+
+const recordSchema = z.looseObject({
+	sequence: z.int().nonnegative(),
+	at: z.string(),
+	host: z.string(),
+	incarnation: z.string(),
+	kind: z.string(),
+	subject: z.string(),
+	cause: z.string(),
+	former: z.string().optional(),
+	current: z.string().optional(),
+	previousHash: z.string(),
+	hash: z.string(),
+});
+const recordsSchema = z.array(z.unknown()).transform((records) => {
+	// The hash is over the fields in the order in which the host sent them.
+	for (const record of records) {
+		recordSchema.parse(record);
+	}
+
+	return records as readonly AuditRecord[];
+});
+
+const pollMs = 1000;
+
+/** The command. */
+export const audit: Command = {
+	usage: 'audit',
+	summary: 'Merge the audit trails of hosts, verify them and show gaps',
+	options: [
+		...hostOptions,
+		{usage: '--follow', summary: 'Go on printing what is new; end with Ctrl+C'},
+		{usage: '--polls <count>', summary: 'Follow for so many rounds only'},
+		jsonOption,
+	],
+	examples: [
+		'audit --hosts-file hosts.txt --token-file token.txt',
+		'audit --host 10.0.0.1:8081 --follow',
+	],
+	async run(_values, flags, surroundings) {
+		const selection = readSelectionOrThrow(flags, surroundings);
+		const polls = flags.getNumber('polls', (value) => value > 0, 'above 0');
+		const lastRecords = new Map<string, AuditRecord>();
+		let code = await readRound(selection, lastRecords, flags, surroundings);
+		const rounds = flags.isOn('follow') ? (polls ?? Infinity) : 0;
+		for (let round = 0; round < rounds; round++) {
+			await new Promise<void>((resolve) => {
+				surroundings.clock.schedule(pollMs, resolve);
+			});
+			const next = await readRound(selection, lastRecords, flags, surroundings);
+			code = next === exitCodes.success ? code : next;
+		}
+
+		return code;
+	},
+};
+
+async function readRound(
+	selection: HostSelection,
+	lastRecords: Map<string, AuditRecord>,
+	flags: Flags,
+	surroundings: Surroundings,
+): Promise<ExitCode> {
+	const {answers, faults}: HostAnswers<readonly AuditRecord[]> = await askHosts(
+		selection,
+		(host) => getPath(lastRecords.get(host)),
+		recordsSchema,
+		surroundings,
+	);
+	const breaks = answers.flatMap(({host, value}) =>
+		verifyAuditTrail(value, lastRecords.get(host)).map(
+			(fault) => `${host}: ${fault}`,
+		),
+	);
+	for (const {host, value} of answers) {
+		const last = value.at(-1);
+		if (last !== undefined) {
+			lastRecords.set(host, last);
+		}
+	}
+
+	const records = answers
+		.flatMap(({value}) => value)
+		.toSorted((a, b) => compare(a.at, b.at) || a.sequence - b.sequence);
+	const isSilent = records.length + breaks.length + faults.length === 0;
+	if (!flags.isOn('follow') || !isSilent) {
+		printReport(surroundings.output, flags.isOn('json'), {
+			document: {records, breaks, faults},
+			lines: records.map((record) => formatRecord(record)),
+			faults: [...breaks, ...faults],
+		});
+	}
+
+	if (faults.length > 0) {
+		return exitCodes.incomplete;
+	}
+
+	return breaks.length > 0 ? exitCodes.faults : exitCodes.success;
+}
+
+function getPath(last: AuditRecord | undefined): string {
+	return last === undefined
+		? '/audit?from=0'
+		: `/audit?from=${last.sequence + 1}&incarnation=${last.incarnation}`;
+}
+
+function compare(a: string, b: string): number {
+	if (a === b) {
+		return 0;
+	}
+
+	return a < b ? -1 : 1;
+}
+
+function formatRecord(record: AuditRecord): string {
+	const {at, host, sequence, kind, subject, cause, former, current} = record;
+	const before = former === undefined ? '' : `; before: ${former}`;
+	const after = current === undefined ? '' : `; now: ${current}`;
+	return `${at} ${host} #${sequence} ${kind} ${subject}: ${cause}${before}${after}`;
+}
--- a/packages/cli/src/commands/bundle-check.ts
+++ b/packages/cli/src/commands/bundle-check.ts
@@ -1,27 +1,101 @@
-/** `bundle check`: reads a bundle and tells what is wrong with it. */
+/** `bundle check`: tells what is wrong with a bundle and what would be regretted. */
 
-import fs from 'node:fs';
-import {parseBundle} from '@bilberryscale/bundle';
-import {exitCodes, type ExitCode} from '../output/exit-codes.js';
-import type {Output} from '../output/output.js';
+import {
+	checkSize,
+	findWarnings,
+	splitBundle,
+	type Bundle,
+	type WarningContext,
+} from '@bilberryscale/bundle';
+import {Err, Ok, type Result} from 'ts-results-es';
+import {readBundle, readSignedOrThrow} from '../files/read-bundle.js';
+import {exitCodes} from '../output/exit-codes.js';
+import {printReport} from '../output/output.js';
+import {UsageError} from '../output/usage-error.js';
+import {jsonOption, type Command} from './command.js';
+import type {Flags} from './flags.js';
 
-/**
- * Checks a bundle.
- *
- * @param file - The bundle in TOML.
- * @param output - Where to print.
- * @returns The exit code.
- */
-export function checkBundle(file: string, output: Output): ExitCode {
-	const bundle = parseBundle(fs.readFileSync(file, 'utf8'), file);
-	if (bundle.isErr()) {
-		for (const fault of bundle.error) {
-			output.printError(fault);
-		}
+const defaultLoad = 0.6;
 
-		return exitCodes.faults;
+/** The command. */
+export const bundleCheck: Command = {
+	usage: 'bundle check <file>',
+	summary: 'Check a bundle for faults, and for what would be regretted',
+	options: [
+		{
+			usage: '--last <folder>',
+			summary: 'The bundle published last; the version must be above it',
+		},
+		{
+			usage: '--hosts <count>',
+			summary: 'How many entry hosts share the connections of a target',
+		},
+		{
+			usage: '--load <share>',
+			summary: `The load to expect as a share of all slots (default: ${defaultLoad})`,
+		},
+		{usage: '--strict', summary: 'Fail on warnings too'},
+		jsonOption,
+	],
+	examples: ['bundle check next.toml --last published --hosts 16 --strict'],
+	run([file = ''], flags, {output}) {
+		const context = readContextOrThrow(flags);
+		const bundle = readBundle(file).andThen((value) => checkParts(value));
+		const faults = bundle.isErr() ? bundle.error : [];
+		const warnings = bundle.isOk() ? findWarnings(bundle.value, context) : [];
+		const version = bundle.isOk() ? bundle.value.version : undefined;
+		const state = warnings.length > 0 ? `${warnings.length} warnings` : 'ok';
+		printReport(output, flags.isOn('json'), {
+			document: {file, version, faults, warnings},
+			lines:
+				version === undefined ? [] : [`${file}: ${state}, version ${version}`],
+			faults: [
+				...faults,
+				...warnings.map(({message}) => `warning: ${message}`),
+			],
+		});
+		const isStrict = flags.isOn('strict');
+		return faults.length > 0 || (isStrict && warnings.length > 0)
+			? exitCodes.faults
+			: exitCodes.success;
+	},
+};
+
+function readContextOrThrow(flags: Flags): WarningContext {
+	const hosts = flags.getNumber(
+		'hosts',
+		(value) => Number.isInteger(value) && value > 0,
+		'a whole number above 0',
+	);
+	const load = flags.getNumber(
+		'load',
+		(value) => value > 0 && value <= 1,
+		'above 0 and at most 1',
+	);
+	const folder = flags.getText('last');
+	return {
+		load: load ?? defaultLoad,
+		...(hosts !== undefined && {hosts}),
+		...(folder !== undefined && {lastVersion: readLastOrThrow(folder)}),
+	};
+}
+
+function readLastOrThrow(folder: string) {
+	const signed = readSignedOrThrow(folder);
+	if (signed.isErr()) {
+		throw new UsageError(signed.error.join('\n'));
 	}
 
-	output.print(`${file}: ok, version ${bundle.value.version}`);
-	return exitCodes.success;
+	return signed.value.manifest.version;
+}
+
+function checkParts(bundle: Bundle): Result<Bundle, readonly string[]> {
+	const {manifest, parts} = splitBundle(bundle);
+	const faults = [
+		checkSize(JSON.stringify(manifest), 'the manifest'),
+		...parts.map(({text}, index) =>
+			checkSize(text, `service "${manifest.parts[index]!.service}"`),
+		),
+	].flatMap((sized) => (sized.isErr() ? [sized.error] : []));
+	return faults.length > 0 ? Err(faults) : Ok(bundle);
 }
--- /dev/null
+++ b/packages/cli/src/commands/bundle-diff.ts
@@ -0,0 +1,34 @@
+/** `bundle diff`: says in words what changes from one bundle to another. */
+
+import {diffBundles} from '@bilberryscale/bundle';
+import {readBundle} from '../files/read-bundle.js';
+import {exitCodes} from '../output/exit-codes.js';
+import {printReport} from '../output/output.js';
+import {jsonOption, type Command} from './command.js';
+
+/** The command. */
+export const bundleDiff: Command = {
+	usage: 'bundle diff <former> <current>',
+	summary: 'Say what changes; each is a TOML file or a published folder',
+	options: [jsonOption],
+	examples: ['bundle diff published next.toml'],
+	run([formerPlace = '', currentPlace = ''], flags, {output}) {
+		const former = readBundle(formerPlace);
+		const current = readBundle(currentPlace);
+		const isJson = flags.isOn('json');
+		if (former.isErr() || current.isErr()) {
+			const faults = [former, current].flatMap((item) =>
+				item.isErr() ? item.error : [],
+			);
+			printReport(output, isJson, {document: {faults}, lines: [], faults});
+			return exitCodes.faults;
+		}
+
+		const changes = diffBundles(former.value, current.value);
+		printReport(output, isJson, {
+			document: {changes},
+			lines: changes.length > 0 ? changes : ['nothing changes'],
+		});
+		return exitCodes.success;
+	},
+};
--- a/packages/cli/src/commands/bundle-sign.ts
+++ b/packages/cli/src/commands/bundle-sign.ts
@@ -1,9 +1,7 @@
 /** `bundle sign`: adds a signature to the published form of a bundle. */
 
-import fs from 'node:fs';
 import {
-	getCanonicalText,
-	parseBundle,
+	getManifestDigest,
 	parsePrivateKey,
 	signManifest,
 	splitBundle,
@@ -11,68 +9,86 @@
 	type SignedManifest,
 } from '@bilberryscale/bundle';
 import {makeId, type SignerName} from '@bilberryscale/core';
-import {Ok, type Result} from 'ts-results-es';
-import {readManifest, writePublished} from '../files/published-folder.js';
-import {exitCodes, type ExitCode} from '../output/exit-codes.js';
-import type {Output} from '../output/output.js';
-
-/** What the command is given. */
-export type BundleSignFlags = {
-	readonly signer: string;
-	readonly key: string;
-	readonly out: string;
-};
-
-/**
- * Signs a bundle.
- *
- * @param file - The bundle in TOML.
- * @param flags - Who signs and where the published form stands.
- * @param output - Where to print.
- * @returns The exit code.
- */
-export function signBundle(
-	file: string,
-	flags: BundleSignFlags,
-	output: Output,
-): ExitCode {
-	const key = parsePrivateKey(fs.readFileSync(flags.key, 'utf8'));
-	if (key.isErr()) {
-		output.printError(`${flags.key}: ${key.error}`);
-		return exitCodes.usage;
-	}
+import {Err, Ok, type Result} from 'ts-results-es';
+import {
+	readManifest,
+	writePublishedOrThrow,
+} from '../files/published-folder.js';
+import {readBundle} from '../files/read-bundle.js';
+import {readTextOrThrow} from '../files/read-text.js';
+import {exitCodes} from '../output/exit-codes.js';
+import {printReport} from '../output/output.js';
+import {UsageError} from '../output/usage-error.js';
+import {jsonOption, type Command} from './command.js';
 
-	const bundle = parseBundle(fs.readFileSync(file, 'utf8'), file);
-	const split = bundle.map((value) => splitBundle(value));
-	const former = split.andThen(({manifest}) =>
-		getFormerSignatures(flags.out, manifest),
-	);
-	if (split.isErr() || former.isErr()) {
-		const faults = split.isErr() ? split.error : former.unwrapErr();
-		for (const fault of faults) {
-			output.printError(fault);
+/** The command. */
+export const bundleSign: Command = {
+	usage: 'bundle sign <file>',
+	summary: 'Sign a bundle and write its published form',
+	options: [
+		{usage: '--signer <name>', summary: 'Who signs (required)'},
+		{
+			usage: '--key <file>',
+			summary: 'The private key of the signer, PEM (required)',
+		},
+		{
+			usage: '--out <folder>',
+			summary: 'The folder of the published form (required)',
+		},
+		jsonOption,
+	],
+	examples: [
+		'bundle sign next.toml --signer ana --key ana.key.pem --out published',
+	],
+	run([file = ''], flags, {output}) {
+		const signer = makeId<SignerName>(flags.getTextOrThrow('signer'));
+		const folder = flags.getTextOrThrow('out');
+		const keyFile = flags.getTextOrThrow('key');
+		const key = parsePrivateKey(readTextOrThrow(keyFile));
+		if (key.isErr()) {
+			throw new UsageError(`${keyFile}: ${key.error}`);
 		}
 
-		return exitCodes.faults;
-	}
+		const split = readBundle(file).map((bundle) => splitBundle(bundle));
+		const started = split.andThen(({manifest}) =>
+			startSigning(folder, manifest),
+		);
+		if (split.isErr() || started.isErr()) {
+			const faults = split.isErr() ? split.error : started.unwrapErr();
+			const document = {file, faults};
+			const isJson = flags.isOn('json');
+			printReport(output, isJson, {document, lines: [], faults});
+			return exitCodes.faults;
+		}
 
-	const signer = makeId<SignerName>(flags.signer);
-	const signed = signManifest(former.value, signer, key.value);
-	writePublished(flags.out, {signed, parts: split.value.parts});
-	output.print(
-		`${flags.out}: version ${signed.manifest.version}, ${signed.signatures.length} signatures`,
-	);
-	return exitCodes.success;
-}
+		const signed = signManifest(started.value, signer, key.value);
+		writePublishedOrThrow(folder, {signed, parts: split.value.parts});
+		const {version} = signed.manifest;
+		const signers = signed.signatures.map((item) => item.signer);
+		printReport(output, flags.isOn('json'), {
+			document: {folder, version, signers},
+			lines: [`${folder}: version ${version}, signed by ${signers.join(', ')}`],
+		});
+		return exitCodes.success;
+	},
+};
 
-function getFormerSignatures(
+/** Keeps the signatures of the same content; refuses another content that is not newer. */
+function startSigning(
 	folder: string,
 	manifest: Manifest,
 ): Result<SignedManifest, readonly string[]> {
 	return readManifest(folder).andThen((former) => {
-		const isSame =
-			former !== undefined &&
-			getCanonicalText(former.manifest) === getCanonicalText(manifest);
-		return Ok({manifest, signatures: isSame ? former.signatures : []});
+		if (former === undefined || former.manifest.version < manifest.version) {
+			return Ok({manifest, signatures: []});
+		}
+
+		if (getManifestDigest(former.manifest) === getManifestDigest(manifest)) {
+			return Ok({manifest, signatures: former.signatures});
+		}
+
+		return Err([
+			`${folder}: has version ${former.manifest.version} with another content; raise the version above it (seen: ${manifest.version})`,
+		]);
 	});
 }
--- /dev/null
+++ b/packages/cli/src/commands/bundle-verify.ts
@@ -0,0 +1,47 @@
+/** `bundle verify`: tells whether hosts would take a published bundle. */
+
+import {verifyManifest} from '@bilberryscale/bundle';
+import {readBundle, readSignedOrThrow} from '../files/read-bundle.js';
+import {readTrustOrThrow} from '../files/trust-file.js';
+import {exitCodes} from '../output/exit-codes.js';
+import {printReport} from '../output/output.js';
+import {jsonOption, type Command} from './command.js';
+
+/** The command. */
+export const bundleVerify: Command = {
+	usage: 'bundle verify <folder>',
+	summary: 'Verify the signatures and the parts of a published bundle',
+	options: [
+		{
+			usage: '--trust <file>',
+			summary: 'The trusted keys: TOML, or the settings of a host (required)',
+		},
+		jsonOption,
+	],
+	examples: ['bundle verify published --trust trust.toml'],
+	run([folder = ''], flags, {output}) {
+		const trust = readTrustOrThrow(flags.getTextOrThrow('trust'));
+		const signed = readSignedOrThrow(folder);
+		const verified = signed.andThen((value) =>
+			verifyManifest(value, trust).mapErr((fault) => [`${folder}: ${fault}`]),
+		);
+		const bundle = readBundle(folder);
+		const faults = [
+			...(verified.isErr() ? verified.error : []),
+			...(bundle.isErr() && signed.isOk() ? bundle.error : []),
+		];
+		const signers = verified.isOk() ? verified.value : [];
+		const version = signed.isOk() ? signed.value.manifest.version : undefined;
+		printReport(output, flags.isOn('json'), {
+			document: {folder, version, signers, faults},
+			lines:
+				faults.length > 0
+					? []
+					: [
+							`${folder}: version ${version} is signed by ${signers.join(', ')}, all parts match`,
+						],
+			faults,
+		});
+		return faults.length > 0 ? exitCodes.faults : exitCodes.success;
+	},
+};
--- /dev/null
+++ b/packages/cli/src/commands/explain.ts
@@ -0,0 +1,92 @@
+/** `explain`: the decisions about a recent call, over all hosts. */
+
+import {z} from 'zod';
+import {
+	askHosts,
+	hostOptions,
+	readSelectionOrThrow,
+	type HostAnswer,
+} from '../hosts/ask-hosts.js';
+import {exitCodes, type ExitCode} from '../output/exit-codes.js';
+import {printReport} from '../output/output.js';
+import {UsageError} from '../output/usage-error.js';
+import {jsonOption, type Command} from './command.js';
+
+const callSchema = z.looseObject({
+	at: z.string(),
+	requestId: z.string(),
+	service: z.string().optional(),
+	outcome: z.string(),
+	durationMs: z.number(),
+	decisions: z.array(
+		z.looseObject({
+			afterMs: z.number(),
+			kind: z.string(),
+			subject: z.string(),
+		}),
+	),
+});
+const callsSchema = z.array(callSchema);
+
+type Call = z.infer<typeof callSchema>;
+
+const requestIdPattern = /^[\w\-]{1,64}$/v;
+
+/** The command. */
+export const explain: Command = {
+	usage: 'explain <requestId>',
+	summary: 'Show the decisions about a recent call',
+	options: [...hostOptions, jsonOption],
+	examples: [
+		'explain 0198c1d2-7a00-7000-8000-000000000001 --hosts-file hosts.txt',
+	],
+	async run([requestId = ''], flags, surroundings) {
+		if (!requestIdPattern.test(requestId)) {
+			throw new UsageError(
+				`<requestId>: must be 1 to 64 letters, digits, - or _; seen: ${requestId}`,
+			);
+		}
+
+		const selection = readSelectionOrThrow(flags, surroundings);
+		const {answers, faults} = await askHosts(
+			selection,
+			() => `/explain/${requestId}`,
+			callsSchema,
+			surroundings,
+		);
+		const calls = answers.flatMap(({host, value}) =>
+			value.map((call) => ({host, value: call})),
+		);
+		printReport(surroundings.output, flags.isOn('json'), {
+			document: {
+				calls: calls.map(({host, value}) => ({host, ...value})),
+				faults,
+			},
+			lines:
+				calls.length > 0
+					? calls.flatMap((call) => describeCall(call))
+					: [`no host that answered remembers the call ${requestId}`],
+			faults,
+		});
+		return getCode(calls.length, faults.length);
+	},
+};
+
+function describeCall({host, value}: HostAnswer<Call>): readonly string[] {
+	const {at, service, outcome, durationMs, decisions} = value;
+	return [
+		`${at} ${host} service ${service ?? 'unknown'}: ${outcome} after ${durationMs.toFixed(1)} ms`,
+		...decisions.map(
+			({afterMs, kind, subject}) =>
+				`  ${afterMs.toFixed(1)} ms ${kind}: ${subject}`,
+		),
+	];
+}
+
+function getCode(calls: number, faults: number): ExitCode {
+	if (faults > 0) {
+		return exitCodes.incomplete;
+	}
+
+	return calls > 0 ? exitCodes.success : exitCodes.faults;
+}
--- a/packages/cli/src/commands/keys-generate.ts
+++ b/packages/cli/src/commands/keys-generate.ts
@@ -2,33 +2,49 @@
 
 import fs from 'node:fs';
 import {generateKeyPair} from '@bilberryscale/bundle';
-import {exitCodes, type ExitCode} from '../output/exit-codes.js';
-import type {Output} from '../output/output.js';
+import {getReason} from '../files/read-text.js';
+import {exitCodes} from '../output/exit-codes.js';
+import {printReport} from '../output/output.js';
+import {UsageError} from '../output/usage-error.js';
+import {jsonOption, type Command} from './command.js';
 
 const privateFileMode = 0o600;
 
-/**
- * Makes a key pair.
- *
- * @param name - The files' name without an ending.
- * @param output - Where to print.
- * @returns The exit code.
- */
-export function generateKeys(name: string, output: Output): ExitCode {
-	const privateFile = `${name}.key.pem`;
-	const publicFile = `${name}.pub.pem`;
-	const existing = [privateFile, publicFile].find((file) =>
-		fs.existsSync(file),
-	);
-	if (existing !== undefined) {
-		output.printError(`${existing}: exists already and is left as it is`);
-		return exitCodes.usage;
-	}
+/** The command. */
+export const keysGenerate: Command = {
+	usage: 'keys generate <name>',
+	summary: 'Make a key pair: <name>.key.pem and <name>.pub.pem',
+	options: [jsonOption],
+	examples: ['keys generate ana'],
+	run([name = ''], flags, {output}) {
+		const privateFile = `${name}.key.pem`;
+		const publicFile = `${name}.pub.pem`;
+		const pair = generateKeyPair();
+		writeNewOrThrow(privateFile, pair.privateKey, privateFileMode);
+		writeNewOrThrow(publicFile, pair.publicKey);
+		printReport(output, flags.isOn('json'), {
+			document: {privateFile, publicFile},
+			lines: [
+				`${privateFile}: keep it secret`,
+				`${publicFile}: goes into the settings of every entry host`,
+			],
+		});
+		return exitCodes.success;
+	},
+};
 
-	const pair = generateKeyPair();
-	fs.writeFileSync(privateFile, pair.privateKey, {mode: privateFileMode});
-	fs.writeFileSync(publicFile, pair.publicKey);
-	output.print(`${privateFile}: keep it secret`);
-	output.print(`${publicFile}: goes into the settings of every entry host`);
-	return exitCodes.success;
+function writeNewOrThrow(file: string, text: string, mode?: number): void {
+	try {
+		fs.writeFileSync(file, text, {
+			flag: 'wx',
+			...(mode !== undefined && {mode}),
+		});
+	} catch (error) {
+		const isThere = (error as NodeJS.ErrnoException).code === 'EEXIST';
+		throw new UsageError(
+			isThere
+				? `${file}: exists already and is left as it is`
+				: `${file}: cannot be written: ${getReason(error)}`,
+		);
+	}
 }
--- /dev/null
+++ b/packages/cli/src/commands/settings-check.ts
@@ -0,0 +1,25 @@
+/** `settings check`: checks the settings of an entry process. */
+
+import {parseSettings} from '@bilberryscale/daemon';
+import {readTextOrThrow} from '../files/read-text.js';
+import {exitCodes} from '../output/exit-codes.js';
+import {printReport} from '../output/output.js';
+import {jsonOption, type Command} from './command.js';
+
+/** The command. */
+export const settingsCheck: Command = {
+	usage: 'settings check <file>',
+	summary: 'Check the settings file of an entry process',
+	options: [jsonOption],
+	examples: ['settings check entry-1.toml'],
+	run([file = ''], flags, {output}) {
+		const loaded = parseSettings(readTextOrThrow(file), file);
+		const faults = loaded.isErr() ? loaded.error : [];
+		printReport(output, flags.isOn('json'), {
+			document: {file, faults},
+			lines: faults.length > 0 ? [] : [`${file}: ok`],
+			faults,
+		});
+		return faults.length > 0 ? exitCodes.faults : exitCodes.success;
+	},
+};
--- a/packages/cli/src/files/published-folder.ts
+++ b/packages/cli/src/files/published-folder.ts
@@ -9,6 +9,8 @@
 	type SignedManifest,
 } from '@bilberryscale/bundle';
 import {Err, Ok, type Result} from 'ts-results-es';
+import {UsageError} from '../output/usage-error.js';
+import {getReason} from './read-text.js';
 
 const manifestFile = 'manifest.json';
 const partsFolder = 'parts';
@@ -18,11 +20,20 @@
  *
  * @param folder - The folder; it is made if it is missing.
  * @param published - The signed manifest and the parts.
+ * @throws UsageError if the folder cannot be written.
  */
-export function writePublished(
+export function writePublishedOrThrow(
 	folder: string,
 	published: PublishedBundle,
 ): void {
+	try {
+		write(folder, published);
+	} catch (error) {
+		throw new UsageError(`${folder}: cannot be written: ${getReason(error)}`);
+	}
+}
+
+function write(folder: string, published: PublishedBundle): void {
 	fs.mkdirSync(path.join(folder, partsFolder), {recursive: true});
 	for (const {digest, text} of published.parts) {
 		fs.writeFileSync(path.join(folder, partsFolder, `${digest}.json`), text);
--- a/packages/cli/src/output/exit-codes.ts
+++ b/packages/cli/src/output/exit-codes.ts
@@ -4,11 +4,21 @@
 export const exitCodes = {
 	/** All went well. */
 	success: 0,
-	/** What was checked is not in order. */
+	/** What was checked or compared is not in order. */
 	faults: 1,
 	/** The command line or a file could not be used. */
 	usage: 2,
+	/** A host did not answer, so the result is not complete. */
+	incomplete: 3,
 } as const;
 
 /** One of the exit codes. */
 export type ExitCode = (typeof exitCodes)[keyof typeof exitCodes];
+
+/** The exit codes in words, for the help. */
+export const exitCodeHelp = [
+	'  0  all went well',
+	'  1  what was checked or compared is not in order',
+	'  2  the command line or a file could not be used',
+	'  3  a host did not answer, so the result is not complete',
+].join('\n');
--- a/packages/daemon/src/audit/audit-trail.ts
+++ b/packages/daemon/src/audit/audit-trail.ts
@@ -1,12 +1,12 @@
 /** The audit trail: sequenced and hash-chained, bounded in memory. */
 
-import {createHash} from 'node:crypto';
 import type {
 	AuditEvent,
 	Clock,
 	HostId,
 	IncarnationId,
 } from '@bilberryscale/core';
+import {getAuditHash} from './audit-hash.js';
 
 /** An event in its place in the trail. */
 export type AuditRecord = AuditEvent & {
@@ -82,9 +82,6 @@
 			incarnation,
 			previousHash: this.#lastHash,
 		};
-		const hash = createHash('sha256')
-			.update(JSON.stringify(content))
-			.digest('hex');
-		return {...content, hash};
+		return {...content, hash: getAuditHash(content)};
 	}
 }
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -7,3 +7,9 @@
 	type LoadedSettings,
 } from './settings/load-settings.js';
 export type {Settings} from './settings/settings.js';
+export {AuditTrail, type AuditRecord} from './audit/audit-trail.js';
+export {verifyAuditTrail} from './audit/verify-audit-trail.js';
+export {
+	makeOperatorServer,
+	type HostStatus,
+} from './operators/operator-server.js';
