Explain calls, send metrics and test the operators' tool

Cause: operators could not see why a call went where it went, settings errors could show the operators' token, and mistakes on the command line of bilberryscaled ended in a stack trace.

Change: two filters record each call and each send in bounded rings, read over /explain; metrics are counted in the process and sent every 10 s by hot-shots; settings errors name unknown keys one by one and hide secrets; the log has the request id at the top; committed examples of settings and bundle, checked by tests; pages for operators.

The tests of the tool found that an audit answer that is no record ended in a dump of the schema library; it is a fault of that host now.

Not measured: what recording costs a call.

--- a/packages/bundle/src/utils/describe-issues.ts
+++ b/packages/bundle/src/utils/describe-issues.ts
@@ -3,9 +3,10 @@
 import type {z} from 'zod';
 
 const longestValue = 80;
+const secretKeys: ReadonlySet<PropertyKey> = new Set(['token', 'privateKey']);
 
 /**
- * Describes each fault with its file, key and the value seen.
+ * Describes each fault with its file, key and the value seen; secrets are left out.
  *
  * @param fileName - The file's name.
  * @param error - What the schema library found.
@@ -17,11 +18,27 @@
 	error: z.ZodError,
 	document: unknown,
 ): string[] {
-	return error.issues.map((issue) => {
-		const key = issue.path.join('.') || '(top level)';
-		const seen = formatValue(getValueAt(document, issue.path));
-		return `${fileName}: ${key}: ${issue.message}; seen: ${seen}`;
-	});
+	return error.issues.flatMap((issue) =>
+		issue.code === 'unrecognized_keys'
+			? issue.keys.map((key) =>
+					describe(fileName, document, [...issue.path, key], 'is no known key'),
+				)
+			: [describe(fileName, document, issue.path, issue.message)],
+	);
+}
+
+function describe(
+	fileName: string,
+	document: unknown,
+	path: readonly PropertyKey[],
+	message: string,
+): string {
+	const key = path.join('.') || '(top level)';
+	const isSecret = path.some((part) => secretKeys.has(part));
+	const seen = isSecret
+		? 'a value that is not shown'
+		: formatValue(getValueAt(document, path));
+	return `${fileName}: ${key}: ${message}; seen: ${seen}`;
 }
 
 function getValueAt(document: unknown, path: readonly PropertyKey[]): unknown {
@@ -42,6 +59,10 @@
 		return 'nothing';
 	}
 
-	const text = JSON.stringify(value) ?? typeof value;
+	const text = JSON.stringify(value, hideSecret) ?? typeof value;
 	return text.length > longestValue ? `${text.slice(0, longestValue)}…` : text;
 }
+
+function hideSecret(key: string, value: unknown): unknown {
+	return secretKeys.has(key) ? 'not shown' : value;
+}
--- a/packages/cli/src/commands/audit.ts
+++ b/packages/cli/src/commands/audit.ts
@@ -27,14 +27,13 @@
 	previousHash: z.string(),
 	hash: z.string(),
 });
-const recordsSchema = z.array(z.unknown()).transform((records) => {
-	// The hash is over the fields in the order in which the host sent them.
-	for (const record of records) {
-		recordSchema.parse(record);
-	}
-
-	return records as readonly AuditRecord[];
-});
+// The hash is over the fields in the order in which the host sent them, so each record stays as it came.
+const recordsSchema = z.array(
+	z.custom<AuditRecord>(
+		(value) => recordSchema.safeParse(value).success,
+		'is no audit record',
+	),
+);
 
 const pollMs = 1000;
 
--- a/packages/cli/src/files/read-text.ts
+++ b/packages/cli/src/files/read-text.ts
@@ -3,6 +3,12 @@
 import fs from 'node:fs';
 import {UsageError} from '../output/usage-error.js';
 
+const reasons = [
+	{code: 'ENOENT', reason: 'there is no such file'},
+	{code: 'EACCES', reason: 'permission denied'},
+	{code: 'EISDIR', reason: 'it is a folder'},
+];
+
 /**
  * Reads a text file.
  *
@@ -26,21 +32,5 @@
  */
 export function getReason(error: unknown): string {
 	const {code, message} = error as NodeJS.ErrnoException;
-	switch (code) {
-		case 'ENOENT': {
-			return 'there is no such file';
-		}
-
-		case 'EACCES': {
-			return 'permission denied';
-		}
-
-		case 'EISDIR': {
-			return 'it is a folder';
-		}
-
-		default: {
-			return message;
-		}
-	}
+	return reasons.find((item) => item.code === code)?.reason ?? message;
 }
--- a/packages/cli/src/hosts/ask-hosts.ts
+++ b/packages/cli/src/hosts/ask-hosts.ts
@@ -27,6 +27,7 @@
 };
 
 const tokenVariable = 'BILBERRYSCALE_TOKEN';
+const tokenPattern = /^[\u0021-\u007E]+$/v;
 const hostPattern = /^(?:\d{1,3}(?:\.\d{1,3}){3}|\[[\da-f:]+\]):\d{1,5}$/iv;
 
 /** The flags that select hosts. */
@@ -80,6 +81,12 @@
 		throw new UsageError(`--token-file or ${tokenVariable}: is missing`);
 	}
 
+	if (!tokenPattern.test(token)) {
+		throw new UsageError(
+			`${tokenFile ?? tokenVariable}: holds no token; it must be one word of printable characters`,
+		);
+	}
+
 	return {hosts, token};
 }
 
--- a/packages/daemon/src/bin/bilberryscaled.ts
+++ b/packages/daemon/src/bin/bilberryscaled.ts
@@ -12,8 +12,15 @@
 	readonly checkSettings?: boolean;
 };
 
+const failedStartCode = 1;
 const badSettingsCode = 2;
 const overdueCode = 3;
+const exitCodeHelp = [
+	'  0  every request was finished, or the settings are in order',
+	'  1  the process could not start',
+	'  2  the command line or the settings are wrong',
+	'  3  requests were cut: a second signal, or the time for the shutdown ended',
+].join('\n');
 
 const program = cac('bilberryscaled');
 program
@@ -21,9 +28,26 @@
 	.option('--settings <file>', 'The settings file (TOML)')
 	.option('--check-settings', 'Check the settings file and exit')
 	.action(run);
-program.help();
+program.example('  bilberryscaled --settings /etc/bilberryscale/entry-1.toml');
+program.help((sections) => [
+	...sections,
+	{
+		title: 'Signals',
+		body: '  SIGTERM, SIGINT  finish every request and exit\n  SIGHUP           read the trusted keys again',
+	},
+	{title: 'Exit codes', body: exitCodeHelp},
+]);
 program.version('0.1.0');
-program.parse();
+await runProgram();
+
+async function runProgram(): Promise<void> {
+	try {
+		program.parse(process.argv, {run: false});
+		await program.runMatchedCommand();
+	} catch (error) {
+		fail([`bilberryscaled: ${(error as Error).message}`]);
+	}
+}
 
 async function run(flags: Flags): Promise<void> {
 	if (flags.settings === undefined) {
@@ -49,7 +73,12 @@
 	});
 	reloadOnSignal(host, flags.settings);
 	stopOnSignals(host, loaded.value.settings.limits.shutdownMs);
-	await host.start();
+	try {
+		await host.start();
+	} catch (error) {
+		writeErrors([`bilberryscaled: cannot start: ${(error as Error).message}`]);
+		process.exit(failedStartCode);
+	}
 }
 
 /** Settings that are wrong are told and leave the former in force. */
--- a/packages/daemon/src/context/entry-host.ts
+++ b/packages/daemon/src/context/entry-host.ts
@@ -4,6 +4,7 @@
 	makeId,
 	makeSeededRandom,
 	notRun,
+	type AuditSink,
 	type Clock,
 	type Failure,
 	type IncarnationId,
@@ -15,13 +16,21 @@
 import {BundleWatch} from '../bundle-store/bundle-watch.js';
 import {CallDesk} from '../dispatch/call-desk.js';
 import {makeCallerServer} from '../http/caller-server.js';
-import {makeLogger} from '../logging/make-logger.js';
+import {makeLogger, type Log} from '../logging/make-logger.js';
+import {
+	makeStatsdSink,
+	noMetricSink,
+	type MetricSink,
+} from '../metrics/metric-sink.js';
+import {Metrics} from '../metrics/metrics.js';
+import {DecisionLog} from '../operators/decision-log.js';
 import {
 	makeOperatorServer,
 	type HostStatus,
 } from '../operators/operator-server.js';
 import {makeCallPipeline} from '../pipeline/order.js';
 import type {LoadedSettings} from '../settings/load-settings.js';
+import type {Settings} from '../settings/settings.js';
 import {ConnectionPools} from '../upstream/connection-pools.js';
 
 const auditCapacity = 10_000;
@@ -41,6 +50,8 @@
 	readonly #incarnation = makeId<IncarnationId>(uuidv7());
 	readonly #log;
 	readonly #audit;
+	readonly #decisions = new DecisionLog();
+	readonly #metrics;
 	readonly #desk;
 	readonly #pools;
 	readonly #platform;
@@ -49,6 +60,10 @@
 	readonly #callers;
 	readonly #operators;
 	#isShuttingDown = false;
+	readonly #auditSink: AuditSink = (event) => {
+		this.#audit.add(event);
+		this.#metrics.addAudit(event);
+	};
 
 	/**
 	 * @param options - The checked settings, the clock and the seed.
@@ -67,6 +82,12 @@
 				this.#log.info('audit', record);
 			},
 		});
+		this.#metrics = new Metrics({
+			clock,
+			sink: makeSink(settings, this.#log),
+			getBundleVersion: () => this.#store.bundle?.version,
+			isReady: () => this.#getClosedFailure() === undefined,
+		});
 		this.#desk = new CallDesk({clock, random: makeSeededRandom(options.seed)});
 		this.#pools = new ConnectionPools({
 			localAddress: settings.callers.address,
@@ -79,9 +100,7 @@
 		});
 		this.#store = new BundleStore({
 			trust,
-			audit: (event) => {
-				this.#audit.add(event);
-			},
+			audit: this.#auditSink,
 			onAdopted: (bundle) => {
 				this.#desk.setBundle(bundle);
 			},
@@ -98,6 +117,10 @@
 				pools: this.#pools,
 				clock,
 				bodyIdleMs: settings.limits.bodyIdleMs,
+				onEnded: (call) => {
+					this.#decisions.add(call.record);
+					this.#metrics.addCall(call);
+				},
 			}),
 			clock,
 			log: this.#log,
@@ -108,13 +131,14 @@
 			token: settings.operators.token,
 			getStatus: () => this.#getStatus(),
 			getAudit: (fromSequence) => this.#audit.getRecords(fromSequence),
+			getCalls: (requestId) => this.#decisions.getRecords(requestId),
 		});
 	}
 
 	/** Starts to listen and to watch. */
 	async start(): Promise<void> {
 		const {callers, operators} = this.#options.loaded.settings;
-		this.#audit.add({
+		this.#auditSink({
 			kind: 'process-started',
 			subject: this.#incarnation,
 			cause: 'start',
@@ -125,6 +149,7 @@
 		});
 		await this.#callers.listen({host: callers.address, port: callers.port});
 		this.#watch.start();
+		this.#metrics.start();
 	}
 
 	/**
@@ -133,7 +158,7 @@
 	 * @param loaded - The checked settings.
 	 */
 	reload({trust}: LoadedSettings): void {
-		this.#audit.add({
+		this.#auditSink({
 			kind: 'settings-loaded',
 			subject: 'trusted keys',
 			cause: 'the settings were read again',
@@ -151,11 +176,12 @@
 		this.#auditShutdown('every request has its whole answer');
 		await this.#pools.close();
 		await this.#platform.close();
+		this.#metrics.stop();
 		await this.#operators.close();
 	}
 
 	#auditShutdown(cause: string): void {
-		this.#audit.add({
+		this.#auditSink({
 			kind: 'shutdown-step',
 			subject: this.#incarnation,
 			cause,
@@ -180,6 +206,23 @@
 			dataCentre,
 			isReady: this.#getClosedFailure() === undefined,
 			bundleVersion: this.#store.bundle?.version,
+			bundleDigest: this.#store.rank?.digest,
+			dataCentresOut: (this.#store.bundle?.dataCentres ?? [])
+				.filter(({state}) => state === 'out')
+				.map(({id}) => id),
 		};
 	}
 }
+
+function makeSink(settings: Settings, log: Log): MetricSink {
+	const {metrics, host} = settings;
+	return metrics === undefined
+		? noMetricSink
+		: makeStatsdSink({
+				...metrics,
+				host,
+				onError(error) {
+					log.warn('metrics are lost', {cause: error.message});
+				},
+			});
+}
--- a/packages/daemon/src/logging/make-logger.ts
+++ b/packages/daemon/src/logging/make-logger.ts
@@ -7,13 +7,15 @@
 /** The log of the process. */
 export type Log = Logger<unknown>;
 
-/** One line of the log. */
-type LogLine = {
+/** One line of the log; no line holds a caller's content or key. */
+export type LogLine = {
 	readonly at: string;
 	readonly level: string;
 	readonly host: string;
 	readonly incarnation: string;
 	readonly message: string;
+	/** Names the call that the line is about. */
+	readonly requestId?: string;
 	readonly fields?: unknown;
 };
 
@@ -43,14 +45,28 @@
 			level: meta.logLevelName.toLowerCase(),
 			host: settings.host,
 			incarnation,
-			message: record['0'] as unknown as string,
-			fields: record['1'],
+			...readParts(record),
 		};
 		write(`${JSON.stringify(line)}\n`);
 	});
 	return logger;
 }
 
+function readParts(
+	record: Readonly<Record<string, unknown>>,
+): Pick<LogLine, 'message' | 'requestId' | 'fields'> {
+	const message = String(record['0']);
+	const fields = record['1'];
+	if (typeof fields !== 'object' || fields === null) {
+		return {message, fields};
+	}
+
+	const {requestId, ...rest} = fields as {readonly requestId?: string};
+	return requestId === undefined
+		? {message, fields}
+		: {message, requestId, fields: rest};
+}
+
 function writeToStandardOutput(line: string): void {
 	process.stdout.write(line);
 }
--- a/packages/daemon/src/operators/operator-server.ts
+++ b/packages/daemon/src/operators/operator-server.ts
@@ -4,6 +4,7 @@
 import {timingSafeEqual} from 'node:crypto';
 import {fastify, type FastifyInstance} from 'fastify';
 import type {AuditRecord} from '../audit/audit-trail.js';
+import type {CallRecord} from './decision-log.js';
 
 /** What a host says of itself. */
 export type HostStatus = {
@@ -12,6 +13,10 @@
 	readonly dataCentre: string;
 	readonly isReady: boolean;
 	readonly bundleVersion: number | undefined;
+	/** The digest of the manifest in force. */
+	readonly bundleDigest: string | undefined;
+	/** The data centres that the bundle in force has out. */
+	readonly dataCentresOut: readonly string[];
 };
 
 /** What the server works with. */
@@ -19,8 +24,18 @@
 	readonly token: string;
 	readonly getStatus: () => HostStatus;
 	readonly getAudit: (fromSequence: number) => readonly AuditRecord[];
+	/** Gets what was decided about a recent call. */
+	readonly getCalls: (requestId: string) => readonly CallRecord[];
 };
 
+type AuditQuery = {
+	/** The first sequence number wanted. */
+	readonly from?: string;
+	/** The life that the number belongs to; another life is sent in full. */
+	readonly incarnation?: string;
+};
+
+const badRequest = 400;
 const unauthorized = 401;
 const unavailable = 503;
 
@@ -47,8 +62,20 @@
 		return reply.code(isReady ? 200 : unavailable).send({isReady});
 	});
 	server.get('/status', async () => options.getStatus());
-	server.get<{Querystring: {from?: string}}>('/audit', async (request) =>
-		options.getAudit(Number(request.query.from ?? 0)),
+	server.get<{Querystring: AuditQuery}>('/audit', async (request, reply) => {
+		const {from = '0', incarnation} = request.query;
+		if (!/^\d{1,15}$/v.test(from)) {
+			return reply.code(badRequest).send({error: '"from" must be a number'});
+		}
+
+		const isSameLife =
+			incarnation === undefined ||
+			incarnation === options.getStatus().incarnation;
+		return options.getAudit(isSameLife ? Number(from) : 0);
+	});
+	server.get<{Params: {requestId: string}}>(
+		'/explain/:requestId',
+		async (request) => options.getCalls(request.params.requestId),
 	);
 	return server;
 }
--- a/packages/daemon/src/pipeline/exchange.ts
+++ b/packages/daemon/src/pipeline/exchange.ts
@@ -11,6 +11,7 @@
 } from '@bilberryscale/core';
 import type {ServiceDispatcher, TargetState} from '@bilberryscale/decisions';
 import type {Result} from 'ts-results-es';
+import type {Decision} from '../operators/decision-log.js';
 
 /** The call as it came in. */
 export type IncomingCall = {
@@ -51,6 +52,8 @@
 /** One call and what the filters found out about it. */
 export class Exchange {
 	readonly incoming: IncomingCall;
+	/** What was decided so far, for operators. */
+	readonly decisions: Decision[] = [];
 	/** The request's body once it is wholly read; undefined while it streams. */
 	bodyBytes: Buffer | undefined;
 	/** The target of the current attempt. */
@@ -64,6 +67,11 @@
 		this.incoming = incoming;
 	}
 
+	/** Gets what the identify filter found out; undefined before it has run. */
+	get identity(): CallIdentity | undefined {
+		return this.#identity;
+	}
+
 	/** Keeps what the identify filter found out. */
 	setIdentity(identity: CallIdentity): void {
 		this.#identity = identity;
--- a/packages/daemon/src/pipeline/order.ts
+++ b/packages/daemon/src/pipeline/order.ts
@@ -7,6 +7,11 @@
 import {makeAttemptFilter} from './filters/attempt.js';
 import {makeIdentifyFilter} from './filters/identify.js';
 import {makeReadBodyFilter} from './filters/read-body.js';
+import {
+	makeRecordFilter,
+	makeRecordSendFilter,
+	type EndedCall,
+} from './filters/record.js';
 import {makeSendFilter} from './filters/send.js';
 
 /** What the filters work with. */
@@ -16,20 +21,24 @@
 	readonly clock: Clock;
 	/** How long a caller may send nothing of a body, in milliseconds. */
 	readonly bodyIdleMs: number;
+	/** Takes each call at its end. */
+	readonly onEnded: (call: EndedCall) => void;
 };
 
 /**
- * Makes the way of a call: identify, read the body, take a target, send.
+ * Makes the way of a call: record, identify, read the body, take a target, record, send.
  *
  * @param parts - What the filters work with.
  * @returns The way.
  */
 export function makeCallPipeline(parts: PipelineParts): Pipeline {
-	const {desk, pools, clock, bodyIdleMs} = parts;
+	const {desk, pools, clock, bodyIdleMs, onEnded} = parts;
 	return makePipeline([
+		makeRecordFilter({clock, onEnded}),
 		makeIdentifyFilter(desk),
 		makeReadBodyFilter({clock, idleMs: bodyIdleMs}),
 		makeAttemptFilter({desk, clock}),
+		makeRecordSendFilter(clock),
 		makeSendFilter({desk, pools, clock}),
 	]);
 }
--- /dev/null
+++ b/packages/daemon/test/metrics/metrics.test.ts
@@ -0,0 +1,140 @@
+import fs from 'node:fs';
+import {
+	makeId,
+	ManualClock,
+	notRun,
+	type ErrorKind,
+	type RequestId,
+} from '@bilberryscale/core';
+import {describe, it} from '@bilberryscale/testing';
+import * as assert from 'uvu/assert';
+import {counterNames, gaugeNames} from '../../src/metrics/metric-names.js';
+import {Metrics} from '../../src/metrics/metrics.js';
+import type {EndedCall} from '../../src/pipeline/filters/record.js';
+
+function makeCall(
+	durationMs: number,
+	sends: number,
+	kind?: ErrorKind,
+): EndedCall {
+	return {
+		record: {
+			requestId: makeId<RequestId>('r-1'),
+			at: '',
+			service: undefined,
+			method: 'GET',
+			isIdempotent: true,
+			hasKey: false,
+			isOrdinary: true,
+			outcome: '',
+			durationMs,
+			decisions: Array.from({length: sends}, () => ({
+				afterMs: 0,
+				kind: 'send',
+				subject: '',
+			})),
+		},
+		failure: kind === undefined ? undefined : notRun(kind, ''),
+	};
+}
+
+type Expected = {
+	readonly name: string;
+	readonly value: number | undefined;
+};
+
+function makeFixture() {
+	const clock = new ManualClock();
+	const sent = new Map<string, number>();
+	const metrics = new Metrics({
+		clock,
+		sink: {
+			addCount: (name, value) => sent.set(name, value),
+			setGauge: (name, value) => sent.set(name, value),
+			close: () => undefined,
+		},
+		getBundleVersion: () => 7,
+		isReady: () => true,
+	});
+	return {clock, metrics, sent};
+}
+
+describe('Metrics', () => {
+	const doTest = (
+		calls: readonly EndedCall[],
+		expected: readonly Expected[],
+	) => {
+		const {clock, metrics, sent} = makeFixture();
+		metrics.start();
+		for (const call of calls) {
+			metrics.addCall(call);
+		}
+
+		assert.is(sent.size, 0);
+		clock.advance(10_000);
+		for (const {name, value} of expected) {
+			assert.is(sent.get(name), value, name);
+		}
+
+		metrics.stop();
+	};
+
+	it('counts calls by their end', () => {
+		doTest(
+			[makeCall(1, 1), makeCall(1, 3), makeCall(1, 0, 'over-capacity')],
+			[
+				{name: 'calls.answered', value: 2},
+				{name: 'calls.sent_again', value: 2},
+				{name: 'calls.refused', value: 1},
+				{name: 'calls.refused.over-capacity', value: 1},
+				{name: 'calls.refused.no-target', value: undefined},
+			],
+		);
+	});
+
+	it('tells the state of the host, also without calls', () => {
+		doTest(
+			[],
+			[
+				{name: 'bundle.version', value: 7},
+				{name: 'host.ready', value: 1},
+				{name: 'calls.duration_max_ms', value: undefined},
+			],
+		);
+	});
+
+	it('starts anew after each flush', () => {
+		const {metrics, sent} = makeFixture();
+		metrics.addCall(makeCall(4, 1));
+		metrics.flush();
+		assert.ok(Math.abs(sent.get('calls.duration_max_ms')! - 4) < 0.1);
+		sent.clear();
+		metrics.flush();
+		assert.is(sent.get('calls.answered'), undefined);
+	});
+
+	it('counts what is audited', () => {
+		const {metrics, sent} = makeFixture();
+		metrics.addAudit({kind: 'bundle-conflict', subject: '', cause: ''});
+		metrics.flush();
+		assert.is(sent.get('bundle.conflicts'), 1);
+		assert.is(sent.get('audit.records'), 1);
+	});
+});
+
+describe('the page of metrics', () => {
+	const page = fs.readFileSync(
+		new URL('../../../../docs/operators/reading.md', import.meta.url),
+		'utf8',
+	);
+
+	it('has every metric', () => {
+		for (const name of [
+			...counterNames,
+			...gaugeNames,
+			'calls.refused.<kind>',
+		]) {
+			assert.ok(page.includes(`\`${name}\``), name);
+		}
+	});
+});
