Give every caller a whole answer or a cut connection

Cause: an HTTP/1.0 caller took a broken body for a whole one; bytes after a pipelined request cut the answer before them; a request without Host or with two, an unlisted method, an unusable path or an unknown expectation got an answer that is no problem document; a slow head got 400; a target's 304 with a length was cut; a request given up on before it was written was called "unknown"; a caller that dripped a body was read past its deadline.

Change: the edge counts the answers that a connection waits for and refuses bad bytes after them; the new kind method-unsupported; a refusal before the end of the request lingers, so that the close does not reset it; each request runs on a connection of known history, so that a non-idempotent one takes only a connection that answered within the last second, and a silent one is told apart by the answers that overtake it.

--- a/packages/core/src/clock/manual-clock.ts
+++ b/packages/core/src/clock/manual-clock.ts
@@ -22,6 +22,11 @@
 		this.#wallOffsetMs = start.getTime();
 	}
 
+	/** Gets how many actions wait for their time. */
+	get pendingCount(): number {
+		return this.#scheduled.length;
+	}
+
 	monotonicMs(): number {
 		return this.#elapsedMs;
 	}
--- a/packages/core/src/errors/answer-table.ts
+++ b/packages/core/src/errors/answer-table.ts
@@ -18,6 +18,7 @@
 /** The answer for each error kind. */
 export const answerTable: Readonly<Record<ErrorKind, ErrorAnswer>> = {
 	'bad-request': answer(400, 'The request is malformed'),
+	'method-unsupported': answer(501, 'The method is not passed on'),
 	'header-too-large': answer(431, 'The header is too large'),
 	'body-too-large': answer(413, 'The body is too large'),
 	'body-timeout': answer(408, 'The body came too slowly'),
--- a/packages/core/src/errors/error-kind.ts
+++ b/packages/core/src/errors/error-kind.ts
@@ -3,6 +3,7 @@
 /** Every error kind, in the order of the request's way. */
 export const errorKinds = [
 	'bad-request',
+	'method-unsupported',
 	'header-too-large',
 	'body-too-large',
 	'body-timeout',
--- a/packages/daemon/src/context/entry-host.ts
+++ b/packages/daemon/src/context/entry-host.ts
@@ -69,6 +69,7 @@
 		});
 		this.#desk = new CallDesk({clock, random: makeSeededRandom(options.seed)});
 		this.#pools = new ConnectionPools({
+			clock,
 			localAddress: settings.callers.address,
 			getHostCount: () => assumedHostCount,
 		});
--- a/packages/daemon/src/http/caller-server.ts
+++ b/packages/daemon/src/http/caller-server.ts
@@ -2,7 +2,7 @@
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
-import {Readable, pipeline as pipeStreams} from 'node:stream';
+import {Readable} from 'node:stream';
 import {
 	callerHeaders,
 	makeId,
@@ -12,13 +12,15 @@
 	type Failure,
 	type RequestId,
 } from '@bilberryscale/core';
-import {fastify, type FastifyInstance, type FastifyReply} from 'fastify';
+import {fastify, type FastifyInstance} from 'fastify';
 import {uuidv7} from 'uuidv7';
 import type {Log} from '../logging/make-logger.js';
 import {Exchange, type Answer} from '../pipeline/exchange.js';
 import type {Pipeline} from '../pipeline/filter.js';
-import {getReturnedHeaders} from './forwarded-headers.js';
+import {CallerConnections, writeRefusal} from './caller-connections.js';
+import {getRequestFailure} from './check-request.js';
 import {getProblemAnswer} from './problem.js';
+import {writeAnswer} from './write-answer.js';
 
 /** What the server works with. */
 export type CallerServerOptions = {
@@ -27,13 +29,15 @@
 	readonly log: Log;
 	/** The largest head of a request, in bytes. */
 	readonly headerBytes: number;
+	/** How long the head of a request may take, in milliseconds. */
+	readonly headTimeoutMs?: number;
 	/** Why no work is taken now; undefined while it is. */
 	readonly getClosedFailure: () => Failure | undefined;
 };
 
-const headTimeoutMs = 10_000;
+const defaultHeadTimeoutMs = 10_000;
+const headChecksPerTimeout = 10;
 const requestIdPattern = /^[\w\-]{1,64}$/v;
-const methods = ['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS'];
 
 /**
  * Makes the server; it does not listen yet.
@@ -44,64 +48,86 @@
 export function makeCallerServer(
 	options: CallerServerOptions,
 ): FastifyInstance {
+	const connections = new CallerConnections();
+	const headTimeoutMs = options.headTimeoutMs ?? defaultHeadTimeoutMs;
 	const server = fastify({
 		logger: false,
 		exposeHeadRoutes: false,
 		requestTimeout: 0,
+		return503OnClosing: false,
 		forceCloseConnections: 'idle',
+		rewriteUrl: () => '/',
 		http: {
 			maxHeaderSize: options.headerBytes,
 			headersTimeout: headTimeoutMs,
+			connectionsCheckingInterval: headTimeoutMs / headChecksPerTimeout,
+			requireHostHeader: false,
 		},
-		clientErrorHandler: answerClientError,
-	});
-	server.removeAllContentTypeParsers();
-	server.addContentTypeParser('*', async () => undefined);
-	server.route({
-		method: methods,
-		url: '*',
-		async handler(request, reply) {
-			void reply.hijack();
-			await serve(request.raw, reply, options);
+		clientErrorHandler(error: NodeJS.ErrnoException, socket: Socket) {
+			connections.refuseBytes(error, socket);
 		},
 	});
+	server.addHook('onRequest', (request, reply, _done) => {
+		void reply.hijack();
+		void serve(request.raw, reply.raw, connections, options);
+	});
+	server.server.on('connect', (_request: IncomingMessage, socket: Socket) => {
+		writeRefusal(socket, notRun('method-unsupported', 'No tunnels are made.'));
+	});
+	server.server.on(
+		'checkExpectation',
+		(request: IncomingMessage, response: ServerResponse) => {
+			refuseExpectation(request, response, options);
+		},
+	);
 	return server;
 }
 
 async function serve(
 	request: IncomingMessage,
-	reply: FastifyReply,
+	response: ServerResponse,
+	connections: CallerConnections,
 	options: CallerServerOptions,
 ): Promise<void> {
-	const exchange = makeExchange(request, reply.raw, options.clock);
+	const {clock, getClosedFailure} = options;
+	connections.begin(request, response);
+	const controller = new AbortController();
+	response.once('close', () => {
+		connections.end(request.socket);
+		if (!response.writableFinished) {
+			controller.abort();
+		}
+	});
+	const exchange = makeExchange(request, clock, controller.signal);
 	const {requestId} = exchange.incoming;
-	const answer = await getAnswer(exchange, options);
-	if (exchange.incoming.signal.aborted) {
+	const failure = getRequestFailure(request);
+	const answer =
+		failure === undefined
+			? await getAnswer(exchange, options)
+			: getProblemAnswer(failure, requestId);
+	if (response.destroyed || controller.signal.aborted) {
+		discard(answer);
 		return;
 	}
 
-	writeAnswer(request, reply.raw, answer, requestId);
+	const isLast = failure !== undefined || getClosedFailure() !== undefined;
+	writeAnswer({request, response, requestId, answer, isLast, clock});
 }
 
 function makeExchange(
 	request: IncomingMessage,
-	response: ServerResponse,
 	clock: Clock,
+	signal: AbortSignal,
 ): Exchange {
-	const controller = new AbortController();
-	response.once('close', () => {
-		if (!response.writableFinished) {
-			controller.abort();
-		}
-	});
+	const {originalUrl} = request as IncomingMessage & {originalUrl?: string};
 	return new Exchange({
 		requestId: getRequestId(request),
 		method: request.method ?? 'GET',
-		url: request.url ?? '/',
+		url: originalUrl ?? '/',
 		headers: request.headers,
 		body: request,
 		receivedAtMs: clock.monotonicMs(),
-		signal: controller.signal,
+		signal,
 	});
 }
 
@@ -131,51 +157,27 @@
 			requestId,
 			cause: (error as Error).stack,
 		});
-		const failure = perhapsRun('internal', 'The entry host failed.');
-		return getProblemAnswer(failure, requestId);
+		const unforeseen = perhapsRun('internal', 'The entry host failed.');
+		return getProblemAnswer(unforeseen, requestId);
 	}
 }
 
-function writeAnswer(
-	request: IncomingMessage,
-	response: ServerResponse,
-	answer: Answer,
-	requestId: RequestId,
-): void {
-	const headers = getReturnedHeaders(answer.headers);
-	headers[callerHeaders.requestId] = requestId;
-	if (!request.complete) {
-		headers.connection = 'close';
+/** Ends an answer that nobody waits for. */
+function discard({body}: Answer): void {
+	if (body instanceof Readable) {
+		body.on('error', () => undefined);
+		body.destroy();
 	}
-
-	response.writeHead(answer.status, headers);
-	if (!(answer.body instanceof Readable)) {
-		response.end(answer.body);
-		return;
-	}
-
-	pipeStreams(answer.body, response, (error) => {
-		if (error) {
-			response.destroy();
-		}
-	});
 }
 
-function answerClientError(error: NodeJS.ErrnoException, socket: Socket): void {
-	if (!socket.writable || error.code === 'ECONNRESET') {
-		socket.destroy();
-		return;
-	}
-
-	const isHeader = error.code === 'HPE_HEADER_OVERFLOW';
-	const failure = isHeader
-		? notRun('header-too-large', 'The head of the request is too large.')
-		: notRun('bad-request', `The request is not HTTP: ${error.code}.`);
-	const answer = getProblemAnswer(failure, makeId<RequestId>(uuidv7()));
-	const head = Object.entries({...answer.headers, connection: 'close'})
-		.map(([name, value]) => `${name}: ${String(value)}\r\n`)
-		.join('');
-	socket.end(
-		`HTTP/1.1 ${answer.status} Error\r\n${head}\r\n${answer.body.toString()}`,
-	);
+function refuseExpectation(
+	request: IncomingMessage,
+	response: ServerResponse,
+	{clock}: CallerServerOptions,
+): void {
+	const requestId = getRequestId(request);
+	const expected = String(request.headers.expect);
+	const failure = notRun('bad-request', `"${expected}" cannot be met.`);
+	const answer = getProblemAnswer(failure, requestId);
+	writeAnswer({request, response, requestId, answer, isLast: true, clock});
 }
--- a/packages/daemon/src/pipeline/filters/identify.ts
+++ b/packages/daemon/src/pipeline/filters/identify.ts
@@ -17,6 +17,9 @@
 import type {Filter} from '../filter.js';
 
 const idempotentMethods = new Set(['GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE']);
+/** The scheme and the authority of an absolute-form target. */
+const originPattern = /^[a-z][a-z\d+.\-]*:\/\/[^\/?]*/iv;
+const numberPattern = /^\d{1,9}(?:\.\d{1,9})?$/v;
 
 /**
  * Makes the filter that names the service, class, key and deadline of a call.
@@ -66,9 +69,10 @@
 	serviceName: ServiceName;
 	targetPath: string;
 } {
-	const end = url.slice(1).search(/[\/?]/v);
-	const serviceName = end === -1 ? url.slice(1) : url.slice(1, end + 1);
-	const rest = end === -1 ? '' : url.slice(end + 1);
+	const path = url.startsWith('/') ? url : url.replace(originPattern, '');
+	const end = path.slice(1).search(/[\/?]/v);
+	const serviceName = end === -1 ? path.slice(1) : path.slice(1, end + 1);
+	const rest = end === -1 ? '' : path.slice(end + 1);
 	return {
 		serviceName: makeId<ServiceName>(serviceName),
 		targetPath: rest.startsWith('/') ? rest : `/${rest}`,
@@ -123,8 +127,9 @@
 		return Ok(service.limits.timeoutMs);
 	}
 
-	const timeoutMs = Number(text);
-	return Number.isFinite(timeoutMs) && timeoutMs > 0
+	const isNumber = typeof text === 'string' && numberPattern.test(text);
+	const timeoutMs = isNumber ? Number(text) : 0;
+	return timeoutMs > 0
 		? Ok(Math.min(timeoutMs, service.limits.timeoutMs))
 		: Err(
 				notRun(
--- a/packages/daemon/src/pipeline/filters/read-body.ts
+++ b/packages/daemon/src/pipeline/filters/read-body.ts
@@ -13,6 +13,13 @@
 	readonly idleMs: number;
 };
 
+type BodyResult = Result<Buffer, Failure>;
+
+type BodyBounds = ReadBodyOptions & {
+	readonly limitBytes: number;
+	readonly deadlineMs: number;
+};
+
 /**
  * Makes the filter that reads the whole body, within the service's bound.
  *
@@ -23,19 +30,20 @@
  */
 export function makeReadBodyFilter(options: ReadBodyOptions): Filter {
 	return async (exchange, next) => {
-		const {dispatcher} = exchange.getIdentityOrThrow();
-		const {bodyBytes} = dispatcher.service.limits;
-		const {body, headers} = exchange.incoming;
-		if (Number(headers['content-length'] ?? 0) > bodyBytes) {
-			return Err(describeOversize(bodyBytes));
+		const {headers, body} = exchange.incoming;
+		const length = headers['content-length'];
+		if (length === undefined && headers['transfer-encoding'] === undefined) {
+			return next();
 		}
 
-		const hasBody =
-			headers['content-length'] !== undefined ||
-			headers['transfer-encoding'] !== undefined;
-		const bytes = hasBody
-			? await readAll(body, bodyBytes, options)
-			: Ok(Buffer.alloc(0));
+		const {dispatcher, deadlineMs} = exchange.getIdentityOrThrow();
+		const limitBytes = dispatcher.service.limits.bodyBytes;
+		if (Number(length ?? 0) > limitBytes) {
+			return Err(describeOversize(limitBytes));
+		}
+
+		const bounds = {...options, limitBytes, deadlineMs};
+		const bytes = await new BodyReader(body, bounds).read();
 		if (bytes.isErr()) {
 			return bytes;
 		}
@@ -45,50 +53,85 @@
 	};
 }
 
-async function readAll(
-	body: Readable,
-	limitBytes: number,
-	options: ReadBodyOptions,
-): Promise<Result<Buffer, Failure>> {
-	const {clock, idleMs} = options;
-	return new Promise((resolve) => {
-		const chunks: Buffer[] = [];
-		let size = 0;
-		const finish = (result: Result<Buffer, Failure>) => {
-			cancelIdle();
-			body.removeAllListeners('data');
-			resolve(result);
-		};
-
-		const startIdle = () =>
-			clock.schedule(idleMs, () => {
-				body.pause();
-				finish(
-					Err(notRun('body-timeout', `No part of the body in ${idleMs} ms.`)),
-				);
-			});
-		let cancelIdle = startIdle();
-		body.on('data', (chunk: Buffer) => {
-			cancelIdle();
-			size += chunk.length;
-			if (size > limitBytes) {
-				body.pause();
-				finish(Err(describeOversize(limitBytes)));
-				return;
-			}
+/** Reads one body within its bounds. */
+class BodyReader {
+	readonly #body: Readable;
+	readonly #bounds: BodyBounds;
+	readonly #chunks: Buffer[] = [];
+	#size = 0;
+	#idleUntilMs = 0;
+	#cancelTimer: () => void = () => undefined;
+	#resolve: (result: BodyResult) => void = () => undefined;
 
-			chunks.push(chunk);
-			cancelIdle = startIdle();
-		});
-		body.once('end', () => {
-			finish(Ok(Buffer.concat(chunks)));
+	constructor(body: Readable, bounds: BodyBounds) {
+		this.#body = body;
+		this.#bounds = bounds;
+	}
+
+	async read(): Promise<BodyResult> {
+		return new Promise((resolve) => {
+			this.#resolve = resolve;
+			this.#extend();
+			this.#startTimer();
+			this.#body.on('data', this.#onData);
+			this.#body.once('end', this.#onEnd);
+			this.#body.once('error', this.#onBroken);
+			this.#body.once('close', this.#onBroken);
 		});
-		body.once('error', (error) => {
-			finish(Err(notRun('bad-request', `The body broke: ${error.message}`)));
+	}
+
+	readonly #onData = (chunk: Buffer): void => {
+		this.#size += chunk.length;
+		if (this.#size > this.#bounds.limitBytes) {
+			this.#finish(Err(describeOversize(this.#bounds.limitBytes)));
+			return;
+		}
+
+		this.#chunks.push(chunk);
+		this.#extend();
+	};
+
+	readonly #onEnd = (): void => {
+		this.#finish(Ok(Buffer.concat(this.#chunks)));
+	};
+
+	readonly #onBroken = (): void => {
+		this.#finish(Err(notRun('bad-request', 'The body broke off.')));
+	};
+
+	#extend(): void {
+		const {clock, idleMs, deadlineMs} = this.#bounds;
+		this.#idleUntilMs = Math.min(clock.monotonicMs() + idleMs, deadlineMs);
+	}
+
+	/** Runs one timer for the whole body; it starts again if bytes came. */
+	#startTimer(): void {
+		const {clock} = this.#bounds;
+		const leftMs = this.#idleUntilMs - clock.monotonicMs();
+		this.#cancelTimer = clock.schedule(leftMs, () => {
+			if (clock.monotonicMs() < this.#idleUntilMs) {
+				this.#startTimer();
+			} else {
+				this.#finish(Err(describeSlowness(this.#bounds)));
+			}
 		});
-	});
+	}
+
+	#finish(result: BodyResult): void {
+		this.#cancelTimer();
+		this.#body.off('data', this.#onData);
+		this.#body.off('end', this.#onEnd);
+		this.#body.off('close', this.#onBroken);
+		this.#resolve(result);
+	}
 }
 
 function describeOversize(limitBytes: number): Failure {
 	return notRun('body-too-large', `The body has over ${limitBytes} bytes.`);
 }
+
+function describeSlowness({clock, deadlineMs, idleMs}: BodyBounds): Failure {
+	return clock.monotonicMs() < deadlineMs
+		? notRun('body-timeout', `No part of the body came in ${idleMs} ms.`)
+		: notRun('body-timeout', 'The body was not whole at the deadline.');
+}
--- a/packages/daemon/src/pipeline/filters/send.ts
+++ b/packages/daemon/src/pipeline/filters/send.ts
@@ -1,6 +1,6 @@
 /** Sends a call to its target and takes the head of the answer. */
 
-import type {Readable} from 'node:stream';
+import {Buffer} from 'node:buffer';
 import {
 	makeId,
 	notRun,
@@ -16,10 +16,15 @@
 	TargetState,
 } from '@bilberryscale/decisions';
 import {Err, Ok} from 'ts-results-es';
-import {errors, type Dispatcher} from 'undici';
+import type {Dispatcher} from 'undici';
 import type {CallDesk} from '../../dispatch/call-desk.js';
 import {getForwardedHeaders} from '../../http/forwarded-headers.js';
+import type {Connection} from '../../upstream/connection.js';
 import type {ConnectionPools} from '../../upstream/connection-pools.js';
+import {
+	TargetRequest,
+	type TargetAnswer,
+} from '../../upstream/target-request.js';
 import type {Exchange, FilterResult} from '../exchange.js';
 import type {Filter} from '../filter.js';
 
@@ -30,21 +35,6 @@
 	readonly clock: Clock;
 };
 
-type Attempt = {
-	readonly exchange: Exchange;
-	readonly target: TargetState;
-	readonly startedAtMs: number;
-	readonly controller: AbortController;
-	readonly release: (kind: OutcomeKind, report?: LoadReport) => void;
-};
-
-const neverSentCodes = new Set([
-	'ECONNREFUSED',
-	'EHOSTUNREACH',
-	'ENETUNREACH',
-	'UND_ERR_CONNECT_TIMEOUT',
-]);
-
 /**
  * Makes the last filter of the way.
  *
@@ -52,174 +42,191 @@
  * @returns The filter.
  */
 export function makeSendFilter(options: SendOptions): Filter {
-	return async (exchange) => {
-		const {clock} = options;
-		const attempt = startAttempt(exchange, options);
-		const {deadlineMs} = exchange.getIdentityOrThrow();
-		const cancelDeadline = clock.schedule(
-			deadlineMs - attempt.startedAtMs,
+	return async (exchange) =>
+		new Promise((resolve) => {
+			new Attempt(exchange, options, resolve).start();
+		});
+}
+
+/** One send to one target. */
+class Attempt {
+	readonly #exchange: Exchange;
+	readonly #options: SendOptions;
+	readonly #resolve: (result: FilterResult) => void;
+	readonly #target: TargetState;
+	readonly #request: TargetRequest;
+	readonly #startedAtMs: number;
+	#connection: Connection | undefined;
+	#cancelDeadline: () => void = () => undefined;
+	#report: LoadReport | undefined;
+	#hasRefused = false;
+
+	constructor(
+		exchange: Exchange,
+		options: SendOptions,
+		resolve: (result: FilterResult) => void,
+	) {
+		this.#exchange = exchange;
+		this.#options = options;
+		this.#resolve = resolve;
+		this.#target = exchange.target!;
+		this.#startedAtMs = options.clock.monotonicMs();
+		this.#request = new TargetRequest({
+			onAnswer: (answer) => {
+				this.#takeAnswer(answer);
+			},
+			onEnd: (error) => {
+				this.#end(error);
+			},
+		});
+	}
+
+	start(): void {
+		const {clock, pools} = this.#options;
+		const {deadlineMs, isIdempotent} = this.#exchange.getIdentityOrThrow();
+		const {signal} = this.#exchange.incoming;
+		this.#connection = pools.getPool(this.#target.target).take(isIdempotent);
+		this.#cancelDeadline = clock.schedule(
+			deadlineMs - this.#startedAtMs,
 			() => {
-				attempt.controller.abort(new DeadlineError());
+				this.#request.cancel(new DeadlineError());
 			},
 		);
-		const abort = () => {
-			attempt.controller.abort();
-		};
-
-		exchange.incoming.signal.addEventListener('abort', abort, {once: true});
-		const cleanUp = () => {
-			cancelDeadline();
-			exchange.incoming.signal.removeEventListener('abort', abort);
-		};
-
-		try {
-			const response = await send(attempt, options);
-			return takeAnswer(attempt, response, cleanUp, clock);
-		} catch (error) {
-			cleanUp();
-			return takeError(attempt, error as Error);
+		signal.addEventListener('abort', this.#onCallerGone, {once: true});
+		if (signal.aborted) {
+			this.#onCallerGone();
+			return;
 		}
-	};
-}
 
-function startAttempt(exchange: Exchange, options: SendOptions): Attempt {
-	const {desk, clock} = options;
-	const {dispatcher} = exchange.getIdentityOrThrow();
-	const target = exchange.target!;
-	const startedAtMs = clock.monotonicMs();
-	let isReleased = false;
-	let headAtMs: number | undefined;
-	return {
-		exchange,
-		target,
-		startedAtMs,
-		controller: new AbortController(),
-		release(kind, report) {
-			if (isReleased) {
-				return;
-			}
-
-			isReleased = true;
-			headAtMs ??= report?.receivedAtMs ?? clock.monotonicMs();
-			desk.release(dispatcher, target, {
-				kind,
-				latencyMs: headAtMs - startedAtMs,
-				...(report !== undefined && {report}),
-			});
-		},
-	};
-}
+		this.#connection.dispatch(this.#makeRequest(deadlineMs), this.#request);
+	}
 
-async function send(
-	attempt: Attempt,
-	options: SendOptions,
-): Promise<Dispatcher.ResponseData> {
-	const {exchange, target, controller, startedAtMs} = attempt;
-	const {incoming, bodyBytes} = exchange;
-	const identity = exchange.getIdentityOrThrow();
-	const pool = options.pools.getPool(target.target);
-	return pool.request({
-		method: incoming.method,
-		path: identity.targetPath,
-		headers: {
-			...getForwardedHeaders(incoming.headers),
-			[targetHeaders.requestId]: incoming.requestId,
-			[targetHeaders.timeout]: String(
-				Math.ceil(identity.deadlineMs - startedAtMs),
-			),
-			...(identity.key !== undefined && {
-				[targetHeaders.idempotencyKey]: identity.key,
-			}),
-		},
-		body: bodyBytes === undefined || bodyBytes.length === 0 ? null : bodyBytes,
-		signal: controller.signal,
-		idempotent: false,
-	});
-}
+	readonly #onCallerGone = (): void => {
+		this.#request.cancel(new CallerGoneError());
+	};
 
-function takeAnswer(
-	attempt: Attempt,
-	response: Dispatcher.ResponseData,
-	cleanUp: () => void,
-	clock: Clock,
-): FilterResult {
-	const report = readReport(response, clock);
-	if (response.headers[targetHeaders.runState] === 'not-run') {
-		cleanUp();
-		response.body.resume();
-		attempt.release('not-run', report);
-		return Err(
-			notRun(
-				'target-refused',
-				`Target "${attempt.target.target.id}" refused the request.`,
-			),
+	#makeRequest(deadlineMs: number): Dispatcher.DispatchOptions {
+		const {incoming, bodyBytes} = this.#exchange;
+		const {key, targetPath} = this.#exchange.getIdentityOrThrow();
+		const headers = getForwardedHeaders(incoming.headers);
+		headers[targetHeaders.requestId] = incoming.requestId;
+		headers[targetHeaders.timeout] = String(
+			Math.ceil(deadlineMs - this.#startedAtMs),
 		);
+		if (key !== undefined) {
+			headers[targetHeaders.idempotencyKey] = key;
+		}
+
+		const hasBody = bodyBytes !== undefined && bodyBytes.length > 0;
+		return {
+			method: incoming.method,
+			path: targetPath,
+			headers,
+			body: hasBody ? bodyBytes : null,
+			idempotent: false,
+		};
 	}
 
-	const {body} = response;
-	body.once('close', () => {
-		cleanUp();
-		attempt.release(body.readableEnded ? 'served' : 'failed', report);
-	});
-	return Ok({
-		status: response.statusCode,
-		headers: response.headers,
-		body,
-	});
-}
+	#takeAnswer(answer: TargetAnswer): void {
+		this.#options.pools
+			.getPool(this.#target.target)
+			.noteAnswer(this.#connection!);
+		this.#report = readReport(answer, this.#options.clock);
+		if (answer.headers[targetHeaders.runState] === 'not-run') {
+			this.#refuse(answer);
+			return;
+		}
 
-function readReport(
-	response: Dispatcher.ResponseData,
-	clock: Clock,
-): LoadReport {
-	const bootId = response.headers[targetHeaders.bootId];
-	const inFlight = Number(response.headers[targetHeaders.load] ?? 0);
-	return {
-		inFlight: Number.isFinite(inFlight) ? inFlight : 0,
-		bootId: typeof bootId === 'string' ? makeId<BootId>(bootId) : undefined,
-		receivedAtMs: clock.monotonicMs(),
-	};
-}
+		this.#resolve(Ok(answer));
+	}
+
+	#refuse({body}: TargetAnswer): void {
+		this.#hasRefused = true;
+		if (!Buffer.isBuffer(body)) {
+			body.on('error', () => undefined);
+			body.resume();
+		}
 
-function takeError(attempt: Attempt, error: Error): FilterResult {
-	const {target} = attempt.target;
-	const neverSent = wasNeverSent(error);
-	if (neverSent) {
-		attempt.release('unreachable');
-		return Err(
-			notRun('target-unreachable', `Target "${target.id}" took no connection.`),
+		const {id} = this.#target.target;
+		this.#resolve(
+			Err(notRun('target-refused', `Target "${id}" refused the request.`)),
 		);
 	}
 
-	if (attempt.exchange.incoming.signal.aborted) {
-		attempt.release('cancelled');
-		return Err(perhapsRun('internal', 'The caller has gone.'));
+	#end(error: Error | undefined): void {
+		this.#cancelDeadline();
+		const {signal} = this.#exchange.incoming;
+		signal.removeEventListener('abort', this.#onCallerGone);
+		this.#options.pools
+			.getPool(this.#target.target)
+			.giveBack(this.#connection!, error === undefined);
+		this.#release(error);
+		if (error !== undefined) {
+			this.#resolve(Err(this.#describeFailure(error)));
+		}
 	}
 
-	attempt.release('failed');
-	return Err(describeFailure(error, target.id));
-}
+	#release(error: Error | undefined): void {
+		const {dispatcher} = this.#exchange.getIdentityOrThrow();
+		const {desk, clock} = this.#options;
+		const headAtMs = this.#report?.receivedAtMs ?? clock.monotonicMs();
+		desk.release(dispatcher, this.#target, {
+			kind: this.#getOutcome(error),
+			latencyMs: headAtMs - this.#startedAtMs,
+			...(this.#report !== undefined && {report: this.#report}),
+		});
+	}
 
-function wasNeverSent(error: Error): boolean {
-	const {code} = error as NodeJS.ErrnoException;
-	return (
-		error instanceof errors.ConnectTimeoutError ||
-		(code !== undefined && neverSentCodes.has(code))
-	);
-}
+	#getOutcome(error: Error | undefined): OutcomeKind {
+		if (this.#hasRefused) {
+			return 'not-run';
+		}
+
+		if (error === undefined) {
+			return 'served';
+		}
+
+		if (error instanceof CallerGoneError) {
+			return 'cancelled';
+		}
+
+		return this.#request.isWritten ? 'failed' : 'unreachable';
+	}
 
-function describeFailure(error: Error, targetId: string): Failure {
-	return error instanceof DeadlineError
-		? perhapsRun(
+	#describeFailure(error: Error): Failure {
+		const {id} = this.#target.target;
+		const make = this.#request.isWritten ? perhapsRun : notRun;
+		if (error instanceof DeadlineError) {
+			return make(
 				'deadline-exceeded',
-				`Target "${targetId}" did not answer before the deadline.`,
-			)
-		: perhapsRun(
-				'target-failed',
-				`Target "${targetId}" failed: ${error.message}`,
+				`Target "${id}" did not answer before the deadline.`,
 			);
+		}
+
+		if (error instanceof CallerGoneError) {
+			return make('internal', 'The caller has gone.');
+		}
+
+		return this.#request.isWritten
+			? perhapsRun('target-failed', `Target "${id}" failed: ${error.message}`)
+			: notRun('target-unreachable', `Target "${id}" took no connection.`);
+	}
+}
+
+function readReport({headers}: TargetAnswer, clock: Clock): LoadReport {
+	const bootId = headers[targetHeaders.bootId];
+	const inFlight = Number(headers[targetHeaders.load] ?? 0);
+	return {
+		inFlight: Number.isFinite(inFlight) ? inFlight : 0,
+		bootId: typeof bootId === 'string' ? makeId<BootId>(bootId) : undefined,
+		receivedAtMs: clock.monotonicMs(),
+	};
 }
 
 class DeadlineError extends Error {
 	override readonly name = 'DeadlineError';
 }
+
+class CallerGoneError extends Error {
+	override readonly name = 'CallerGoneError';
+}
--- a/packages/daemon/src/upstream/connection-pools.ts
+++ b/packages/daemon/src/upstream/connection-pools.ts
@@ -1,23 +1,23 @@
-/** The connections to targets: one bounded pool for each target. */
+/** The connections to targets: one bounded set for each target. */
 
 import type {Target} from '@bilberryscale/bundle';
-import {Pool} from 'undici';
+import type {Clock} from '@bilberryscale/core';
+import {TargetConnections} from './target-connections.js';
 
 /** What the pools work with. */
 export type ConnectionPoolsOptions = {
+	readonly clock: Clock;
 	/** The local IP number that connections leave from. */
 	readonly localAddress: string;
 	/** How many entry hosts share a target's connections. */
 	readonly getHostCount: () => number;
 };
 
-const idleTimeoutMs = 10_000;
-const connectTimeoutMs = 1000;
-
 /** Owns the connections to all targets. */
 export class ConnectionPools {
 	readonly #options: ConnectionPoolsOptions;
-	readonly #pools = new Map<string, Pool>();
+	readonly #pools = new Map<string, TargetConnections>();
+	readonly #byTarget = new WeakMap<Target, TargetConnections>();
 
 	/**
 	 * @param options - Where connections leave from and who shares them.
@@ -27,16 +27,13 @@
 	}
 
 	/**
-	 * Gets the pool of a target, made at its first use.
+	 * Gets the connections to a target, made at their first use.
 	 *
 	 * @param target - The target.
-	 * @returns The pool.
+	 * @returns The connections.
 	 */
-	getPool(target: Target): Pool {
-		const origin = `http://${formatAddress(target.address)}:${target.port}`;
-		const pool = this.#pools.get(origin) ?? this.#makePool(origin, target);
-		this.#pools.set(origin, pool);
-		return pool;
+	getPool(target: Target): TargetConnections {
+		return this.#byTarget.get(target) ?? this.#findPool(target);
 	}
 
 	/** Closes all connections once their requests have ended. */
@@ -46,18 +43,22 @@
 		);
 	}
 
-	#makePool(origin: string, target: Target): Pool {
-		const share = Math.floor(target.connections / this.#options.getHostCount());
-		return new Pool(origin, {
-			connections: Math.max(1, share),
-			pipelining: 1,
-			keepAliveTimeout: idleTimeoutMs,
-			headersTimeout: 0,
-			bodyTimeout: 0,
-			connect: {
-				timeout: connectTimeoutMs,
-				localAddress: this.#options.localAddress,
-			},
+	#findPool(target: Target): TargetConnections {
+		const origin = `http://${formatAddress(target.address)}:${target.port}`;
+		const pool = this.#pools.get(origin) ?? this.#makePool(origin, target);
+		this.#pools.set(origin, pool);
+		this.#byTarget.set(target, pool);
+		return pool;
+	}
+
+	#makePool(origin: string, target: Target): TargetConnections {
+		const {clock, localAddress, getHostCount} = this.#options;
+		return new TargetConnections({
+			clock,
+			origin,
+			localAddress,
+			getLimit: () =>
+				Math.max(1, Math.floor(target.connections / getHostCount())),
 		});
 	}
 }
