--- a/packages/bundle/src/model/find-contradictions.ts
+++ b/packages/bundle/src/model/find-contradictions.ts
@@ -57,8 +57,17 @@
 }
 
 function findRepeats(what: string, names: readonly string[]): string[] {
-	const repeats = names.filter((name, index) => names.indexOf(name) !== index);
-	return [...new Set(repeats)].map(
+	if (new Set(names).size === names.length) {
+		return [];
+	}
+
+	const seen = new Set<string>();
+	const repeats = new Set<string>();
+	for (const name of names) {
+		(seen.has(name) ? repeats : seen).add(name);
+	}
+
+	return [...repeats].map(
 		(name) => `the ${what} "${name}" stands more than once`,
 	);
 }
--- a/packages/daemon/src/upstream/connection.ts
+++ b/packages/daemon/src/upstream/connection.ts
@@ -35,10 +35,8 @@
 			keepAliveTimeout: idleTimeoutMs,
 			headersTimeout: 0,
 			bodyTimeout: 0,
-			connect: {
-				timeout: connectTimeoutMs,
-				localAddress: options.localAddress,
-			},
+			localAddress: options.localAddress,
+			connect: {timeout: connectTimeoutMs},
 		});
 	}
 
