--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -2,6 +2,7 @@
 
 import {trustSchema} from '@bilberryscale/bundle';
 import {makeId, type DataCentreId, type HostId} from '@bilberryscale/core';
+import {choiceNames} from '@bilberryscale/decisions';
 import {z} from 'zod';
 
 const maxPort = 65_535;
@@ -48,6 +49,9 @@
 			level: z.enum(['debug', 'info', 'warn', 'error']),
 		})
 		.default({level: 'info'}),
+	decisions: z
+		.strictObject({choice: z.enum(choiceNames)})
+		.default({choice: 'least-cost-3'}),
 	limits: z
 		.strictObject({
 			headerBytes: z.int().positive().default(defaultHeaderBytes),
