--- a/packages/daemon/test/utils/edge.ts
+++ b/packages/daemon/test/utils/edge.ts
@@ -3,7 +3,13 @@
 import type {AddressInfo} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {parseBundle} from '@bilberryscale/bundle';
-import {makeSeededRandom, systemClock, type Clock} from '@bilberryscale/core';
+import {
+	makeId,
+	makeSeededRandom,
+	systemClock,
+	type Clock,
+	type DataCentreId,
+} from '@bilberryscale/core';
 import type {FastifyInstance} from 'fastify';
 import {CallDesk} from '../../src/dispatch/call-desk.js';
 import {makeCallerServer} from '../../src/http/caller-server.js';
@@ -32,7 +38,13 @@
 	private constructor(options: EdgeOptions, target: RawTarget) {
 		const clock = options.clock ?? systemClock;
 		this.target = target;
-		const desk = new CallDesk({clock, random: makeSeededRandom(1)});
+		const desk = new CallDesk({
+			clock,
+			random: makeSeededRandom(1),
+			dataCentre: makeId<DataCentreId>('east'),
+			choice: 'random',
+			audit: () => undefined,
+		});
 		desk.setBundle(
 			parseBundle(getBundleText(target.port), 'bundle.toml').unwrap(),
 		);
