--- a/packages/daemon/src/context/entry-host.ts
+++ b/packages/daemon/src/context/entry-host.ts
@@ -88,8 +88,15 @@
 			getBundleVersion: () => this.#store.bundle?.version,
 			isReady: () => this.#getClosedFailure() === undefined,
 		});
-		this.#desk = new CallDesk({clock, random: makeSeededRandom(options.seed)});
+		this.#desk = new CallDesk({
+			clock,
+			random: makeSeededRandom(options.seed),
+			dataCentre: settings.dataCentre,
+			choice: settings.decisions.choice,
+			audit: this.#auditSink,
+		});
 		this.#pools = new ConnectionPools({
+			clock,
 			localAddress: settings.callers.address,
 			getHostCount: () => assumedHostCount,
 		});
--- a/packages/standins/src/cluster/cluster.ts
+++ b/packages/standins/src/cluster/cluster.ts
@@ -26,6 +26,8 @@
 	readonly deployment: Deployment;
 	readonly entryCount: number;
 	readonly seed: number;
+	/** How targets are chosen; the default of the daemon if absent. */
+	readonly choice?: string;
 };
 
 const distFolder = path.join(
@@ -159,6 +161,9 @@
 			trusted: this.operators.trusted,
 			threshold: 2,
 			token: operatorToken,
+			...(this.#options.choice !== undefined && {
+				choice: this.#options.choice,
+			}),
 		});
 		const file = this.#write(`${place.host}.toml`, settings);
 		this.#spawn(place.host, [daemonFile, '--settings', file]);
