--- a/packages/daemon/test/utils/edge.ts
+++ b/packages/daemon/test/utils/edge.ts
@@ -59,6 +59,7 @@
 				pools: this.#pools,
 				clock,
 				bodyIdleMs: 1000,
+				onEnded: () => undefined,
 			}),
 			clock,
 			log: silentLog,
