Run each keyed call at the one host that holds its key

Cause: a caller that sends a non-idempotent request again through another host got a second run. Change: entry hosts exchange heartbeats over mutual TLS, share out the keys by leases, forward calls to the holder and answer resends from its records; calls without a key get one of a bucket held at the entry, which is returned. A refusal of a resent key says not-run only if that is true of the key. A newer bundle is taken from any peer that has it. The stand-ins issue certificates.

--- a/packages/daemon/src/context/entry-host.ts
+++ b/packages/daemon/src/context/entry-host.ts
@@ -20,7 +20,13 @@
 	makeOperatorServer,
 	type HostStatus,
 } from '../operators/operator-server.js';
-import {makeCallPipeline} from '../pipeline/order.js';
+import {Fleet} from '../peers/fleet.js';
+import {runKeyedCall} from '../peers/run-keyed-call.js';
+import {
+	makeCallPipeline,
+	makeKeyedPipeline,
+	type PipelineParts,
+} from '../pipeline/order.js';
 import type {LoadedSettings} from '../settings/load-settings.js';
 import {ConnectionPools} from '../upstream/connection-pools.js';
 
@@ -46,6 +52,7 @@
 	readonly #platform;
 	readonly #store;
 	readonly #watch;
+	readonly #fleet;
 	readonly #callers;
 	readonly #operators;
 	#isShuttingDown = false;
@@ -70,7 +77,7 @@
 		this.#desk = new CallDesk({clock, random: makeSeededRandom(options.seed)});
 		this.#pools = new ConnectionPools({
 			localAddress: settings.callers.address,
-			getHostCount: () => assumedHostCount,
+			getHostCount: () => this.#fleet.view.share?.size ?? assumedHostCount,
 		});
 		this.#platform = new PlatformClient({
 			addresses: settings.platform.addresses,
@@ -92,13 +99,15 @@
 			clock,
 			log: this.#log,
 		});
+		const parts = {
+			desk: this.#desk,
+			pools: this.#pools,
+			clock,
+			bodyIdleMs: settings.limits.bodyIdleMs,
+		};
+		this.#fleet = this.#makeFleet(parts);
 		this.#callers = makeCallerServer({
-			pipeline: makeCallPipeline({
-				desk: this.#desk,
-				pools: this.#pools,
-				clock,
-				bodyIdleMs: settings.limits.bodyIdleMs,
-			}),
+			pipeline: makeCallPipeline(parts, this.#fleet),
 			clock,
 			log: this.#log,
 			headerBytes: settings.limits.headerBytes,
@@ -123,6 +132,7 @@
 			host: operators.address,
 			port: operators.port,
 		});
+		await this.#fleet.start();
 		await this.#callers.listen({host: callers.address, port: callers.port});
 		this.#watch.start();
 	}
@@ -146,14 +156,33 @@
 	async stop(): Promise<void> {
 		this.#isShuttingDown = true;
 		this.#auditShutdown('no new work is taken');
+		this.#fleet.leave();
 		this.#watch.stop();
 		await this.#callers.close();
+		await this.#fleet.close();
 		this.#auditShutdown('every request has its whole answer');
 		await this.#pools.close();
 		await this.#platform.close();
 		await this.#operators.close();
 	}
 
+	#makeFleet(parts: PipelineParts): Fleet {
+		const pipeline = makeKeyedPipeline(parts);
+		const {clock, loaded} = this.#options;
+		return new Fleet({
+			settings: loaded.settings,
+			incarnation: this.#incarnation,
+			platform: this.#platform,
+			store: this.#store,
+			clock,
+			log: this.#log,
+			audit: (event) => {
+				this.#audit.add(event);
+			},
+			run: async (call) => runKeyedCall(call, pipeline, clock),
+		});
+	}
+
 	#auditShutdown(cause: string): void {
 		this.#audit.add({
 			kind: 'shutdown-step',
@@ -167,9 +196,13 @@
 			return notRun('shutting-down', 'This host is shutting down.');
 		}
 
-		return this.#store.bundle === undefined
-			? notRun('not-ready', 'This host has no bundle yet.')
-			: undefined;
+		if (this.#store.bundle === undefined) {
+			return notRun('not-ready', 'This host has no bundle yet.');
+		}
+
+		return this.#fleet.isReady
+			? undefined
+			: notRun('not-ready', 'This host is joining its peers.');
 	}
 
 	#getStatus(): HostStatus {
--- a/packages/daemon/src/http/caller-server.ts
+++ b/packages/daemon/src/http/caller-server.ts
@@ -80,7 +80,7 @@
 		return;
 	}
 
-	writeAnswer(request, reply.raw, answer, requestId);
+	writeAnswer(request, reply.raw, answer, exchange);
 }
 
 function makeExchange(
@@ -118,14 +118,14 @@
 	const {requestId} = exchange.incoming;
 	const closed = options.getClosedFailure();
 	if (closed !== undefined) {
-		return getProblemAnswer(closed, requestId);
+		return getProblemAnswer(scopeToKey(closed, exchange), requestId);
 	}
 
 	try {
 		const result = await options.pipeline(exchange);
 		return result.isOk()
 			? result.value
-			: getProblemAnswer(result.error, requestId);
+			: getProblemAnswer(scopeToKey(result.error, exchange), requestId);
 	} catch (error) {
 		options.log.error('call failed inside the host', {
 			requestId,
@@ -136,14 +136,28 @@
 	}
 }
 
+/** Says `unknown` of a key that may have run when it was sent before. */
+function scopeToKey(
+	failure: Failure,
+	{incoming, isRunStateOfKey}: Exchange,
+): Failure {
+	const hasKey = incoming.headers[callerHeaders.idempotencyKey] !== undefined;
+	const isTrue = isRunStateOfKey || !hasKey || failure.kind === 'key-invalid';
+	return isTrue ? failure : {...failure, ran: 'unknown'};
+}
+
 function writeAnswer(
 	request: IncomingMessage,
 	response: ServerResponse,
 	answer: Answer,
-	requestId: RequestId,
+	{incoming, issuedKey}: Exchange,
 ): void {
 	const headers = getReturnedHeaders(answer.headers);
-	headers[callerHeaders.requestId] = requestId;
+	headers[callerHeaders.requestId] = incoming.requestId;
+	if (issuedKey !== undefined) {
+		headers[callerHeaders.idempotencyKey] = issuedKey;
+	}
+
 	if (!request.complete) {
 		headers.connection = 'close';
 	}
--- a/packages/daemon/src/pipeline/exchange.ts
+++ b/packages/daemon/src/pipeline/exchange.ts
@@ -55,6 +55,10 @@
 	bodyBytes: Buffer | undefined;
 	/** The target of the current attempt. */
 	target: TargetState | undefined;
+	/** The key that this host made for a call that came without one. */
+	issuedKey: IdempotencyKey | undefined;
+	/** Whether a refusal speaks of all sends under the key, not of this one. */
+	isRunStateOfKey = false;
 	#identity: CallIdentity | undefined;
 
 	/**
--- a/packages/daemon/src/pipeline/order.ts
+++ b/packages/daemon/src/pipeline/order.ts
@@ -3,7 +3,9 @@
 import type {Clock} from '@bilberryscale/core';
 import type {CallDesk} from '../dispatch/call-desk.js';
 import type {ConnectionPools} from '../upstream/connection-pools.js';
-import {makePipeline, type Pipeline} from './filter.js';
+import type {Fleet} from '../peers/fleet.js';
+import {makePipeline, type Filter, type Pipeline} from './filter.js';
+import {makeAtMostOnceFilter} from './filters/at-most-once.js';
 import {makeAttemptFilter} from './filters/attempt.js';
 import {makeIdentifyFilter} from './filters/identify.js';
 import {makeReadBodyFilter} from './filters/read-body.js';
@@ -19,17 +21,39 @@
 };
 
 /**
- * Makes the way of a call: identify, read the body, take a target, send.
+ * Makes the way of a call: identify, read the body, find the home of a key, take a target, send.
  *
  * @param parts - What the filters work with.
+ * @param fleet - Runs the calls that have a key.
  * @returns The way.
  */
-export function makeCallPipeline(parts: PipelineParts): Pipeline {
-	const {desk, pools, clock, bodyIdleMs} = parts;
+export function makeCallPipeline(parts: PipelineParts, fleet: Fleet): Pipeline {
+	const {desk, clock, bodyIdleMs} = parts;
 	return makePipeline([
 		makeIdentifyFilter(desk),
 		makeReadBodyFilter({clock, idleMs: bodyIdleMs}),
+		makeAtMostOnceFilter(fleet),
+		...makeRunFilters(parts),
+	]);
+}
+
+/**
+ * Makes the way of a call at the home of its key, where its body is at hand.
+ *
+ * @param parts - What the filters work with.
+ * @returns The way.
+ */
+export function makeKeyedPipeline(parts: PipelineParts): Pipeline {
+	return makePipeline([
+		makeIdentifyFilter(parts.desk),
+		...makeRunFilters(parts),
+	]);
+}
+
+function makeRunFilters(parts: PipelineParts): Filter[] {
+	const {desk, pools, clock} = parts;
+	return [
 		makeAttemptFilter({desk, clock}),
 		makeSendFilter({desk, pools, clock}),
-	]);
+	];
 }
--- a/packages/once/src/index.ts
+++ b/packages/once/src/index.ts
@@ -5,6 +5,7 @@
 	KeyKeeper,
 	type KeyDecision,
 	type KeyKeeperOptions,
+	type KeyRequest,
 } from './keeper/key-keeper.js';
 export {KeyMaker} from './key/key-maker.js';
 export {getKeyTimeMs, isTimedKey, normaliseKey} from './key/timed-key.js';
--- a/packages/once/src/keeper/key-keeper.ts
+++ b/packages/once/src/keeper/key-keeper.ts
@@ -22,6 +22,15 @@
 	readonly fleetClock: FleetClock;
 };
 
+/** A request under a key. */
+export type KeyRequest = {
+	readonly key: IdempotencyKey;
+	/** The digest of what the caller asked for. */
+	readonly fingerprint: string;
+	/** Whether this host has just made the key, so that no other can know it. */
+	readonly isNew: boolean;
+};
+
 /** What is to be done with a request. */
 export type KeyDecision =
 	| {readonly kind: 'run'}
@@ -45,12 +54,12 @@
 	 * @remarks One clock reading serves the lease and the key's time. With two,
 	 * a pause between them lets a host whose lease is over accept a key that its
 	 * successor accepts too.
-	 * @param key - The key of the request.
-	 * @param fingerprint - The digest of the request.
+	 * @param request - The request.
 	 * @param nowMs - The monotonic time, read once.
 	 * @returns What is to be done.
 	 */
-	begin(key: IdempotencyKey, fingerprint: string, nowMs: number): KeyDecision {
+	begin(request: KeyRequest, nowMs: number): KeyDecision {
+		const {key, fingerprint, isNew} = request;
 		const {records, holder, policy, fleetClock} = this.#options;
 		const fleetMs = fleetClock.getTimeMs(nowMs);
 		records.forgetBefore(fleetMs - policy.windowMs);
@@ -65,7 +74,9 @@
 		}
 
 		const keyTimeMs = getKeyTimeMs(key);
-		const fault = this.#findTimeFault(keyTimeMs, tenure, fleetMs);
+		const fault = isNew
+			? undefined
+			: this.#findTimeFault(keyTimeMs, tenure, fleetMs);
 		if (fault !== undefined) {
 			return refuse(fault);
 		}
--- a/packages/once/test/keeper/key-keeper.test.ts
+++ b/packages/once/test/keeper/key-keeper.test.ts
@@ -49,13 +49,22 @@
 	describe('begin', () => {
 		const doTest = (
 			name: string,
-			input: {keyMs: number; atMs?: number; of?: Bucket; bytes?: number},
+			input: {
+				keyMs: number;
+				atMs?: number;
+				of?: Bucket;
+				bytes?: number;
+				isNew?: boolean;
+			},
 			expected: string,
 		) => {
 			it(name, () => {
-				const {keyMs, atMs = nowMs, of = bucket, bytes} = input;
+				const {keyMs, atMs = nowMs, of = bucket, bytes, isNew = false} = input;
 				const key = maker.make(1e12 + keyMs, of);
-				const decision = makeKeeper(bytes).begin(key, 'same', atMs);
+				const decision = makeKeeper(bytes).begin(
+					{key, fingerprint: 'same', isNew},
+					atMs,
+				);
 				assert.is(describeDecision(decision), expected);
 			});
 		};
@@ -66,6 +75,7 @@
 		doTest('after the lease', {keyMs: 6800, atMs: 6800}, 'no-tenure unknown');
 		doTest('as old as the tenure', {keyMs: 2000}, 'key-too-old unknown');
 		doTest('just younger than that', {keyMs: 2001}, 'run');
+		doTest('as old, but made here', {keyMs: 2000, isNew: true}, 'run');
 		doTest('ahead of time', {keyMs: 3501}, 'key-from-future not-run');
 		doTest('of hours ago', {keyMs: -7e6}, 'key-too-old unknown');
 		doTest('full', {keyMs: 2500, bytes: 100}, 'records-full not-run');
@@ -81,12 +91,12 @@
 			it(name, () => {
 				const keeper = makeKeeper();
 				const key = maker.make(1e12 + 2500, bucket);
-				keeper.begin(key, 'same', nowMs);
+				keeper.begin({key, fingerprint: 'same', isNew: false}, nowMs);
 				if (end !== undefined) {
 					keeper.finish(key, end);
 				}
 
-				const decision = keeper.begin(key, fingerprint, nowMs);
+				const decision = keeper.begin({key, fingerprint, isNew: false}, nowMs);
 				assert.is(describeDecision(decision), expected);
 			});
 		};
--- a/packages/once/test/model/fleet-model.ts
+++ b/packages/once/test/model/fleet-model.ts
@@ -11,6 +11,7 @@
 	KeyMaker,
 	getKeyTimeMs,
 	type Bucket,
+	type KeyRequest,
 	type RunEnd,
 	type TenurePolicy,
 } from '../../src/index.js';
@@ -232,7 +233,7 @@
 			const key = this.#getKey(command);
 			const mayRun = this.#variant.readsClockTwice
 				? isHeld && this.#mayRunByTime(host, key)
-				: host.keeper.begin(key, 'same', readMs).kind === 'run';
+				: host.keeper.begin(makeRequest(key), readMs).kind === 'run';
 			if (mayRun) {
 				this.#runs.set(key, (this.#runs.get(key) ?? 0) + 1);
 				this.#finish(host, key, command.end);
@@ -256,7 +257,7 @@
 	/** Decides all but the lease by a second reading of the clock. */
 	#mayRunByTime(host: ModelHost, key: IdempotencyKey): boolean {
 		const nowMs = host.getMonotonicMs(this.#nowMs);
-		const decision = host.keeper.begin(key, 'same', nowMs);
+		const decision = host.keeper.begin(makeRequest(key), nowMs);
 		return (
 			decision.kind === 'run' ||
 			(decision.kind === 'refuse' && decision.failure.kind === 'no-tenure')
@@ -285,3 +286,7 @@
 function isIn(mask: number, {index}: ModelHost): boolean {
 	return Math.floor(mask / 2 ** index) % 2 === 1;
 }
+
+function makeRequest(key: IdempotencyKey): KeyRequest {
+	return {key, fingerprint: 'same', isNew: false};
+}
--- a/packages/peers/src/transport/peer-client.ts
+++ b/packages/peers/src/transport/peer-client.ts
@@ -17,7 +17,8 @@
 /** What a client works with. */
 export type PeerClientOptions = {
 	readonly peer: PeerAddress;
-	readonly tls: TlsMaterial;
+	/** The certificate of this host; a peer takes no one without. */
+	readonly tls: Partial<TlsMaterial>;
 	/** The local IP number that connections leave from. */
 	readonly localAddress: string;
 };
--- a/packages/standins/src/cluster/cluster.ts
+++ b/packages/standins/src/cluster/cluster.ts
@@ -17,6 +17,7 @@
 import {PlatformStandin} from '../platform/platform-standin.js';
 import {readRunLog, type RunRecord} from '../target/run-log.js';
 import {TargetsControl} from '../target/targets-control.js';
+import {CertificateDesk, type CertificateFiles} from './certificates.js';
 import {Child} from './child.js';
 import {getEntrySettings} from './entry-settings.js';
 import {OperatorDesk} from './operator-desk.js';
@@ -53,6 +54,7 @@
 	readonly #options: ClusterOptions;
 	readonly #plan: AddressPlan;
 	readonly #children = new Map<string, Child>();
+	readonly #certificates = new Map<string, CertificateFiles>();
 	#version = 0;
 
 	private constructor(options: ClusterOptions, plan: AddressPlan) {
@@ -159,6 +161,7 @@
 			trusted: this.operators.trusted,
 			threshold: 2,
 			token: operatorToken,
+			certificate: this.#certificates.get(place.host)!,
 		});
 		const file = this.#write(`${place.host}.toml`, settings);
 		this.#spawn(place.host, [daemonFile, '--settings', file]);
@@ -203,6 +206,7 @@
 		);
 		this.roll();
 		await this.#startTargets();
+		await this.#issueCertificates();
 		for (const place of this.entries) {
 			this.startEntry(place);
 		}
@@ -210,6 +214,13 @@
 		await this.waitUntilReady();
 	}
 
+	async #issueCertificates(): Promise<void> {
+		const desk = new CertificateDesk(this.folder);
+		for (const {host} of this.entries) {
+			this.#certificates.set(host, await desk.issue(host));
+		}
+	}
+
 	async #startTargets(): Promise<void> {
 		const file = this.#write(
 			'targets.json',
--- a/packages/standins/src/cluster/entry-settings.ts
+++ b/packages/standins/src/cluster/entry-settings.ts
@@ -6,6 +6,7 @@
 	type Endpoint,
 	type EntryPlace,
 } from '../deployment/address-plan.js';
+import type {CertificateFiles} from './certificates.js';
 
 /** A signer whose key the entry hosts trust. */
 export type TrustedSigner = {
@@ -20,6 +21,7 @@
 	readonly trusted: readonly TrustedSigner[];
 	readonly threshold: number;
 	readonly token: string;
+	readonly certificate: CertificateFiles;
 };
 
 /**
@@ -29,13 +31,14 @@
  * @returns The settings in TOML.
  */
 export function getEntrySettings(plan: EntrySettingsPlan): string {
-	const {place, platform, trusted, threshold, token} = plan;
+	const {place, platform, trusted, threshold, token, certificate} = plan;
 	const {address} = place;
 	return stringify({
 		host: place.host,
 		dataCentre: place.dataCentre,
 		callers: {address, port: ports.callers},
 		operators: {address, port: ports.operators, token},
+		peers: {address, port: ports.peers, ...certificate},
 		platform: {addresses: [`http://${platform.address}:${platform.port}`]},
 		trust: {threshold, keys: trusted},
 	});
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -54,3 +54,7 @@
 	summarise,
 	type ServiceSummary,
 } from './cluster/summary.js';
+export {
+	CertificateDesk,
+	type CertificateFiles,
+} from './cluster/certificates.js';
