--- a/packages/daemon/src/context/entry-host.ts
+++ b/packages/daemon/src/context/entry-host.ts
@@ -74,8 +74,17 @@
 				this.#log.info('audit', record);
 			},
 		});
-		this.#desk = new CallDesk({clock, random: makeSeededRandom(options.seed)});
+		this.#desk = new CallDesk({
+			clock,
+			random: makeSeededRandom(options.seed),
+			dataCentre: settings.dataCentre,
+			choice: settings.decisions.choice,
+			audit: (event) => {
+				this.#audit.add(event);
+			},
+		});
 		this.#pools = new ConnectionPools({
+			clock,
 			localAddress: settings.callers.address,
 			getHostCount: () => this.#fleet.view.share?.size ?? assumedHostCount,
 		});
--- a/packages/daemon/src/pipeline/order.ts
+++ b/packages/daemon/src/pipeline/order.ts
@@ -3,9 +3,11 @@
 import type {Clock} from '@bilberryscale/core';
 import type {CallDesk} from '../dispatch/call-desk.js';
 import type {ConnectionPools} from '../upstream/connection-pools.js';
-import type {Fleet} from '../peers/fleet.js';
 import {makePipeline, type Filter, type Pipeline} from './filter.js';
-import {makeAtMostOnceFilter} from './filters/at-most-once.js';
+import {
+	makeAtMostOnceFilter,
+	type AtMostOnceOptions,
+} from './filters/at-most-once.js';
 import {makeAttemptFilter} from './filters/attempt.js';
 import {makeIdentifyFilter} from './filters/identify.js';
 import {makeReadBodyFilter} from './filters/read-body.js';
@@ -27,7 +29,10 @@
  * @param fleet - Runs the calls that have a key.
  * @returns The way.
  */
-export function makeCallPipeline(parts: PipelineParts, fleet: Fleet): Pipeline {
+export function makeCallPipeline(
+	parts: PipelineParts,
+	fleet: AtMostOnceOptions,
+): Pipeline {
 	const {desk, clock, bodyIdleMs} = parts;
 	return makePipeline([
 		makeIdentifyFilter(desk),
--- a/packages/standins/src/cluster/cluster.ts
+++ b/packages/standins/src/cluster/cluster.ts
@@ -27,6 +27,8 @@
 	readonly deployment: Deployment;
 	readonly entryCount: number;
 	readonly seed: number;
+	/** How targets are chosen; the default of the daemon if absent. */
+	readonly choice?: string;
 };
 
 const distFolder = path.join(
@@ -162,6 +164,9 @@
 			threshold: 2,
 			token: operatorToken,
 			certificate: this.#certificates.get(place.host)!,
+			...(this.#options.choice !== undefined && {
+				choice: this.#options.choice,
+			}),
 		});
 		const file = this.#write(`${place.host}.toml`, settings);
 		this.#spawn(place.host, [daemonFile, '--settings', file]);
--- a/packages/standins/src/cluster/entry-settings.ts
+++ b/packages/standins/src/cluster/entry-settings.ts
@@ -22,6 +22,8 @@
 	readonly threshold: number;
 	readonly token: string;
 	readonly certificate: CertificateFiles;
+	/** How targets are chosen; the default of the daemon if absent. */
+	readonly choice?: string;
 };
 
 /**
@@ -31,7 +33,8 @@
  * @returns The settings in TOML.
  */
 export function getEntrySettings(plan: EntrySettingsPlan): string {
-	const {place, platform, trusted, threshold, token, certificate} = plan;
+	const {place, platform, trusted, threshold, token, certificate, choice} =
+		plan;
 	const {address} = place;
 	return stringify({
 		host: place.host,
@@ -41,5 +44,6 @@
 		peers: {address, port: ports.peers, ...certificate},
 		platform: {addresses: [`http://${platform.address}:${platform.port}`]},
 		trust: {threshold, keys: trusted},
+		...(choice !== undefined && {decisions: {choice}}),
 	});
 }
