--- a/packages/daemon/src/pipeline/order.ts
+++ b/packages/daemon/src/pipeline/order.ts
@@ -11,6 +11,11 @@
 import {makeAttemptFilter} from './filters/attempt.js';
 import {makeIdentifyFilter} from './filters/identify.js';
 import {makeReadBodyFilter} from './filters/read-body.js';
+import {
+	makeRecordFilter,
+	makeRecordSendFilter,
+	type EndedCall,
+} from './filters/record.js';
 import {makeSendFilter} from './filters/send.js';
 
 /** What the filters work with. */
@@ -20,10 +25,12 @@
 	readonly clock: Clock;
 	/** How long a caller may send nothing of a body, in milliseconds. */
 	readonly bodyIdleMs: number;
+	/** Takes each call at its end. */
+	readonly onEnded: (call: EndedCall) => void;
 };
 
 /**
- * Makes the way of a call: identify, read the body, find the home of a key, take a target, send.
+ * Makes the way of a call: record, identify, read the body, find the home of a key, take a target, record, send.
  *
  * @param parts - What the filters work with.
  * @param fleet - Runs the calls that have a key.
@@ -33,8 +40,9 @@
 	parts: PipelineParts,
 	fleet: AtMostOnceOptions,
 ): Pipeline {
-	const {desk, clock, bodyIdleMs} = parts;
+	const {desk, clock, bodyIdleMs, onEnded} = parts;
 	return makePipeline([
+		makeRecordFilter({clock, onEnded}),
 		makeIdentifyFilter(desk),
 		makeReadBodyFilter({clock, idleMs: bodyIdleMs}),
 		makeAtMostOnceFilter(fleet),
@@ -49,8 +57,10 @@
  * @returns The way.
  */
 export function makeKeyedPipeline(parts: PipelineParts): Pipeline {
+	const {desk, clock, onEnded} = parts;
 	return makePipeline([
-		makeIdentifyFilter(parts.desk),
+		makeRecordFilter({clock, onEnded}),
+		makeIdentifyFilter(desk),
 		...makeRunFilters(parts),
 	]);
 }
@@ -59,6 +69,7 @@
 	const {desk, pools, clock} = parts;
 	return [
 		makeAttemptFilter({desk, clock}),
+		makeRecordSendFilter(clock),
 		makeSendFilter({desk, pools, clock}),
 	];
 }
--- a/packages/daemon/test/utils/edge.ts
+++ b/packages/daemon/test/utils/edge.ts
@@ -54,7 +54,13 @@
 			localAddress: '127.0.0.1',
 			getHostCount: () => 1,
 		});
-		const parts = {desk, pools: this.#pools, clock, bodyIdleMs: 1000};
+		const parts = {
+			desk,
+			pools: this.#pools,
+			clock,
+			bodyIdleMs: 1000,
+			onEnded: () => undefined,
+		};
 		this.#server = makeCallerServer({
 			pipeline: makeCallPipeline(parts, makeLoneFleet(parts)),
 			clock,
