--- a/packages/daemon/src/context/entry-host.ts
+++ b/packages/daemon/src/context/entry-host.ts
@@ -1,6 +1,7 @@
 /** The one context of an entry process: it builds and owns all objects. */
 
 import {
+	type AuditEvent,
 	makeId,
 	makeSeededRandom,
 	notRun,
@@ -28,7 +29,14 @@
 	makeOperatorServer,
 	type HostStatus,
 } from '../operators/operator-server.js';
-import {makeCallPipeline} from '../pipeline/order.js';
+import {Fleet} from '../peers/fleet.js';
+import {runKeyedCall} from '../peers/run-keyed-call.js';
+import {
+	makeCallPipeline,
+	makeKeyedPipeline,
+	type PipelineParts,
+} from '../pipeline/order.js';
+import type {EndedCall} from '../pipeline/filters/record.js';
 import type {LoadedSettings} from '../settings/load-settings.js';
 import type {Settings} from '../settings/settings.js';
 import {ConnectionPools} from '../upstream/connection-pools.js';
@@ -57,6 +65,7 @@
 	readonly #platform;
 	readonly #store;
 	readonly #watch;
+	readonly #fleet;
 	readonly #callers;
 	readonly #operators;
 	#isShuttingDown = false;
@@ -98,7 +107,7 @@
 		this.#pools = new ConnectionPools({
 			clock,
 			localAddress: settings.callers.address,
-			getHostCount: () => assumedHostCount,
+			getHostCount: () => this.#fleet.view.share?.size ?? assumedHostCount,
 		});
 		this.#platform = new PlatformClient({
 			addresses: settings.platform.addresses,
@@ -118,20 +127,22 @@
 			clock,
 			log: this.#log,
 		});
+		const parts = {
+			desk: this.#desk,
+			pools: this.#pools,
+			clock,
+			audit: (event: AuditEvent) => {
+				this.#audit.add(event);
+			},
+			bodyIdleMs: settings.limits.bodyIdleMs,
+			onEnded: (call: EndedCall) => {
+				this.#decisions.add(call.record);
+				this.#metrics.addCall(call);
+			},
+		};
+		this.#fleet = this.#makeFleet(parts);
 		this.#callers = makeCallerServer({
-			pipeline: makeCallPipeline({
-				desk: this.#desk,
-				pools: this.#pools,
-				clock,
-				audit: (event) => {
-					this.#audit.add(event);
-				},
-				bodyIdleMs: settings.limits.bodyIdleMs,
-				onEnded: (call) => {
-					this.#decisions.add(call.record);
-					this.#metrics.addCall(call);
-				},
-			}),
+			pipeline: makeCallPipeline(parts, this.#fleet),
 			clock,
 			log: this.#log,
 			headerBytes: settings.limits.headerBytes,
@@ -157,6 +168,7 @@
 			host: operators.address,
 			port: operators.port,
 		});
+		await this.#fleet.start();
 		await this.#callers.listen({host: callers.address, port: callers.port});
 		this.#watch.start();
 		this.#metrics.start();
@@ -181,8 +193,10 @@
 	async stop(): Promise<void> {
 		this.#isShuttingDown = true;
 		this.#auditShutdown('no new work is taken');
+		this.#fleet.leave();
 		this.#watch.stop();
 		await this.#callers.close();
+		await this.#fleet.close();
 		this.#auditShutdown('every request has its whole answer');
 		await this.#pools.close();
 		await this.#platform.close();
@@ -190,6 +204,26 @@
 		await this.#operators.close();
 	}
 
+	#makeFleet(parts: PipelineParts): Fleet {
+		const pipeline = makeKeyedPipeline({
+			...parts,
+			onEnded: ({record}) => {
+				this.#decisions.add(record);
+			},
+		});
+		const {clock, loaded} = this.#options;
+		return new Fleet({
+			settings: loaded.settings,
+			incarnation: this.#incarnation,
+			platform: this.#platform,
+			store: this.#store,
+			clock,
+			log: this.#log,
+			audit: this.#auditSink,
+			run: async (call) => runKeyedCall(call, pipeline, clock),
+		});
+	}
+
 	#auditShutdown(cause: string): void {
 		this.#auditSink({
 			kind: 'shutdown-step',
@@ -203,9 +237,13 @@
 			return notRun('shutting-down', 'This host is shutting down.');
 		}
 
-		return this.#store.bundle === undefined
-			? notRun('not-ready', 'This host has no bundle yet.')
-			: undefined;
+		if (this.#store.bundle === undefined) {
+			return notRun('not-ready', 'This host has no bundle yet.');
+		}
+
+		return this.#fleet.isReady
+			? undefined
+			: notRun('not-ready', 'This host is joining its peers.');
 	}
 
 	#getStatus(): HostStatus {
--- a/packages/daemon/src/pipeline/order.ts
+++ b/packages/daemon/src/pipeline/order.ts
@@ -3,7 +3,11 @@
 import type {AuditSink, Clock} from '@bilberryscale/core';
 import type {CallDesk} from '../dispatch/call-desk.js';
 import type {ConnectionPools} from '../upstream/connection-pools.js';
-import {makePipeline, type Pipeline} from './filter.js';
+import {makePipeline, type Filter, type Pipeline} from './filter.js';
+import {
+	makeAtMostOnceFilter,
+	type AtMostOnceOptions,
+} from './filters/at-most-once.js';
 import {makeAttemptFilter} from './filters/attempt.js';
 import {makeBarCrashingFilter} from './filters/bar-crashing.js';
 import {makeIdentifyFilter} from './filters/identify.js';
@@ -29,22 +33,49 @@
 };
 
 /**
- * Makes the way of a call: record, identify, read the body, take a target, record, send.
+ * Makes the way of a call: record, identify, read the body, find the home of a key, take a target, record, send.
  *
  * @param parts - What the filters work with.
+ * @param fleet - Runs the calls that have a key.
  * @returns The way.
  */
-export function makeCallPipeline(parts: PipelineParts): Pipeline {
-	const {desk, pools, clock, audit, bodyIdleMs, onEnded} = parts;
-	const {suspects} = desk;
+export function makeCallPipeline(
+	parts: PipelineParts,
+	fleet: AtMostOnceOptions,
+): Pipeline {
+	const {desk, clock, bodyIdleMs, onEnded} = parts;
 	return makePipeline([
 		makeRecordFilter({clock, onEnded}),
 		makeIdentifyFilter(desk),
 		makeReadBodyFilter({clock, idleMs: bodyIdleMs}),
+		makeAtMostOnceFilter(fleet),
+		...makeRunFilters(parts),
+	]);
+}
+
+/**
+ * Makes the way of a call at the home of its key, where its body is at hand.
+ *
+ * @param parts - What the filters work with.
+ * @returns The way.
+ */
+export function makeKeyedPipeline(parts: PipelineParts): Pipeline {
+	const {desk, clock, onEnded} = parts;
+	return makePipeline([
+		makeRecordFilter({clock, onEnded}),
+		makeIdentifyFilter(desk),
+		...makeRunFilters(parts),
+	]);
+}
+
+function makeRunFilters(parts: PipelineParts): Filter[] {
+	const {desk, pools, clock, audit} = parts;
+	const {suspects} = desk;
+	return [
 		makeBarCrashingFilter({suspects, clock, audit}),
 		makeAttemptFilter({desk, clock}),
 		makeRecordSendFilter(clock),
 		makeNoteCrashesFilter({suspects, clock}),
 		makeSendFilter({desk, pools, clock}),
-	]);
+	];
 }
--- a/packages/daemon/test/utils/edge.ts
+++ b/packages/daemon/test/utils/edge.ts
@@ -16,6 +16,7 @@
 import type {Log} from '../../src/logging/make-logger.js';
 import {makeCallPipeline} from '../../src/pipeline/order.js';
 import {ConnectionPools} from '../../src/upstream/connection-pools.js';
+import {makeLoneFleet} from './lone-fleet.js';
 import {RawCaller, type RawAnswer} from './raw-caller.js';
 import {RawTarget, type RawScript} from './raw-target.js';
 
@@ -53,15 +54,16 @@
 			localAddress: '127.0.0.1',
 			getHostCount: () => 1,
 		});
+		const parts = {
+			desk,
+			pools: this.#pools,
+			clock,
+			audit: () => undefined,
+			bodyIdleMs: 1000,
+			onEnded: () => undefined,
+		};
 		this.#server = makeCallerServer({
-			pipeline: makeCallPipeline({
-				desk,
-				pools: this.#pools,
-				clock,
-				audit: () => undefined,
-				bodyIdleMs: 1000,
-				onEnded: () => undefined,
-			}),
+			pipeline: makeCallPipeline(parts, makeLoneFleet(parts)),
 			clock,
 			log: silentLog,
 			headerBytes: 2048,
