--- a/packages/peers/src/transport/peer-client.ts
+++ b/packages/peers/src/transport/peer-client.ts
@@ -1,6 +1,6 @@
 /** Talks to one peer over connections of its own. */
 
-import {JSONRPCClient} from 'json-rpc-2.0';
+import {JSONRPCClient, type JSONRPCResponse} from 'json-rpc-2.0';
 import {Err, Ok, type Result} from 'ts-results-es';
 import {Pool, errors} from 'undici';
 import type {z} from 'zod';
@@ -28,6 +28,7 @@
 	readonly timeoutMs: number;
 };
 
+const success = 200;
 const connectTimeoutMs = 1000;
 const callConnections = 32;
 const neverSentCodes = new Set([
@@ -149,10 +150,11 @@
 	}
 }
 
+/** Posts a message; an answer to no or another message is an error, since nobody would wait for it. */
 async function post(
 	payload: unknown,
 	{pool, timeoutMs}: Attempt,
-): Promise<never> {
+): Promise<JSONRPCResponse> {
 	const answer = await pool.request({
 		method: 'POST',
 		path: '/rpc',
@@ -160,7 +162,17 @@
 		body: JSON.stringify(payload),
 		signal: AbortSignal.timeout(Math.ceil(timeoutMs)),
 	});
-	return (await answer.body.json()) as never;
+	const response = (await answer.body.json()) as JSONRPCResponse | undefined;
+	const {id} = payload as {id: unknown};
+	if (
+		response === undefined ||
+		response.id !== id ||
+		answer.statusCode !== success
+	) {
+		throw new Error(`the peer answered with status ${answer.statusCode}`);
+	}
+
+	return response;
 }
 
 function mayHaveBeenSent(error: Error): boolean {
--- /dev/null
+++ b/packages/peers/test/transport/peer-client.test.ts
@@ -0,0 +1,72 @@
+/** Every message gets an answer or an error, whatever the peer says. */
+
+import fs from 'node:fs';
+import https from 'node:https';
+import os from 'node:os';
+import path from 'node:path';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {makeId, type HostId} from '@bilberryscale/core';
+import {describe, it} from '@bilberryscale/testing';
+import * as assert from 'uvu/assert';
+import {CertificateDesk} from '../../../standins/src/cluster/certificates.js';
+import {PeerClient, readTlsFiles, textReplySchema} from '../../src/index.js';
+
+const address = '127.0.0.1';
+const timeoutMs = 2000;
+
+async function exchange(
+	status: number,
+	text: string,
+	port: number,
+): Promise<string> {
+	const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'bilberryscale-'));
+	const desk = new CertificateDesk(folder);
+	const tls = readTlsFiles(await desk.issue('server'));
+	const server = https.createServer(tls, (request, response) => {
+		request.resume();
+		response.writeHead(status).end(text);
+	});
+	await new Promise<void>((resolve) => {
+		server.listen(port, address, resolve);
+	});
+	const client = new PeerClient({
+		peer: {host: makeId<HostId>('server'), address, port},
+		tls: readTlsFiles(await desk.issue('caller')),
+		localAddress: address,
+	});
+	const reply = await Promise.race([
+		client.sendCall('manifest', {}, textReplySchema, timeoutMs),
+		sleep(2 * timeoutMs),
+	]);
+	await client.close();
+	server.close();
+	if (reply === undefined) {
+		return 'hangs';
+	}
+
+	return reply.isOk() ? `text ${reply.value.text}` : 'error';
+}
+
+describe('PeerClient', () => {
+	let port = 28_430;
+	const doTest = (
+		name: string,
+		status: number,
+		text: string,
+		expected: string,
+	) => {
+		const ownPort = port++;
+		it(name, async () => {
+			assert.is(await exchange(status, text, ownPort), expected);
+		});
+	};
+
+	const answer = (id: number, result: unknown) =>
+		JSON.stringify({jsonrpc: '2.0', id, result});
+	doTest('takes its answer', 200, answer(1, {text: 'a'}), 'text a');
+	doTest('takes no crossed answer', 200, answer(7, {text: 'a'}), 'error');
+	doTest('takes no malformed result', 200, answer(1, {texts: 1}), 'error');
+	doTest('takes no other document', 503, '{"statusCode": 503}', 'error');
+	doTest('takes no null', 200, 'null', 'error');
+	doTest('takes no page', 200, '<html>', 'error');
+});
