Leave a platform address that answers with an error

Cause: the new tests of the client found that an address which answers with an error status or a malformed document was asked again and again, while another address could have answered; and that reads which failed together moved on by as many addresses.

Change: every failure moves on, by one address for all reads that asked the same one.

--- a/packages/platform/src/client/platform-client.ts
+++ b/packages/platform/src/client/platform-client.ts
@@ -111,10 +111,25 @@
 		waitMs: number,
 		schema: z.ZodType<Value>,
 	): Promise<Result<ReadOutcome<Value>, string>> {
-		const base = this.#options.addresses[this.#next];
+		const index = this.#next;
+		const base = this.#options.addresses[index];
 		const url = `${base}${path}?after=${afterRevision}&wait=${waitMs}`;
+		const outcome = await this.#ask(url, waitMs, schema);
+		// Reads that failed together move on by one address only.
+		if (outcome.isErr() && this.#next === index) {
+			this.#next = (index + 1) % this.#options.addresses.length;
+		}
+
+		return outcome.mapErr((fault) => `${url}: ${fault}`);
+	}
+
+	async #ask<Value>(
+		url: string,
+		waitMs: number,
+		schema: z.ZodType<Value>,
+	): Promise<Result<ReadOutcome<Value>, string>> {
+		const timeoutMs = this.#options.timeoutMs + waitMs;
 		try {
-			const timeoutMs = this.#options.timeoutMs + waitMs;
 			const answer = await request(url, {
 				dispatcher: this.#agent,
 				headersTimeout: timeoutMs,
@@ -123,8 +138,7 @@
 			});
 			return readAnswer(answer.statusCode, await answer.body.text(), schema);
 		} catch (error) {
-			this.#next = (this.#next + 1) % this.#options.addresses.length;
-			return Err(`${url}: ${(error as Error).message}`);
+			return Err((error as Error).message);
 		}
 	}
 }
