Spare a platform that answers a watch at once

Cause: a platform, or something before it, that ignores the wait of a watch made the host read in a tight loop.

Change: reads that find nothing new are at least 500 ms apart.

--- a/packages/daemon/src/bundle-store/bundle-watch.ts
+++ b/packages/daemon/src/bundle-store/bundle-watch.ts
@@ -22,7 +22,7 @@
 
 // Twice this and the client's own timeout stay within the 6 s of a change.
 const waitMs = 2000;
-const pauseAfterFailureMs = 500;
+const leastSpacingMs = 500;
 const retryMs = 500;
 const partSpacingMs = 8;
 const fullReadEveryMs = 300_000;
@@ -65,23 +65,26 @@
 	async #readOnce(): Promise<void> {
 		const after = this.#getKnownRevision();
 		const wait = this.#getWaitMs(after);
-		const {platform, log} = this.#options;
+		const {platform, log, clock} = this.#options;
+		const startedAtMs = clock.monotonicMs();
 		const outcome = await platform.readValue(manifestValueName, after, wait);
 		if (this.#isStopped) {
 			return;
 		}
 
+		const published = outcome.unwrapOr(undefined);
+		const isNew = published !== undefined && published.revision > after;
 		if (outcome.isErr()) {
 			log.warn('platform read failed', {cause: outcome.error});
-		} else if (outcome.value !== undefined) {
-			this.#revision = outcome.value.revision;
-			this.#pending = outcome.value.value;
+		} else if (isNew) {
+			this.#revision = published.revision;
+			this.#pending = published.value;
 		}
 
 		await this.#takePending();
-		const isQuiet =
-			outcome.isErr() || (outcome.value === undefined && wait === 0);
-		this.#readAgainAfter(isQuiet ? pauseAfterFailureMs : 0);
+		// Spares a platform that answers a watch at once.
+		const tookMs = clock.monotonicMs() - startedAtMs;
+		this.#readAgainAfter(isNew ? 0 : Math.max(0, leastSpacingMs - tookMs));
 	}
 
 	/** Gets 0 now and then: a platform that was replaced may count anew. */
--- a/packages/daemon/test/bundle-store/bundle-watch.test.ts
+++ b/packages/daemon/test/bundle-store/bundle-watch.test.ts
@@ -119,6 +119,18 @@
 		watch.stop();
 	});
 
+	it('spares a platform that answers a watch at once', async () => {
+		const {platform, watch, step} = makeFixture();
+		platform.publish(makeSigned({version: 1}), 1);
+		watch.start();
+		await step(100);
+		const reads = platform.reads.filter((name) => name === manifestValueName);
+		// 10 s at two reads a second, and those that found something new.
+		assert.ok(reads.length <= 23, `${reads.length} reads`);
+		assert.ok(reads.length >= 15, `${reads.length} reads`);
+		watch.stop();
+	});
+
 	it('finds a newer one on a platform that counts revisions anew', async () => {
 		const {clock, platform, store, watch, step} = makeFixture();
 		platform.publish(makeSigned({version: 1}), 50);
