Make no error for a call that succeeds

Cause: the attempt filter made an Err for each call before its first send, and an Err of ts-results-es formats a stack.

--- a/packages/bench/src/processes/bench-host.ts
+++ b/packages/bench/src/processes/bench-host.ts
@@ -124,14 +124,7 @@
 	}
 
 	async #waitUntilServed(): Promise<void> {
-		for (;;) {
-			try {
-				const answer = await fetch(`${this.entryUrl}/service-0/item`);
-				if (answer.ok) {
-					return;
-				}
-			} catch {}
-
+		while (!(await isServed(`${this.entryUrl}/service-0/item`))) {
 			await sleep(readyPollMs);
 		}
 	}
@@ -144,3 +137,12 @@
 		return new Child(name, args, path.join(this.#folder, `${name}.log`));
 	}
 }
+
+async function isServed(url: string): Promise<boolean> {
+	try {
+		const {ok} = await fetch(url);
+		return ok;
+	} catch {
+		return false;
+	}
+}
--- a/packages/daemon/src/pipeline/filters/attempt.ts
+++ b/packages/daemon/src/pipeline/filters/attempt.ts
@@ -29,7 +29,7 @@
 		const {dispatcher} = exchange.getIdentityOrThrow();
 		const triedTargets: TargetId[] = [];
 		const {attempts} = dispatcher.service.retry;
-		let result: FilterResult = Err(notRun('no-target', 'Nothing was tried.'));
+		let result: FilterResult | undefined;
 		for (let attempt = 0; attempt < attempts; attempt++) {
 			const call = makeCall(exchange, triedTargets);
 			const acquired = await options.desk.acquire(
@@ -38,7 +38,9 @@
 				exchange.incoming.signal,
 			);
 			if (acquired.isErr()) {
-				return attempt === 0 ? acquired : addRetryAfter(result, acquired.error);
+				return result === undefined
+					? acquired
+					: addRetryAfter(result, acquired.error);
 			}
 
 			exchange.target = acquired.value;
@@ -58,7 +60,7 @@
 			}
 		}
 
-		return result;
+		return result ?? Err(notRun('no-target', 'Nothing was tried.'));
 	};
 }
 
