--- a/packages/daemon/src/http/forwarded-headers.ts
+++ b/packages/daemon/src/http/forwarded-headers.ts
@@ -6,7 +6,7 @@
 export type MessageHeaders = Record<string, string | string[]>;
 
 const viaName = '1.1 bilberryscale';
-const connectionHeaders = new Set([
+const connectionHeaders = [
 	'connection',
 	'keep-alive',
 	'proxy-authenticate',
@@ -16,8 +16,16 @@
 	'trailer',
 	'transfer-encoding',
 	'upgrade',
+];
+const droppedFromAnswers = new Set(connectionHeaders);
+const droppedFromRequests = new Set([
+	...connectionHeaders,
+	'host',
+	'content-length',
+	'expect',
 ]);
-const requestOnlyHeaders = new Set(['host', 'content-length', 'expect']);
+/** Values of `Connection` that name no header. */
+const plainOptions = new Set(['', 'close', 'keep-alive']);
 
 /**
  * Gets the headers of a request for the target.
@@ -28,7 +36,7 @@
 export function getForwardedHeaders(
 	headers: IncomingHttpHeaders,
 ): MessageHeaders {
-	return addVia(keepHeaders(headers, requestOnlyHeaders));
+	return addVia(keepHeaders(headers, droppedFromRequests));
 }
 
 /**
@@ -40,19 +48,17 @@
 export function getReturnedHeaders(
 	headers: Readonly<Record<string, string | string[] | undefined>>,
 ): MessageHeaders {
-	return addVia(keepHeaders(headers, new Set()));
+	return addVia(keepHeaders(headers, droppedFromAnswers));
 }
 
 function keepHeaders(
 	headers: Readonly<Record<string, string | string[] | undefined>>,
-	unwanted: ReadonlySet<string>,
+	usuallyDropped: ReadonlySet<string>,
 ): MessageHeaders {
-	const listed = String(headers.connection ?? '')
-		.split(',')
-		.map((name) => name.trim().toLowerCase());
-	const dropped = new Set([...connectionHeaders, ...unwanted, ...listed]);
+	const dropped = addListed(usuallyDropped, headers.connection);
 	const kept: MessageHeaders = {};
-	for (const [name, value] of Object.entries(headers)) {
+	for (const name of Object.keys(headers)) {
+		const value = headers[name];
 		if (value !== undefined && !dropped.has(name)) {
 			kept[name] = value;
 		}
@@ -61,6 +67,20 @@
 	return kept;
 }
 
+/** Adds the headers that `Connection` names, if it names any. */
+function addListed(
+	dropped: ReadonlySet<string>,
+	connection: string | string[] | undefined,
+): ReadonlySet<string> {
+	const options = String(connection ?? '').toLowerCase();
+	if (plainOptions.has(options)) {
+		return dropped;
+	}
+
+	const listed = options.split(',').map((name) => name.trim());
+	return new Set([...dropped, ...listed]);
+}
+
 function addVia(headers: MessageHeaders): MessageHeaders {
 	const former = headers.via;
 	headers.via =
