Tell the decisions how many hosts there are

Change: a feed passes the size and rank of the peers' view on; each change once (a variant that passes every look on fails its test).

--- a/packages/daemon/src/context/entry-host.ts
+++ b/packages/daemon/src/context/entry-host.ts
@@ -16,6 +16,7 @@
 import {BundleStore} from '../bundle-store/bundle-store.js';
 import {BundleWatch} from '../bundle-store/bundle-watch.js';
 import {CallDesk} from '../dispatch/call-desk.js';
+import {FleetFeed} from '../dispatch/fleet-feed.js';
 import {makeCallerServer} from '../http/caller-server.js';
 import {makeLogger, type Log} from '../logging/make-logger.js';
 import {
@@ -66,6 +67,7 @@
 	readonly #store;
 	readonly #watch;
 	readonly #fleet;
+	readonly #fleetFeed;
 	readonly #callers;
 	readonly #operators;
 	#isShuttingDown = false;
@@ -141,6 +143,13 @@
 			},
 		};
 		this.#fleet = this.#makeFleet(parts);
+		this.#fleetFeed = new FleetFeed({
+			clock,
+			getView: () => this.#fleet.view.share,
+			onChange: (view) => {
+				this.#desk.setFleet(view);
+			},
+		});
 		this.#callers = makeCallerServer({
 			pipeline: makeCallPipeline(parts, this.#fleet),
 			clock,
@@ -169,6 +178,7 @@
 			port: operators.port,
 		});
 		await this.#fleet.start();
+		this.#fleetFeed.start();
 		await this.#callers.listen({host: callers.address, port: callers.port});
 		this.#watch.start();
 		this.#metrics.start();
@@ -201,6 +211,7 @@
 		await this.#pools.close();
 		await this.#platform.close();
 		this.#metrics.stop();
+		this.#fleetFeed.stop();
 		await this.#operators.close();
 	}
 
