--- a/packages/experiment/src/bin/experiment.ts
+++ b/packages/experiment/src/bin/experiment.ts
@@ -65,6 +65,8 @@
 	fs.writeFileSync(`${file}.json`, JSON.stringify(content, undefined, '\t'));
 	fs.writeFileSync(`${file}.svg`, drawReport(title, results, summaries));
 	printTable(results);
+	const calls = summaries.reduce((sum, run) => sum + run.measuringCalls, 0);
+	console.log(`measuring calls to targets: ${calls}`);
 }
 
 function printTable(results: readonly PolicyResult[]): void {
--- a/packages/experiment/src/run/run-once.ts
+++ b/packages/experiment/src/run/run-once.ts
@@ -41,7 +41,8 @@
 	});
 	try {
 		const records = await runLoad(cluster, plan);
-		return summariseRun(plan, records, cluster.getRuns());
+		const measuringCalls = await countMeasuringCalls(cluster);
+		return summariseRun(plan, records, cluster.getRuns(), measuringCalls);
 	} finally {
 		await cluster.stop();
 	}
@@ -62,6 +63,13 @@
 	return (slots * msPerSecond) / service.serviceTimeMs;
 }
 
+async function countMeasuringCalls(cluster: Cluster): Promise<number> {
+	const counters = await Promise.all(
+		cluster.targets.map(async ({id}) => cluster.targetsControl.getCounters(id)),
+	);
+	return counters.reduce((sum, {loadCalls}) => sum + loadCalls, 0);
+}
+
 async function runLoad(
 	cluster: Cluster,
 	{scenario, seed}: RunPlan,
--- a/packages/experiment/src/run/run-summary.ts
+++ b/packages/experiment/src/run/run-summary.ts
@@ -37,9 +37,12 @@
 	readonly seed: number;
 	readonly services: readonly ServiceResult[];
 	readonly timeline: readonly TimeBin[];
+	/** The calls that measuring cost all targets together. */
+	readonly measuringCalls: number;
 };
 
 const binMs = 500;
+const classMark = ' of ';
 
 /**
  * Sums up a run.
@@ -47,12 +50,14 @@
  * @param plan - What was run.
  * @param records - What the callers saw.
  * @param runs - What the targets logged.
+ * @param measuringCalls - The calls to the targets' load endpoints.
  * @returns The summary.
  */
 export function summariseRun(
 	plan: RunPlan,
 	records: readonly CallRecord[],
 	runs: readonly RunRecord[],
+	measuringCalls: number,
 ): RunSummary {
 	const {policy, seed} = plan;
 	return {
@@ -60,6 +65,7 @@
 		seed,
 		services: getServiceResults(plan, records, runs),
 		timeline: getTimeline(records),
+		measuringCalls,
 	};
 }
 
@@ -70,9 +76,11 @@
 ): ServiceResult[] {
 	const {deployment, durationMs} = scenario;
 	const measuredMs = durationMs - warmUpMs;
-	return summarise(leaveOutWarmUp(records)).map((summary) => {
+	return summarise(labelByClass(leaveOutWarmUp(records))).map((summary) => {
 		const {service, served, p50Ms, p99Ms, p999Ms} = summary;
-		const deployed = deployment.services.find(({name}) => name === service)!;
+		const deployed = deployment.services.find(
+			({name}) => name === service.split(classMark)[0],
+		)!;
 		const carried = (getCapacity(deployment, deployed) * measuredMs) / 1000;
 		const refused = Object.fromEntries(summary.refused);
 		const refusedCount = Object.values(refused).reduce((a, b) => a + b, 0);
@@ -85,11 +93,23 @@
 			p99Ms,
 			p999Ms,
 			goodput: served / carried,
-			imbalance: getImbalance(runs, service, deployed.targets),
+			imbalance: getImbalance(runs, deployed.name, deployed.targets),
 		};
 	});
 }
 
+/** Tells the classes of a service apart, if there are several. */
+function labelByClass(records: readonly CallRecord[]): CallRecord[] {
+	const classes = new Set(records.map(({callerClass}) => callerClass));
+	return records.map((record) => ({
+		...record,
+		service:
+			classes.size > 1
+				? `${record.service}${classMark}${record.callerClass}`
+				: record.service,
+	}));
+}
+
 function leaveOutWarmUp(records: readonly CallRecord[]): CallRecord[] {
 	const startMs = Math.min(...records.map(({sentAtMs}) => sentAtMs));
 	return records.filter(({sentAtMs}) => sentAtMs - startMs >= warmUpMs);
--- a/packages/experiment/src/scenario/scenarios.ts
+++ b/packages/experiment/src/scenario/scenarios.ts
@@ -13,6 +13,7 @@
 const rollDurationMs = 12_000;
 const slowFactor = 5;
 const coldAtMs = 3000;
+const coldDurationMs = 20_000;
 
 type ScenarioMaker = (deployment: Deployment) => Scenario;
 
@@ -101,7 +102,11 @@
 			);
 		},
 	};
-	return {...makeSteady(deployment, 0.6), steps: [step]};
+	return {
+		...makeSteady(deployment, 0.6),
+		steps: [step],
+		durationMs: coldDurationMs,
+	};
 }
 
 function makeFaultStep(
--- a/packages/standins/src/load/caller.ts
+++ b/packages/standins/src/load/caller.ts
@@ -108,6 +108,7 @@
 		const end = await this.#exchange(sending, requestId);
 		return {
 			service: call.load.service,
+			callerClass: call.load.callerClass,
 			method: call.load.method,
 			requestId,
 			key,
--- a/packages/standins/src/load/load-plan.ts
+++ b/packages/standins/src/load/load-plan.ts
@@ -46,6 +46,7 @@
 /** What a caller saw of one send of a call. */
 export type CallRecord = {
 	readonly service: string;
+	readonly callerClass?: string;
 	readonly method: string;
 	readonly requestId: string;
 	/** Is the same for all sends of a call. */
