--- a/packages/daemon/src/context/entry-host.ts
+++ b/packages/daemon/src/context/entry-host.ts
@@ -1,9 +1,11 @@
 /** The one context of an entry process: it builds and owns all objects. */
 
 import {
+	type AuditEvent,
 	makeId,
 	makeSeededRandom,
 	notRun,
+	type AuditSink,
 	type Clock,
 	type Failure,
 	type IncarnationId,
@@ -14,14 +16,30 @@
 import {BundleStore} from '../bundle-store/bundle-store.js';
 import {BundleWatch} from '../bundle-store/bundle-watch.js';
 import {CallDesk} from '../dispatch/call-desk.js';
+import {FleetFeed} from '../dispatch/fleet-feed.js';
 import {makeCallerServer} from '../http/caller-server.js';
-import {makeLogger} from '../logging/make-logger.js';
+import {makeLogger, type Log} from '../logging/make-logger.js';
+import {
+	makeStatsdSink,
+	noMetricSink,
+	type MetricSink,
+} from '../metrics/metric-sink.js';
+import {Metrics} from '../metrics/metrics.js';
+import {DecisionLog} from '../operators/decision-log.js';
 import {
 	makeOperatorServer,
 	type HostStatus,
 } from '../operators/operator-server.js';
-import {makeCallPipeline} from '../pipeline/order.js';
+import {Fleet} from '../peers/fleet.js';
+import {runKeyedCall} from '../peers/run-keyed-call.js';
+import {
+	makeCallPipeline,
+	makeKeyedPipeline,
+	type PipelineParts,
+} from '../pipeline/order.js';
+import type {EndedCall} from '../pipeline/filters/record.js';
 import type {LoadedSettings} from '../settings/load-settings.js';
+import type {Settings} from '../settings/settings.js';
 import {ConnectionPools} from '../upstream/connection-pools.js';
 
 const auditCapacity = 10_000;
@@ -41,14 +59,22 @@
 	readonly #incarnation = makeId<IncarnationId>(uuidv7());
 	readonly #log;
 	readonly #audit;
+	readonly #decisions = new DecisionLog();
+	readonly #metrics;
 	readonly #desk;
 	readonly #pools;
 	readonly #platform;
 	readonly #store;
 	readonly #watch;
+	readonly #fleet;
+	readonly #fleetFeed;
 	readonly #callers;
 	readonly #operators;
 	#isShuttingDown = false;
+	readonly #auditSink: AuditSink = (event) => {
+		this.#audit.add(event);
+		this.#metrics.addAudit(event);
+	};
 
 	/**
 	 * @param options - The checked settings, the clock and the seed.
@@ -67,19 +93,23 @@
 				this.#log.info('audit', record);
 			},
 		});
+		this.#metrics = new Metrics({
+			clock,
+			sink: makeSink(settings, this.#log),
+			getBundleVersion: () => this.#store.bundle?.version,
+			isReady: () => this.#getClosedFailure() === undefined,
+		});
 		this.#desk = new CallDesk({
 			clock,
 			random: makeSeededRandom(options.seed),
 			dataCentre: settings.dataCentre,
 			choice: settings.decisions.choice,
-			audit: (event) => {
-				this.#audit.add(event);
-			},
+			audit: this.#auditSink,
 		});
 		this.#pools = new ConnectionPools({
 			clock,
 			localAddress: settings.callers.address,
-			getHostCount: () => assumedHostCount,
+			getHostCount: () => this.#fleet.view.share?.size ?? assumedHostCount,
 		});
 		this.#platform = new PlatformClient({
 			addresses: settings.platform.addresses,
@@ -88,9 +118,7 @@
 		});
 		this.#store = new BundleStore({
 			trust,
-			audit: (event) => {
-				this.#audit.add(event);
-			},
+			audit: this.#auditSink,
 			onAdopted: (bundle) => {
 				this.#desk.setBundle(bundle);
 			},
@@ -101,13 +129,29 @@
 			clock,
 			log: this.#log,
 		});
+		const parts = {
+			desk: this.#desk,
+			pools: this.#pools,
+			clock,
+			audit: (event: AuditEvent) => {
+				this.#audit.add(event);
+			},
+			bodyIdleMs: settings.limits.bodyIdleMs,
+			onEnded: (call: EndedCall) => {
+				this.#decisions.add(call.record);
+				this.#metrics.addCall(call);
+			},
+		};
+		this.#fleet = this.#makeFleet(parts);
+		this.#fleetFeed = new FleetFeed({
+			clock,
+			getView: () => this.#fleet.view.share,
+			onChange: (view) => {
+				this.#desk.setFleet(view);
+			},
+		});
 		this.#callers = makeCallerServer({
-			pipeline: makeCallPipeline({
-				desk: this.#desk,
-				pools: this.#pools,
-				clock,
-				bodyIdleMs: settings.limits.bodyIdleMs,
-			}),
+			pipeline: makeCallPipeline(parts, this.#fleet),
 			clock,
 			log: this.#log,
 			headerBytes: settings.limits.headerBytes,
@@ -117,13 +161,14 @@
 			token: settings.operators.token,
 			getStatus: () => this.#getStatus(),
 			getAudit: (fromSequence) => this.#audit.getRecords(fromSequence),
+			getCalls: (requestId) => this.#decisions.getRecords(requestId),
 		});
 	}
 
 	/** Starts to listen and to watch. */
 	async start(): Promise<void> {
 		const {callers, operators} = this.#options.loaded.settings;
-		this.#audit.add({
+		this.#auditSink({
 			kind: 'process-started',
 			subject: this.#incarnation,
 			cause: 'start',
@@ -132,8 +177,11 @@
 			host: operators.address,
 			port: operators.port,
 		});
+		await this.#fleet.start();
+		this.#fleetFeed.start();
 		await this.#callers.listen({host: callers.address, port: callers.port});
 		this.#watch.start();
+		this.#metrics.start();
 	}
 
 	/**
@@ -142,7 +190,7 @@
 	 * @param loaded - The checked settings.
 	 */
 	reload({trust}: LoadedSettings): void {
-		this.#audit.add({
+		this.#auditSink({
 			kind: 'settings-loaded',
 			subject: 'trusted keys',
 			cause: 'the settings were read again',
@@ -155,16 +203,40 @@
 	async stop(): Promise<void> {
 		this.#isShuttingDown = true;
 		this.#auditShutdown('no new work is taken');
+		this.#fleet.leave();
 		this.#watch.stop();
 		await this.#callers.close();
+		await this.#fleet.close();
 		this.#auditShutdown('every request has its whole answer');
 		await this.#pools.close();
 		await this.#platform.close();
+		this.#metrics.stop();
+		this.#fleetFeed.stop();
 		await this.#operators.close();
 	}
 
+	#makeFleet(parts: PipelineParts): Fleet {
+		const pipeline = makeKeyedPipeline({
+			...parts,
+			onEnded: ({record}) => {
+				this.#decisions.add(record);
+			},
+		});
+		const {clock, loaded} = this.#options;
+		return new Fleet({
+			settings: loaded.settings,
+			incarnation: this.#incarnation,
+			platform: this.#platform,
+			store: this.#store,
+			clock,
+			log: this.#log,
+			audit: this.#auditSink,
+			run: async (call) => runKeyedCall(call, pipeline, clock),
+		});
+	}
+
 	#auditShutdown(cause: string): void {
-		this.#audit.add({
+		this.#auditSink({
 			kind: 'shutdown-step',
 			subject: this.#incarnation,
 			cause,
@@ -176,9 +248,13 @@
 			return notRun('shutting-down', 'This host is shutting down.');
 		}
 
-		return this.#store.bundle === undefined
-			? notRun('not-ready', 'This host has no bundle yet.')
-			: undefined;
+		if (this.#store.bundle === undefined) {
+			return notRun('not-ready', 'This host has no bundle yet.');
+		}
+
+		return this.#fleet.isReady
+			? undefined
+			: notRun('not-ready', 'This host is joining its peers.');
 	}
 
 	#getStatus(): HostStatus {
@@ -189,6 +265,23 @@
 			dataCentre,
 			isReady: this.#getClosedFailure() === undefined,
 			bundleVersion: this.#store.bundle?.version,
+			bundleDigest: this.#store.rank?.digest,
+			dataCentresOut: (this.#store.bundle?.dataCentres ?? [])
+				.filter(({state}) => state === 'out')
+				.map(({id}) => id),
 		};
 	}
 }
+
+function makeSink(settings: Settings, log: Log): MetricSink {
+	const {metrics, host} = settings;
+	return metrics === undefined
+		? noMetricSink
+		: makeStatsdSink({
+				...metrics,
+				host,
+				onError(error) {
+					log.warn('metrics are lost', {cause: error.message});
+				},
+			});
+}
--- a/packages/daemon/src/http/caller-server.ts
+++ b/packages/daemon/src/http/caller-server.ts
@@ -19,6 +19,7 @@
 import type {Pipeline} from '../pipeline/filter.js';
 import {CallerConnections, writeRefusal} from './caller-connections.js';
 import {getRequestFailure} from './check-request.js';
+import {addIssuedKey, scopeToKey} from './key-scope.js';
 import {getProblemAnswer} from './problem.js';
 import {writeAnswer} from './write-answer.js';
 
@@ -144,14 +145,15 @@
 	const {requestId} = exchange.incoming;
 	const closed = options.getClosedFailure();
 	if (closed !== undefined) {
-		return getProblemAnswer(closed, requestId);
+		return getProblemAnswer(scopeToKey(closed, exchange), requestId);
 	}
 
 	try {
 		const result = await options.pipeline(exchange);
-		return result.isOk()
+		const answer = result.isOk()
 			? result.value
-			: getProblemAnswer(result.error, requestId);
+			: getProblemAnswer(scopeToKey(result.error, exchange), requestId);
+		return addIssuedKey(answer, exchange);
 	} catch (error) {
 		options.log.error('call failed inside the host', {
 			requestId,
--- a/packages/daemon/src/pipeline/filters/send.ts
+++ b/packages/daemon/src/pipeline/filters/send.ts
@@ -35,6 +35,9 @@
 	readonly clock: Clock;
 };
 
+/** From this status on an answer tells of a fault of the target. */
+const lowestFaultStatus = 500;
+
 /**
  * Makes the last filter of the way.
  *
@@ -60,6 +63,7 @@
 	#cancelDeadline: () => void = () => undefined;
 	#report: LoadReport | undefined;
 	#hasRefused = false;
+	#isFault = false;
 
 	constructor(
 		exchange: Exchange,
@@ -132,6 +136,7 @@
 			.getPool(this.#target.target)
 			.noteAnswer(this.#connection!);
 		this.#report = readReport(answer, this.#options.clock);
+		this.#isFault = answer.status >= lowestFaultStatus;
 		if (answer.headers[targetHeaders.runState] === 'not-run') {
 			this.#refuse(answer);
 			return;
@@ -183,7 +188,7 @@
 		}
 
 		if (error === undefined) {
-			return 'served';
+			return this.#isFault ? 'failed' : 'served';
 		}
 
 		if (error instanceof CallerGoneError) {
