--- a/packages/decisions/src/dispatch/service-dispatcher.ts
+++ b/packages/decisions/src/dispatch/service-dispatcher.ts
@@ -151,9 +151,15 @@
 	settle(nowMs: number): readonly Settlement[] {
 		this.#roster.wake(nowMs);
 		const settled: Settlement[] = this.#admission.takeExpired(nowMs);
-		while (this.#admission.size > 0 && this.#roster.hasAvailable) {
+		while (this.#admission.size > 0) {
+			const target = this.#roster.take([], nowMs);
+			if (target === undefined) {
+				break;
+			}
+
 			const call = this.#admission.shift(nowMs)!;
-			settled.push(this.#grant(call, nowMs)!);
+			this.#retries.addFirstSend();
+			settled.push({kind: 'grant', call, target});
 		}
 
 		return settled;
--- a/packages/decisions/src/target/cold-start.ts
+++ b/packages/decisions/src/target/cold-start.ts
@@ -5,7 +5,7 @@
 import {getFleetShare, type FleetView} from '../fleet/fleet-view.js';
 
 /** How long hosts without a share wait for the next request to be allowed. */
-const stepMs = 500;
+const stepMs = 2000;
 /** How many requests must be served before one more at once is allowed. */
 const successesPerStep = 10;
 
--- a/packages/decisions/src/target/target-judge.ts
+++ b/packages/decisions/src/target/target-judge.ts
@@ -22,6 +22,8 @@
 
 /** The most targets of a service that this host may have ejected at once. */
 const highestEjectedShare = 1 / 3;
+/** A target is silent after this multiple of its peers' latency. */
+const silentRatio = 8;
 /** A target has enough to do with this multiple of its slots. */
 const enoughRatio = 2;
 
@@ -92,6 +94,23 @@
 		}
 	}
 
+	/**
+	 * Suspects a target that has answered nothing for long of a cold start.
+	 *
+	 * @param state - The target.
+	 * @param nowMs - The monotonic time in milliseconds.
+	 * @returns Whether it is suspected from now on.
+	 */
+	suspectSilent(state: TargetState, nowMs: number): boolean {
+		const boundMs = this.#options.averages.latencyMs * silentRatio;
+		if (state.coldStart !== undefined || state.getSilenceMs(nowMs) <= boundMs) {
+			return false;
+		}
+
+		state.coldStart = new ColdStart(state.target, undefined, nowMs);
+		return true;
+	}
+
 	/** Leaves a target alone for as long as it has enough to do. */
 	#takeLoad(state: TargetState, inFlight: number, nowMs: number): void {
 		const {averages, random} = this.#options;
--- a/packages/decisions/src/target/target-limit.ts
+++ b/packages/decisions/src/target/target-limit.ts
@@ -1,6 +1,7 @@
 /** How many requests at once this host gives to a target. */
 
 const cutRatio = 0.5;
+const regainStep = 0.1;
 const highestPauseRatio = 8;
 
 /**
@@ -40,7 +41,10 @@
 	/** Takes in that the target served a request. */
 	addSuccess(): void {
 		this.#refusedInRow = 0;
-		this.#limit = Math.min(this.#highest, this.#limit + 1 / this.#limit);
+		this.#limit = Math.min(
+			this.#highest,
+			this.#limit + regainStep / this.#limit,
+		);
 	}
 
 	/**
--- a/packages/decisions/src/target/target-roster.ts
+++ b/packages/decisions/src/target/target-roster.ts
@@ -61,11 +61,6 @@
 		return this.#inServiceCount;
 	}
 
-	/** Gets whether any target may take a call now. */
-	get hasAvailable(): boolean {
-		return this.#available.size > 0;
-	}
-
 	/**
 	 * Takes over the targets of a bundle; the state of kept targets stays.
 	 *
@@ -123,16 +118,7 @@
 	 */
 	take(tried: readonly TargetId[], nowMs: number): TargetState | undefined {
 		const avoided = this.#avoid(tried);
-		const candidates = this.#available.items;
-		const chosen =
-			candidates.length === 0
-				? undefined
-				: this.#options.chooseTarget({
-						candidates,
-						averages: this.averages,
-						random: this.#options.random,
-						nowMs,
-					});
+		const chosen = this.#choose(nowMs);
 		for (const state of avoided) {
 			this.#available.add(state);
 		}
@@ -180,6 +166,25 @@
 		return this.#wakes.peek()?.atMs;
 	}
 
+	/** Chooses among the available targets; silent ones may leave them. */
+	#choose(nowMs: number): TargetState | undefined {
+		const {chooseTarget, random} = this.#options;
+		const {averages} = this;
+		for (;;) {
+			const candidates = this.#available.items;
+			if (candidates.length === 0) {
+				return undefined;
+			}
+
+			const chosen = chooseTarget({candidates, averages, random, nowMs});
+			if (!this.#judge.suspectSilent(chosen, nowMs)) {
+				return chosen;
+			}
+
+			this.#refresh(chosen, nowMs);
+		}
+	}
+
 	/** Takes the tried targets out of the choice, unless all were tried. */
 	#avoid(tried: readonly TargetId[]): TargetState[] {
 		if (tried.length === 0 || tried.length >= this.#inServiceCount) {
--- a/packages/decisions/src/target/target-state.ts
+++ b/packages/decisions/src/target/target-state.ts
@@ -128,7 +128,7 @@
 	 * @returns The estimate in milliseconds.
 	 */
 	estimateLatencyMs(averages: ServiceAverages, nowMs: number): number {
-		const silenceMs = this.outstanding > 0 ? nowMs - this.#progressAtMs : 0;
+		const silenceMs = this.getSilenceMs(nowMs);
 		if (this.#samples === 0) {
 			return Math.max(averages.latencyMs, silenceMs);
 		}
@@ -138,6 +138,16 @@
 		return Math.max(averages.latencyMs + faded, silenceMs);
 	}
 
+	/**
+	 * Gets for how long the target has answered none of this host's requests.
+	 *
+	 * @param nowMs - The monotonic time in milliseconds.
+	 * @returns The time in milliseconds; 0 if it has none.
+	 */
+	getSilenceMs(nowMs: number): number {
+		return this.outstanding > 0 ? nowMs - this.#progressAtMs : 0;
+	}
+
 	#takeReport(report: LoadReport): void {
 		this.report = report;
 		this.#othersAtReport = Math.max(0, report.inFlight - this.outstanding);
--- a/packages/decisions/test/dispatch/service-dispatcher.test.ts
+++ b/packages/decisions/test/dispatch/service-dispatcher.test.ts
@@ -180,6 +180,18 @@
 			assert.ok(retries >= 95 && retries <= 101, String(retries));
 		});
 
+		it('are earned by calls that have waited, too', () => {
+			const {dispatcher} = makeDispatcher(makeService(1));
+			const [target] = saturate(dispatcher);
+			while (dispatcher.takeRetry());
+			for (let turn = 0; turn < 30; turn++) {
+				offer(dispatcher);
+				dispatcher.finish(target!, makeOutcome('served'), 0);
+			}
+
+			assert.is(dispatcher.takeRetry(), true);
+		});
+
 		it('end when the whole service refuses', () => {
 			const {dispatcher} = makeDispatcher(makeService(3));
 			let nowMs = 0;
