--- a/packages/daemon/src/pipeline/order.ts
+++ b/packages/daemon/src/pipeline/order.ts
@@ -1,6 +1,6 @@
 /** The order of the filters: the whole way of a call stands here. */
 
-import type {Clock} from '@bilberryscale/core';
+import type {AuditSink, Clock} from '@bilberryscale/core';
 import type {CallDesk} from '../dispatch/call-desk.js';
 import type {ConnectionPools} from '../upstream/connection-pools.js';
 import {makePipeline, type Filter, type Pipeline} from './filter.js';
@@ -9,7 +9,9 @@
 	type AtMostOnceOptions,
 } from './filters/at-most-once.js';
 import {makeAttemptFilter} from './filters/attempt.js';
+import {makeBarCrashingFilter} from './filters/bar-crashing.js';
 import {makeIdentifyFilter} from './filters/identify.js';
+import {makeNoteCrashesFilter} from './filters/note-crashes.js';
 import {makeReadBodyFilter} from './filters/read-body.js';
 import {
 	makeRecordFilter,
@@ -23,6 +25,7 @@
 	readonly desk: CallDesk;
 	readonly pools: ConnectionPools;
 	readonly clock: Clock;
+	readonly audit: AuditSink;
 	/** How long a caller may send nothing of a body, in milliseconds. */
 	readonly bodyIdleMs: number;
 	/** Takes each call at its end. */
@@ -66,10 +69,13 @@
 }
 
 function makeRunFilters(parts: PipelineParts): Filter[] {
-	const {desk, pools, clock} = parts;
+	const {desk, pools, clock, audit} = parts;
+	const {suspects} = desk;
 	return [
+		makeBarCrashingFilter({suspects, clock, audit}),
 		makeAttemptFilter({desk, clock}),
 		makeRecordSendFilter(clock),
+		makeNoteCrashesFilter({suspects, clock}),
 		makeSendFilter({desk, pools, clock}),
 	];
 }
--- a/packages/daemon/test/utils/edge.ts
+++ b/packages/daemon/test/utils/edge.ts
@@ -58,6 +58,7 @@
 			desk,
 			pools: this.#pools,
 			clock,
+			audit: () => undefined,
 			bodyIdleMs: 1000,
 			onEnded: () => undefined,
 		};
