--- a/packages/decisions/src/dispatch/service-dispatcher.ts
+++ b/packages/decisions/src/dispatch/service-dispatcher.ts
@@ -1,6 +1,6 @@
 /** Decides which calls of one service go where and when, without any I/O. */
 
-import type {DataCentre, Distance, Service} from '@bilberryscale/bundle';
+import type {Service} from '@bilberryscale/bundle';
 import {
 	notRun,
 	type AuditSink,
@@ -12,18 +12,12 @@
 import type {FleetView} from '../fleet/fleet-view.js';
 import {RetryBudget} from '../retry/retry-budget.js';
 import type {Outcome} from '../target/outcome.js';
-import {TargetRoster, type RosterEntry} from '../target/target-roster.js';
+import {getRosterEntries, type ServicePlan} from '../target/roster-entries.js';
+import {TargetRoster} from '../target/target-roster.js';
 import type {TargetState} from '../target/target-state.js';
 import {Admission} from './admission.js';
 import type {Call, Grant, OfferResult, Refusal, Settlement} from './call.js';
 
-/** The parts of a bundle that the decisions about one service need. */
-export type ServicePlan = {
-	readonly service: Service;
-	readonly dataCentres: readonly DataCentre[];
-	readonly distances: readonly Distance[];
-};
-
 /** What a dispatcher works with. */
 export type ServiceDispatcherOptions = ServicePlan & {
 	/** The data centre of this host. */
@@ -247,26 +241,3 @@
 		return notRun('no-target', `No target of "${this.#service.name}" is in.`);
 	}
 }
-
-function getRosterEntries(plan: ServicePlan, own: DataCentreId): RosterEntry[] {
-	const inService = new Set(
-		plan.dataCentres.filter(({state}) => state === 'in').map(({id}) => id),
-	);
-	return plan.service.targets.map((target) => ({
-		target,
-		isInService: inService.has(target.dataCentre),
-		roundTripMs: getRoundTripMs(plan.distances, own, target.dataCentre),
-	}));
-}
-
-function getRoundTripMs(
-	distances: readonly Distance[],
-	from: DataCentreId,
-	to: DataCentreId,
-): number {
-	const distance = distances.find(
-		({between}) =>
-			from !== to && between.includes(from) && between.includes(to),
-	);
-	return 2 * (distance?.delayMs ?? 0);
-}
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -7,9 +7,9 @@
 export {ColdStart} from './target/cold-start.js';
 export {TargetHealth, type HealthState} from './target/target-health.js';
 export {TargetLimit} from './target/target-limit.js';
+export type {RosterEntry, ServicePlan} from './target/roster-entries.js';
 export {
 	TargetRoster,
-	type RosterEntry,
 	type TargetRosterOptions,
 } from './target/target-roster.js';
 export {getFleetShare, loneFleet, type FleetView} from './fleet/fleet-view.js';
@@ -47,5 +47,4 @@
 export {
 	ServiceDispatcher,
 	type ServiceDispatcherOptions,
-	type ServicePlan,
 } from './dispatch/service-dispatcher.js';
--- a/packages/decisions/src/target/target-roster.ts
+++ b/packages/decisions/src/target/target-roster.ts
@@ -1,12 +1,12 @@
 /** The targets of a service: which of them may take a call now. */
 
-import type {Target} from '@bilberryscale/bundle';
 import type {RandomSource, TargetId} from '@bilberryscale/core';
 import type {TargetChoice} from '../choice/target-choice.js';
 import {loneFleet, type FleetView} from '../fleet/fleet-view.js';
 import {BinaryHeap} from '../utils/binary-heap.js';
 import {IndexedSet} from '../utils/indexed-set.js';
 import type {Outcome} from './outcome.js';
+import type {RosterEntry} from './roster-entries.js';
 import {ServiceAverages} from './service-averages.js';
 import {TargetJudge, type TargetAudit} from './target-judge.js';
 import {TargetState} from './target-state.js';
@@ -18,13 +18,6 @@
 	readonly audit: TargetAudit;
 };
 
-/** A target and how the bundle and this host stand to it. */
-export type RosterEntry = {
-	readonly target: Target;
-	readonly isInService: boolean;
-	readonly roundTripMs: number;
-};
-
 type Wake = {
 	readonly state: TargetState;
 	readonly atMs: number;
