--- a/packages/daemon/src/pipeline/filters/attempt.ts
+++ b/packages/daemon/src/pipeline/filters/attempt.ts
@@ -32,7 +32,7 @@
 		const {dispatcher} = exchange.getIdentityOrThrow();
 		const triedTargets: TargetId[] = [];
 		const {attempts} = dispatcher.service.retry;
-		let result: FilterResult = Err(notRun('no-target', 'Nothing was tried.'));
+		let result: FilterResult | undefined;
 		let lostCount = 0;
 		let mayHaveRun = false;
 		for (let attempt = 0; attempt < attempts; attempt++) {
@@ -40,7 +40,9 @@
 			const {signal} = exchange.incoming;
 			const acquired = await options.desk.acquire(dispatcher, call, signal);
 			if (acquired.isErr()) {
-				return attempt === 0 ? acquired : addRetryAfter(result, acquired.error);
+				return result === undefined
+					? acquired
+					: addRetryAfter(result, acquired.error);
 			}
 
 			exchange.target = acquired.value;
@@ -60,7 +62,7 @@
 			}
 		}
 
-		return result;
+		return result ?? Err(notRun('no-target', 'Nothing was tried.'));
 	};
 }
 
