Leave for peers from the host's own IP number

Cause: the address was given to the connector, which ignores it; connections to peers left from 127.0.0.1. Links between hosts could not be cut by address, and measure-peers counted accepted connections alone: its bytes are about half.

--- a/packages/peers/src/transport/peer-client.ts
+++ b/packages/peers/src/transport/peer-client.ts
@@ -137,9 +137,9 @@
 		const {peer, tls, localAddress} = this.#options;
 		return new Pool(`https://${peer.address}:${peer.port}`, {
 			connections,
+			localAddress,
 			connect: {
 				...tls,
-				localAddress,
 				timeout: connectTimeoutMs,
 				checkServerIdentity: (_, certificate) =>
 					certificate.subject.CN === peer.host
