Take over a later bundle's connections and forget its targets

Cause: the bound on connections was that of the first bundle that named a target, until the process ended, and connections to targets that left the bundle stayed in memory for good.

Change: the bound is the newest bundle's; connections to other targets are closed once their requests have ended. A send keeps the set that it took its connection from.

--- a/packages/daemon/src/context/entry-host.ts
+++ b/packages/daemon/src/context/entry-host.ts
@@ -121,6 +121,7 @@
 			audit: this.#auditSink,
 			onAdopted: (bundle) => {
 				this.#desk.setBundle(bundle);
+				this.#pools.retain(bundle);
 			},
 		});
 		this.#watch = new BundleWatch({
--- a/packages/daemon/src/pipeline/filters/send.ts
+++ b/packages/daemon/src/pipeline/filters/send.ts
@@ -21,6 +21,7 @@
 import {getForwardedHeaders} from '../../http/forwarded-headers.js';
 import type {Connection} from '../../upstream/connection.js';
 import type {ConnectionPools} from '../../upstream/connection-pools.js';
+import type {TargetConnections} from '../../upstream/target-connections.js';
 import {
 	TargetRequest,
 	type TargetAnswer,
@@ -59,6 +60,7 @@
 	readonly #target: TargetState;
 	readonly #request: TargetRequest;
 	readonly #startedAtMs: number;
+	#pool: TargetConnections | undefined;
 	#connection: Connection | undefined;
 	#cancelDeadline: () => void = () => undefined;
 	#report: LoadReport | undefined;
@@ -89,7 +91,8 @@
 		const {clock, pools} = this.#options;
 		const {deadlineMs, isIdempotent} = this.#exchange.getIdentityOrThrow();
 		const {signal} = this.#exchange.incoming;
-		this.#connection = pools.getPool(this.#target.target).take(isIdempotent);
+		this.#pool = pools.getPool(this.#target.target);
+		this.#connection = this.#pool.take(isIdempotent);
 		this.#cancelDeadline = clock.schedule(
 			deadlineMs - this.#startedAtMs,
 			() => {
@@ -132,9 +135,7 @@
 	}
 
 	#takeAnswer(answer: TargetAnswer): void {
-		this.#options.pools
-			.getPool(this.#target.target)
-			.noteAnswer(this.#connection!);
+		this.#pool!.noteAnswer(this.#connection!);
 		this.#report = readReport(answer, this.#options.clock);
 		this.#isFault = answer.status >= lowestFaultStatus;
 		if (answer.headers[targetHeaders.runState] === 'not-run') {
@@ -162,9 +163,7 @@
 		this.#cancelDeadline();
 		const {signal} = this.#exchange.incoming;
 		signal.removeEventListener('abort', this.#onCallerGone);
-		this.#options.pools
-			.getPool(this.#target.target)
-			.giveBack(this.#connection!, error === undefined);
+		this.#pool!.giveBack(this.#connection!, error === undefined);
 		this.#release(error);
 		if (error !== undefined) {
 			this.#resolve(Err(this.#describeFailure(error)));
--- a/packages/daemon/src/upstream/connection-pools.ts
+++ b/packages/daemon/src/upstream/connection-pools.ts
@@ -1,6 +1,6 @@
 /** The connections to targets: one bounded set for each target. */
 
-import type {Target} from '@bilberryscale/bundle';
+import type {Bundle, Target} from '@bilberryscale/bundle';
 import type {Clock} from '@bilberryscale/core';
 import {TargetConnections} from './target-connections.js';
 
@@ -17,7 +17,7 @@
 export class ConnectionPools {
 	readonly #options: ConnectionPoolsOptions;
 	readonly #pools = new Map<string, TargetConnections>();
-	readonly #byTarget = new WeakMap<Target, TargetConnections>();
+	#byTarget = new WeakMap<Target, TargetConnections>();
 
 	/**
 	 * @param options - Where connections leave from and who shares them.
@@ -36,6 +36,26 @@
 		return this.#byTarget.get(target) ?? this.#findPool(target);
 	}
 
+	/**
+	 * Closes the connections to all other targets once their requests have ended.
+	 *
+	 * @param bundle - The bundle whose targets are kept.
+	 */
+	retain({services}: Pick<Bundle, 'services'>): void {
+		const kept = new Set(
+			services.flatMap(({targets}) =>
+				targets.map((target) => getOrigin(target)),
+			),
+		);
+		this.#byTarget = new WeakMap();
+		for (const [origin, pool] of this.#pools) {
+			if (!kept.has(origin)) {
+				this.#pools.delete(origin);
+				void pool.close();
+			}
+		}
+	}
+
 	/** Closes all connections once their requests have ended. */
 	async close(): Promise<void> {
 		await Promise.all(
@@ -44,23 +64,19 @@
 	}
 
 	#findPool(target: Target): TargetConnections {
-		const origin = `http://${formatAddress(target.address)}:${target.port}`;
-		const pool = this.#pools.get(origin) ?? this.#makePool(origin, target);
+		const origin = getOrigin(target);
+		const pool =
+			this.#pools.get(origin) ??
+			new TargetConnections({...this.#options, origin});
+		pool.fleetLimit = target.connections;
 		this.#pools.set(origin, pool);
 		this.#byTarget.set(target, pool);
 		return pool;
 	}
+}
 
-	#makePool(origin: string, target: Target): TargetConnections {
-		const {clock, localAddress, getHostCount} = this.#options;
-		return new TargetConnections({
-			clock,
-			origin,
-			localAddress,
-			getLimit: () =>
-				Math.max(1, Math.floor(target.connections / getHostCount())),
-		});
-	}
+function getOrigin({address, port}: Target): string {
+	return `http://${formatAddress(address)}:${port}`;
 }
 
 function formatAddress(address: string): string {
--- a/packages/daemon/src/upstream/target-connections.ts
+++ b/packages/daemon/src/upstream/target-connections.ts
@@ -6,8 +6,8 @@
 /** What the connections are made from. */
 export type TargetConnectionsOptions = ConnectionOptions & {
 	readonly clock: Clock;
-	/** How many connections this host may hold to the target. */
-	readonly getLimit: () => number;
+	/** How many entry hosts share the target's connections. */
+	readonly getHostCount: () => number;
 };
 
 const freshMs = 1000;
@@ -26,6 +26,8 @@
  * several requests that began later were answered on others.
  */
 export class TargetConnections {
+	/** How many connections the target bears from all hosts together. */
+	fleetLimit = 1;
 	readonly #options: TargetConnectionsOptions;
 	/** The newest answer is last. */
 	readonly #idle: Connection[] = [];
@@ -119,7 +121,7 @@
 			return newest;
 		}
 
-		if (this.size >= this.#options.getLimit()) {
+		if (this.size >= this.#getLimit()) {
 			const oldest = this.#idle.shift();
 			if (oldest === undefined) {
 				return this.#getLeastBusy();
@@ -131,6 +133,11 @@
 		return new Connection(this.#options);
 	}
 
+	#getLimit(): number {
+		const share = Math.floor(this.fleetLimit / this.#options.getHostCount());
+		return Math.max(1, share);
+	}
+
 	#isFresh(connection: Connection): boolean {
 		const sinceMs =
 			this.#options.clock.monotonicMs() - (connection.answeredAtMs ?? 0);
--- a/packages/daemon/test/upstream/target-connections.test.ts
+++ b/packages/daemon/test/upstream/target-connections.test.ts
@@ -15,8 +15,9 @@
 		clock,
 		origin: 'http://127.0.0.1:9',
 		localAddress: '127.0.0.1',
-		getLimit: () => limit,
+		getHostCount: () => 1,
 	});
+	connections.fleetLimit = limit;
 	return {clock, connections};
 }
 
