--- a/packages/proofs/src/index.ts
+++ b/packages/proofs/src/index.ts
@@ -11,3 +11,5 @@
 } from './history/history.js';
 export {inForceWithinMs, type Breach, type Rule} from './rules/breach.js';
 export {checkHistory} from './rules/check-history.js';
+export {RecordedRun} from './run/recorded-run.js';
+export {makeProofLoad} from './run/proof-load.js';
--- a/packages/standins/src/cluster/cluster.ts
+++ b/packages/standins/src/cluster/cluster.ts
@@ -30,7 +30,7 @@
 
 const distFolder = path.join(
 	path.dirname(fileURLToPath(import.meta.url)),
-	'..',
+	'../../dist',
 );
 const daemonFile = path.join(
 	distFolder,
@@ -90,15 +90,27 @@
 	 * Rolls a bundle with the next version.
 	 *
 	 * @param out - The data centres that are out.
+	 * @param leaving - The targets that the bundle no longer has.
+	 * @returns The version.
 	 */
-	roll(out: readonly string[] = []): void {
+	roll(out: readonly string[] = [], leaving: readonly string[] = []): number {
 		this.#version++;
-		const {deployment} = this.#options;
-		const {targets} = this;
-		this.operators.roll(
-			this.platform,
-			makeBundle({deployment, targets, version: this.#version, out}),
-		);
+		this.#publish(out, leaving);
+		return this.#version;
+	}
+
+	/**
+	 * Rolls two bundles with one next version, as two operators at once do.
+	 *
+	 * @param first - The data centres that are out in the first bundle.
+	 * @param second - The data centres that are out in the second bundle.
+	 * @returns The version of both.
+	 */
+	rollTwice(first: readonly string[], second: readonly string[]): number {
+		this.#version++;
+		this.#publish(first, []);
+		this.#publish(second, []);
+		return this.#version;
 	}
 
 	/**
@@ -164,10 +176,16 @@
 		this.#spawn(place.host, [daemonFile, '--settings', file]);
 	}
 
-	/** Waits until every entry host is ready. */
-	async waitUntilReady(): Promise<void> {
+	/**
+	 * Waits until entry hosts are ready.
+	 *
+	 * @param places - The hosts; all if absent.
+	 */
+	async waitUntilReady(places = this.entries): Promise<void> {
 		await Promise.all(
-			this.balanced.map(async ({readyUrl}) => waitForReady(readyUrl)),
+			places.map(async ({address}) =>
+				waitForReady(`http://${address}:${ports.operators}/ready`),
+			),
 		);
 	}
 
@@ -190,6 +208,15 @@
 		fs.rmSync(this.folder, {recursive: true, force: true});
 	}
 
+	#publish(out: readonly string[], leaving: readonly string[]): void {
+		const {deployment} = this.#options;
+		const targets = this.targets.filter(({id}) => !leaving.includes(id));
+		this.operators.roll(
+			this.platform,
+			makeBundle({deployment, targets, version: this.#version, out}),
+		);
+	}
+
 	async #startAll(): Promise<void> {
 		await this.platform.listen(this.#plan.platform);
 		this.platform.setHosts(
