Answer by the table also on a connection that outlives the close

Cause: fastify answers calls on kept connections with a 503 of its own once the server closes; it has no error kind and no run state.

--- a/packages/daemon/src/http/caller-server.ts
+++ b/packages/daemon/src/http/caller-server.ts
@@ -49,6 +49,7 @@
 		exposeHeadRoutes: false,
 		requestTimeout: 0,
 		forceCloseConnections: 'idle',
+		return503OnClosing: false,
 		http: {
 			maxHeaderSize: options.headerBytes,
 			headersTimeout: headTimeoutMs,
