--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -15,6 +15,7 @@
 export {makeBundle, type BundlePlan} from './deployment/make-bundle.js';
 export {
 	PlatformStandin,
+	type PlatformRead,
 	type StandinHost,
 } from './platform/platform-standin.js';
 export {makeTargets, type TargetsPlan} from './target/make-targets.js';
@@ -48,6 +49,10 @@
 export {runLoad, type CallSink} from './load/run-load.js';
 export {Cluster, type ClusterOptions} from './cluster/cluster.js';
 export {Child} from './cluster/child.js';
+export {
+	getEntrySettings,
+	type EntrySettingsPlan,
+} from './cluster/entry-settings.js';
 export {OperatorDesk} from './cluster/operator-desk.js';
 export {
 	countRunTwice,
--- a/packages/standins/src/platform/platform-standin.ts
+++ b/packages/standins/src/platform/platform-standin.ts
@@ -21,6 +21,13 @@
 	readonly state: 'live' | 'leaving';
 };
 
+/** A read of the platform and its answer, for golden files. */
+export type PlatformRead = {
+	readonly path: string;
+	readonly status: number;
+	readonly body: string;
+};
+
 type ReadQuery = {
 	readonly after?: string;
 	readonly wait?: string;
@@ -41,6 +48,8 @@
 	hostListLagMs = 0;
 	/** The IP numbers of readers that get no answer at all. */
 	readonly cutReaders = new Set<string>();
+	/** Takes each read as it is answered. */
+	onRead: (read: PlatformRead) => void = () => undefined;
 	readonly #server: FastifyInstance;
 	readonly #published = new Published();
 	readonly #watchers = new Set<() => void>();
@@ -49,6 +58,10 @@
 	/** Makes the stand-in; it does not listen yet. */
 	constructor() {
 		this.#server = fastify({logger: false, forceCloseConnections: true});
+		this.#server.addHook('onSend', async (request, reply, payload) => {
+			const body = typeof payload === 'string' ? payload : '';
+			this.onRead({path: request.url, status: reply.statusCode, body});
+		});
 		this.#server.get<{Params: {name: string}; Querystring: ReadQuery}>(
 			'/v1/values/:name',
 			async (request, reply) =>
@@ -214,7 +227,7 @@
 				}
 			};
 
-			const timer = setTimeout(finish, waitMs);
+			const timer = setTimeout(finish, waitMs).unref();
 			this.#watchers.add(wake);
 		});
 	}
