--- a/packages/standins/src/cluster/entry-settings.ts
+++ b/packages/standins/src/cluster/entry-settings.ts
@@ -21,7 +21,8 @@
 	readonly trusted: readonly TrustedSigner[];
 	readonly threshold: number;
 	readonly token: string;
-	readonly certificate: CertificateFiles;
+	/** The host's certificate for peers; a host alone has none. */
+	readonly certificate?: CertificateFiles;
 	/** How targets are chosen; the default of the daemon if absent. */
 	readonly choice?: string;
 };
@@ -41,7 +42,9 @@
 		dataCentre: place.dataCentre,
 		callers: {address, port: ports.callers},
 		operators: {address, port: ports.operators, token},
-		peers: {address, port: ports.peers, ...certificate},
+		...(certificate !== undefined && {
+			peers: {address, port: ports.peers, ...certificate},
+		}),
 		platform: {addresses: [`http://${platform.address}:${platform.port}`]},
 		trust: {threshold, keys: trusted},
 		...(choice !== undefined && {decisions: {choice}}),
