--- a/packages/decisions/src/target/target-roster.ts
+++ b/packages/decisions/src/target/target-roster.ts
@@ -1,12 +1,12 @@
 /** The targets of a service: which of them may take a call now. */
 
-import type {Target} from '@bilberryscale/bundle';
 import type {RandomSource, TargetId} from '@bilberryscale/core';
 import type {TargetChoice} from '../choice/target-choice.js';
 import {loneFleet, type FleetView} from '../fleet/fleet-view.js';
 import {BinaryHeap} from '../utils/binary-heap.js';
 import {IndexedSet} from '../utils/indexed-set.js';
 import type {Outcome} from './outcome.js';
+import type {RosterEntry} from './roster-entries.js';
 import {ServiceAverages} from './service-averages.js';
 import {TargetJudge, type TargetAudit} from './target-judge.js';
 import {TargetState} from './target-state.js';
@@ -18,13 +18,6 @@
 	readonly audit: TargetAudit;
 };
 
-/** A target and how the bundle and this host stand to it. */
-export type RosterEntry = {
-	readonly target: Target;
-	readonly isInService: boolean;
-	readonly roundTripMs: number;
-};
-
 type Wake = {
 	readonly state: TargetState;
 	readonly atMs: number;
@@ -61,11 +54,6 @@
 		return this.#inServiceCount;
 	}
 
-	/** Gets whether any target may take a call now. */
-	get hasAvailable(): boolean {
-		return this.#available.size > 0;
-	}
-
 	/**
 	 * Takes over the targets of a bundle; the state of kept targets stays.
 	 *
@@ -123,16 +111,7 @@
 	 */
 	take(tried: readonly TargetId[], nowMs: number): TargetState | undefined {
 		const avoided = this.#avoid(tried);
-		const candidates = this.#available.items;
-		const chosen =
-			candidates.length === 0
-				? undefined
-				: this.#options.chooseTarget({
-						candidates,
-						averages: this.averages,
-						random: this.#options.random,
-						nowMs,
-					});
+		const chosen = this.#choose(nowMs);
 		for (const state of avoided) {
 			this.#available.add(state);
 		}
@@ -180,6 +159,25 @@
 		return this.#wakes.peek()?.atMs;
 	}
 
+	/** Chooses among the available targets; silent ones may leave them. */
+	#choose(nowMs: number): TargetState | undefined {
+		const {chooseTarget, random} = this.#options;
+		const {averages} = this;
+		for (;;) {
+			const candidates = this.#available.items;
+			if (candidates.length === 0) {
+				return undefined;
+			}
+
+			const chosen = chooseTarget({candidates, averages, random, nowMs});
+			if (!this.#judge.suspectSilent(chosen, nowMs)) {
+				return chosen;
+			}
+
+			this.#refresh(chosen, nowMs);
+		}
+	}
+
 	/** Takes the tried targets out of the choice, unless all were tried. */
 	#avoid(tried: readonly TargetId[]): TargetState[] {
 		if (tried.length === 0 || tried.length >= this.#inServiceCount) {
