--- a/packages/daemon/src/http/caller-server.ts
+++ b/packages/daemon/src/http/caller-server.ts
@@ -111,7 +111,13 @@
 		return;
 	}
 
-	const isLast = failure !== undefined || getClosedFailure() !== undefined;
+	const isClosed = () => getClosedFailure() !== undefined;
+	response.once('finish', () => {
+		if (isClosed()) {
+			request.socket.end();
+		}
+	});
+	const isLast = failure !== undefined || isClosed();
 	writeAnswer({request, response, requestId, answer, isLast, clock});
 }
 
--- a/packages/proofs/src/index.ts
+++ b/packages/proofs/src/index.ts
@@ -11,3 +11,7 @@
 } from './history/history.js';
 export {inForceWithinMs, type Breach, type Rule} from './rules/breach.js';
 export {checkHistory} from './rules/check-history.js';
+export {RecordedRun} from './run/recorded-run.js';
+export {makeProofLoad, usualResending} from './run/proof-load.js';
+export {readGoldenFile, writeGoldenFile} from './golden/golden-file.js';
+export {playSession, sessions, type SessionScript} from './golden/sessions.js';
