Serve on while the balancer learns that a host leaves

Ruled out: answers under way, which were all finished.

Change: on SIGTERM a host stops being ready, serves on for limits.leaveMs (2 s by default), then takes no more work. The run under test now lasts 12 s, so that all three replacements fall under load. The golden files hide a measured time to come back (110 ms in one run, 112 in another) and the length that follows from it; the times from the table stay compared.

--- a/packages/daemon/src/context/entry-host.ts
+++ b/packages/daemon/src/context/entry-host.ts
@@ -70,6 +70,7 @@
 	readonly #fleetFeed;
 	readonly #callers;
 	readonly #operators;
+	#isLeaving = false;
 	#isShuttingDown = false;
 	readonly #auditSink: AuditSink = (event) => {
 		this.#audit.add(event);
@@ -200,11 +201,17 @@
 		this.#watch.refresh();
 	}
 
-	/** Stops taking work, finishes every request and closes. */
+	/**
+	 * Stops being ready, serves on until the balancer knows, finishes every
+	 * request and closes.
+	 */
 	async stop(): Promise<void> {
+		this.#isLeaving = true;
+		this.#auditShutdown('not ready any more');
+		this.#fleet.leave();
+		await this.#waitForBalancer();
 		this.#isShuttingDown = true;
 		this.#auditShutdown('no new work is taken');
-		this.#fleet.leave();
 		this.#watch.stop();
 		await this.#callers.close();
 		await this.#fleet.close();
@@ -216,6 +223,18 @@
 		await this.#operators.close();
 	}
 
+	async #waitForBalancer(): Promise<void> {
+		const {clock, loaded} = this.#options;
+		const {leaveMs} = loaded.settings.limits;
+		if (leaveMs === 0) {
+			return;
+		}
+
+		await new Promise<void>((resolve) => {
+			clock.schedule(leaveMs, resolve);
+		});
+	}
+
 	#makeFleet(parts: PipelineParts): Fleet {
 		const pipeline = makeKeyedPipeline({
 			...parts,
@@ -264,7 +283,7 @@
 			host,
 			incarnation: this.#incarnation,
 			dataCentre,
-			isReady: this.#getClosedFailure() === undefined,
+			isReady: !this.#isLeaving && this.#getClosedFailure() === undefined,
 			bundleVersion: this.#store.bundle?.version,
 			bundleDigest: this.#store.rank?.digest,
 			dataCentresOut: (this.#store.bundle?.dataCentres ?? [])
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -7,6 +7,7 @@
 
 const maxPort = 65_535;
 const defaultHeaderBytes = 16_384;
+const defaultLeaveMs = 2000;
 const defaultShutdownMs = 30_000;
 const defaultBodyIdleMs = 5000;
 
@@ -56,11 +57,13 @@
 		.strictObject({
 			headerBytes: z.int().positive().default(defaultHeaderBytes),
 			bodyIdleMs: z.int().positive().default(defaultBodyIdleMs),
+			leaveMs: z.int().nonnegative().default(defaultLeaveMs),
 			shutdownMs: z.int().positive().default(defaultShutdownMs),
 		})
 		.default({
 			headerBytes: defaultHeaderBytes,
 			bodyIdleMs: defaultBodyIdleMs,
+			leaveMs: defaultLeaveMs,
 			shutdownMs: defaultShutdownMs,
 		}),
 });
--- a/packages/proofs/src/golden/normalise.ts
+++ b/packages/proofs/src/golden/normalise.ts
@@ -1,5 +1,6 @@
 /** Replaces what differs from run to run, so that sessions can be compared. */
 
+import {answerTable, type ErrorKind} from '@bilberryscale/core';
 import type {RecordedExchange} from './recorded-exchange.js';
 
 type Replacement = {
@@ -9,6 +10,12 @@
 	readonly isNumbered: boolean;
 };
 
+/** What a refusal says that is looked at here. */
+type Refusal = {
+	readonly kind: ErrorKind;
+	readonly retryAfterMs: number;
+};
+
 const notModified = 304;
 const longText = 1500;
 const shownText = 40;
@@ -48,7 +55,9 @@
 	const lines = exchanges
 		.filter((exchange) => !isEndOfWatch(exchange))
 		.map((exchange) =>
-			shorten(replaceAll(JSON.stringify(exchange, hideTime), names)),
+			shorten(
+				replaceAll(JSON.stringify(hideMeasuredTime(exchange), hideTime), names),
+			),
 		);
 	return lines.filter((line, index) => !isRepeatedRead(line, lines[index - 1]));
 }
@@ -58,6 +67,26 @@
 	return typeof answer !== 'string' && answer.status === notModified;
 }
 
+/** Hides when to come back where it was measured, not read from the table. */
+function hideMeasuredTime(exchange: RecordedExchange): RecordedExchange {
+	const {answer} = exchange;
+	if (typeof answer === 'string' || !answer.body.includes('retryAfterMs')) {
+		return exchange;
+	}
+
+	const {kind, retryAfterMs} = JSON.parse(answer.body) as Refusal;
+	if (retryAfterMs === answerTable[kind].retryAfterMs) {
+		return exchange;
+	}
+
+	const body = answer.body.replace(
+		`"retryAfterMs":${retryAfterMs}`,
+		'"retryAfterMs":"<milliseconds>"',
+	);
+	const headers = {...answer.headers, 'content-length': '<bytes>'};
+	return {...exchange, answer: {...answer, headers, body}};
+}
+
 function hideTime(key: string, value: unknown): unknown {
 	return key === timeoutHeader && typeof value === 'string'
 		? '<milliseconds>'
--- a/packages/proofs/src/golden/session.ts
+++ b/packages/proofs/src/golden/session.ts
@@ -87,6 +87,7 @@
 			trusted: this.#operators.trusted,
 			threshold: 2,
 			token,
+			leaveMs: 0,
 		});
 		this.#host = new EntryHost({
 			loaded: parseSettings(
--- a/packages/proofs/test/run/faults.test.ts
+++ b/packages/proofs/test/run/faults.test.ts
@@ -37,7 +37,7 @@
 
 describe('faults on real processes', () => {
 	it('loses no answer while every host is replaced in turn', async () => {
-		const history = await withRun(6000, async (run) => {
+		const history = await withRun(12_000, async (run) => {
 			for (const place of run.cluster.entries) {
 				await run.replaceHost(place);
 			}
--- a/packages/standins/src/cluster/cluster.ts
+++ b/packages/standins/src/cluster/cluster.ts
@@ -40,6 +40,7 @@
 	'../../daemon/dist/bin/bilberryscaled.js',
 );
 const operatorToken = 'operators-of-this-run';
+const entryLeaveMs = 1000;
 const readyPollMs = 50;
 const readyTimeoutMs = 20_000;
 const stopTimeoutMs = 20_000;
@@ -170,6 +171,7 @@
 	 */
 	startEntry(place: EntryPlace): void {
 		const settings = getEntrySettings({
+			leaveMs: entryLeaveMs,
 			place,
 			platform: this.#plan.platform,
 			trusted: this.operators.trusted,
--- a/packages/standins/src/cluster/entry-settings.ts
+++ b/packages/standins/src/cluster/entry-settings.ts
@@ -23,6 +23,8 @@
 	readonly token: string;
 	/** The host's certificate for peers; a host alone has none. */
 	readonly certificate?: CertificateFiles;
+	/** How long a leaving host serves on, in milliseconds. */
+	readonly leaveMs?: number;
 	/** How targets are chosen; the default of the daemon if absent. */
 	readonly choice?: string;
 };
@@ -34,8 +36,8 @@
  * @returns The settings in TOML.
  */
 export function getEntrySettings(plan: EntrySettingsPlan): string {
-	const {place, platform, trusted, threshold, token, certificate, choice} =
-		plan;
+	const {place, platform, trusted, threshold, token, certificate} = plan;
+	const {choice, leaveMs} = plan;
 	const {address} = place;
 	return stringify({
 		host: place.host,
@@ -47,6 +49,7 @@
 		}),
 		platform: {addresses: [`http://${platform.address}:${platform.port}`]},
 		trust: {threshold, keys: trusted},
+		...(leaveMs !== undefined && {limits: {leaveMs}}),
 		...(choice !== undefined && {decisions: {choice}}),
 	});
 }
