Serve the platform by a gateway that asks targets just before it sends

Cause: nothing of the product ran on the users' platform. The caller server takes header names, an idle time and a leaving state, and closes a connection only with the answer to its newest request.

--- a/packages/daemon/src/http/caller-connections.ts
+++ b/packages/daemon/src/http/caller-connections.ts
@@ -17,6 +17,8 @@
 	response: ServerResponse;
 	/** Whether the bytes after the newest request are not HTTP. */
 	isBroken: boolean;
+	/** Whether an answer that closes the connection was written. */
+	isClosing: boolean;
 };
 
 /** Knows which connections wait for answers, so that none is cut or crossed. */
@@ -28,18 +30,45 @@
 	 *
 	 * @param request - The request.
 	 * @param response - The answer to come.
+	 * @returns Whether the connection still takes calls.
 	 */
-	begin(request: IncomingMessage, response: ServerResponse): void {
+	begin(request: IncomingMessage, response: ServerResponse): boolean {
 		const calls = this.#calls.get(request.socket);
 		if (calls === undefined) {
-			const first = {count: 1, request, response, isBroken: false};
-			this.#calls.set(request.socket, first);
-			return;
+			this.#calls.set(request.socket, {
+				count: 1,
+				request,
+				response,
+				isBroken: false,
+				isClosing: false,
+			});
+			return true;
+		}
+
+		if (calls.isClosing) {
+			return false;
 		}
 
 		calls.count++;
 		calls.request = request;
 		calls.response = response;
+		return true;
+	}
+
+	/**
+	 * Closes the connection with the answer of a call, if no call came after it.
+	 *
+	 * @param request - The request of the call.
+	 * @returns Whether the answer closes the connection.
+	 */
+	closeAfter(request: IncomingMessage): boolean {
+		const calls = this.#calls.get(request.socket);
+		if (calls === undefined || calls.request !== request) {
+			return false;
+		}
+
+		calls.isClosing = true;
+		return true;
 	}
 
 	/**
--- a/packages/daemon/src/http/caller-server.ts
+++ b/packages/daemon/src/http/caller-server.ts
@@ -4,7 +4,6 @@
 import type {Socket} from 'node:net';
 import {Readable} from 'node:stream';
 import {
-	callerHeaders,
 	makeId,
 	notRun,
 	perhapsRun,
@@ -14,30 +13,43 @@
 } from '@bilberryscale/core';
 import {fastify, type FastifyInstance} from 'fastify';
 import {uuidv7} from 'uuidv7';
-import type {Log} from '../logging/make-logger.js';
 import {Exchange, type Answer} from '../pipeline/exchange.js';
 import type {Pipeline} from '../pipeline/filter.js';
 import {CallerConnections, writeRefusal} from './caller-connections.js';
+import {ownProtocol, type CallerProtocol} from './caller-protocol.js';
 import {getRequestFailure} from './check-request.js';
 import {addIssuedKey, scopeToKey} from './key-scope.js';
 import {getProblemAnswer} from './problem.js';
 import {writeAnswer} from './write-answer.js';
 
+/** Takes what should not happen. */
+export type CallerServerLog = {
+	error(message: string, fields: Readonly<Record<string, unknown>>): unknown;
+};
+
 /** What the server works with. */
 export type CallerServerOptions = {
 	readonly pipeline: Pipeline;
 	readonly clock: Clock;
-	readonly log: Log;
+	readonly log: CallerServerLog;
 	/** The largest head of a request, in bytes. */
 	readonly headerBytes: number;
 	/** How long the head of a request may take, in milliseconds. */
 	readonly headTimeoutMs?: number;
 	/** Why no work is taken now; undefined while it is. */
 	readonly getClosedFailure: () => Failure | undefined;
+	/** Whether connections close with their next answer, as the host leaves. */
+	readonly isLeaving?: () => boolean;
+	/** How long a connection may be idle, in milliseconds. */
+	readonly idleTimeoutMs?: number;
+	/** The names and the form of headers. */
+	readonly protocol?: CallerProtocol;
 };
 
 const defaultHeadTimeoutMs = 10_000;
 const headChecksPerTimeout = 10;
+/** The default of Fastify. */
+const defaultIdleTimeoutMs = 72_000;
 const requestIdPattern = /^[\w\-]{1,64}$/v;
 
 /**
@@ -55,6 +67,7 @@
 		logger: false,
 		exposeHeadRoutes: false,
 		requestTimeout: 0,
+		keepAliveTimeout: options.idleTimeoutMs ?? defaultIdleTimeoutMs,
 		return503OnClosing: false,
 		forceCloseConnections: 'idle',
 		rewriteUrl: () => '/',
@@ -90,8 +103,11 @@
 	connections: CallerConnections,
 	options: CallerServerOptions,
 ): Promise<void> {
-	const {clock, getClosedFailure} = options;
-	connections.begin(request, response);
+	const {clock, getClosedFailure, isLeaving, protocol = ownProtocol} = options;
+	if (!connections.begin(request, response)) {
+		return;
+	}
+
 	const controller = new AbortController();
 	response.once('close', () => {
 		connections.end(request.socket);
@@ -99,36 +115,38 @@
 			controller.abort();
 		}
 	});
-	const exchange = makeExchange(request, clock, controller.signal);
+	const exchange = makeExchange(request, options, controller.signal);
 	const {requestId} = exchange.incoming;
 	const failure = getRequestFailure(request);
 	const answer =
 		failure === undefined
 			? await getAnswer(exchange, options)
-			: getProblemAnswer(failure, requestId);
+			: getProblemAnswer(failure, requestId, protocol);
 	if (response.destroyed || controller.signal.aborted) {
 		discard(answer);
 		return;
 	}
 
-	const isClosed = () => getClosedFailure() !== undefined;
+	const isClosed = () =>
+		getClosedFailure() !== undefined || isLeaving?.() === true;
 	response.once('finish', () => {
-		if (isClosed()) {
+		if (isClosed() && connections.closeAfter(request)) {
 			request.socket.end();
 		}
 	});
-	const isLast = failure !== undefined || isClosed();
-	writeAnswer({request, response, requestId, answer, isLast, clock});
+	const mustClose = failure !== undefined || isClosed() || !request.complete;
+	const isLast = mustClose && connections.closeAfter(request);
+	writeAnswer({request, response, requestId, answer, isLast, clock, protocol});
 }
 
 function makeExchange(
 	request: IncomingMessage,
-	clock: Clock,
+	{clock, protocol = ownProtocol}: CallerServerOptions,
 	signal: AbortSignal,
 ): Exchange {
 	const {originalUrl} = request as IncomingMessage & {originalUrl?: string};
 	return new Exchange({
-		requestId: getRequestId(request),
+		requestId: getRequestId(request, protocol),
 		method: request.method ?? 'GET',
 		url: originalUrl ?? '/',
 		headers: request.headers,
@@ -138,8 +156,11 @@
 	});
 }
 
-function getRequestId(request: IncomingMessage): RequestId {
-	const given = request.headers[callerHeaders.requestId];
+function getRequestId(
+	request: IncomingMessage,
+	{requestIdHeader}: CallerProtocol,
+): RequestId {
+	const given = request.headers[requestIdHeader];
 	const isUsable = typeof given === 'string' && requestIdPattern.test(given);
 	return makeId<RequestId>(isUsable ? given : uuidv7());
 }
@@ -149,24 +170,27 @@
 	options: CallerServerOptions,
 ): Promise<Answer> {
 	const {requestId} = exchange.incoming;
+	const refuse = (failure: Failure) =>
+		getProblemAnswer(
+			scopeToKey(failure, exchange),
+			requestId,
+			options.protocol,
+		);
 	const closed = options.getClosedFailure();
 	if (closed !== undefined) {
-		return getProblemAnswer(scopeToKey(closed, exchange), requestId);
+		return refuse(closed);
 	}
 
 	try {
 		const result = await options.pipeline(exchange);
-		const answer = result.isOk()
-			? result.value
-			: getProblemAnswer(scopeToKey(result.error, exchange), requestId);
+		const answer = result.isOk() ? result.value : refuse(result.error);
 		return addIssuedKey(answer, exchange);
 	} catch (error) {
 		options.log.error('call failed inside the host', {
 			requestId,
 			cause: (error as Error).stack,
 		});
-		const unforeseen = perhapsRun('internal', 'The entry host failed.');
-		return getProblemAnswer(unforeseen, requestId);
+		return refuse(perhapsRun('internal', 'The entry host failed.'));
 	}
 }
 
@@ -181,11 +205,12 @@
 function refuseExpectation(
 	request: IncomingMessage,
 	response: ServerResponse,
-	{clock}: CallerServerOptions,
+	{clock, protocol = ownProtocol}: CallerServerOptions,
 ): void {
-	const requestId = getRequestId(request);
+	const requestId = getRequestId(request, protocol);
 	const expected = String(request.headers.expect);
 	const failure = notRun('bad-request', `"${expected}" cannot be met.`);
-	const answer = getProblemAnswer(failure, requestId);
-	writeAnswer({request, response, requestId, answer, isLast: true, clock});
+	const answer = getProblemAnswer(failure, requestId, protocol);
+	const isLast = true;
+	writeAnswer({request, response, requestId, answer, isLast, clock, protocol});
 }
--- a/packages/daemon/src/http/problem.ts
+++ b/packages/daemon/src/http/problem.ts
@@ -3,27 +3,27 @@
 import {Buffer} from 'node:buffer';
 import {
 	answerTable,
-	callerHeaders,
 	type Failure,
 	type RequestId,
 } from '@bilberryscale/core';
 import type {Answer} from '../pipeline/exchange.js';
+import {ownProtocol, type CallerProtocol} from './caller-protocol.js';
 
 /** An answer whose body is at hand. */
 export type ProblemAnswer = Answer & {readonly body: Buffer};
 
-const msPerSecond = 1000;
-
 /**
  * Gets the answer for a failure, from the one table.
  *
  * @param failure - Why the request was not served.
  * @param requestId - Names the call.
+ * @param protocol - The names and the form of headers.
  * @returns The answer.
  */
 export function getProblemAnswer(
 	failure: Failure,
 	requestId: RequestId,
+	protocol: CallerProtocol = ownProtocol,
 ): ProblemAnswer {
 	const {status, title, retryAfterMs: usualMs} = answerTable[failure.kind];
 	const retryAfterMs = failure.retryAfterMs ?? usualMs;
@@ -43,10 +43,10 @@
 		headers: {
 			'content-type': 'application/problem+json',
 			'content-length': String(body.length),
-			[callerHeaders.runState]: failure.ran,
-			[callerHeaders.requestId]: requestId,
+			[protocol.runStateHeader]: failure.ran,
+			[protocol.requestIdHeader]: requestId,
 			...(retryAfterMs !== undefined && {
-				'retry-after': String(Math.ceil(retryAfterMs / msPerSecond)),
+				'retry-after': protocol.formatRetryAfter(retryAfterMs),
 			}),
 		},
 		body,
--- a/packages/daemon/src/http/write-answer.ts
+++ b/packages/daemon/src/http/write-answer.ts
@@ -3,12 +3,12 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {Readable, pipeline as pipeStreams} from 'node:stream';
 import {
-	callerHeaders,
 	perhapsRun,
 	type Clock,
 	type RequestId,
 } from '@bilberryscale/core';
 import type {Answer} from '../pipeline/exchange.js';
+import type {CallerProtocol} from './caller-protocol.js';
 import {getReturnedHeaders} from './forwarded-headers.js';
 import {getProblemAnswer} from './problem.js';
 
@@ -21,6 +21,7 @@
 	/** Whether the connection closes after the answer. */
 	readonly isLast: boolean;
 	readonly clock: Clock;
+	readonly protocol: CallerProtocol;
 };
 
 const lingerMs = 1000;
@@ -57,9 +58,9 @@
  * @returns False if they could not be written and a refusal was sent instead.
  */
 function writeHead(delivery: AnswerDelivery): boolean {
-	const {request, response, answer, requestId, isLast} = delivery;
+	const {request, response, answer, requestId, isLast, protocol} = delivery;
 	const headers = getReturnedHeaders(answer.headers);
-	headers[callerHeaders.requestId] = requestId;
+	headers[protocol.requestIdHeader] = requestId;
 	if (isLast || !request.complete) {
 		headers.connection = 'close';
 	}
@@ -74,7 +75,7 @@
 }
 
 function refuseHead(delivery: AnswerDelivery, error: Error): void {
-	const {response, answer, requestId} = delivery;
+	const {response, answer, requestId, protocol} = delivery;
 	if (answer.body instanceof Readable) {
 		answer.body.on('error', () => undefined);
 		answer.body.destroy();
@@ -83,6 +84,7 @@
 	const problem = getProblemAnswer(
 		perhapsRun('target-failed', `The answer is not HTTP: ${error.message}`),
 		requestId,
+		protocol,
 	);
 	response.writeHead(problem.status, problem.headers);
 	response.end(problem.body);
--- a/packages/daemon/src/logging/make-logger.ts
+++ b/packages/daemon/src/logging/make-logger.ts
@@ -19,6 +19,9 @@
 	readonly fields?: unknown;
 };
 
+/** Which host logs, and from which level on. */
+export type LogOptions = Pick<Settings, 'host' | 'logs'>;
+
 const levelNumbers = {debug: 2, info: 3, warn: 4, error: 5} as const;
 
 /**
@@ -30,7 +33,7 @@
  * @returns The log.
  */
 export function makeLogger(
-	settings: Settings,
+	settings: LogOptions,
 	incarnation: string,
 	write: (line: string) => void = writeToStandardOutput,
 ): Log {
--- a/packages/daemon/src/pipeline/filters/read-body.ts
+++ b/packages/daemon/src/pipeline/filters/read-body.ts
@@ -15,8 +15,10 @@
 
 type BodyResult = Result<Buffer, Failure>;
 
-type BodyBounds = ReadBodyOptions & {
+/** The bounds of one body. */
+export type BodyBounds = ReadBodyOptions & {
 	readonly limitBytes: number;
+	/** When the body must be whole, on the monotonic clock. */
 	readonly deadlineMs: number;
 };
 
@@ -54,7 +56,7 @@
 }
 
 /** Reads one body within its bounds. */
-class BodyReader {
+export class BodyReader {
 	readonly #body: Readable;
 	readonly #bounds: BodyBounds;
 	readonly #chunks: Buffer[] = [];
@@ -63,11 +65,20 @@
 	#cancelTimer: () => void = () => undefined;
 	#resolve: (result: BodyResult) => void = () => undefined;
 
+	/**
+	 * @param body - The body.
+	 * @param bounds - Its bounds.
+	 */
 	constructor(body: Readable, bounds: BodyBounds) {
 		this.#body = body;
 		this.#bounds = bounds;
 	}
 
+	/**
+	 * Reads the body to its end.
+	 *
+	 * @returns The bytes, or which bound was passed.
+	 */
 	async read(): Promise<BodyResult> {
 		return new Promise((resolve) => {
 			this.#resolve = resolve;
--- /dev/null
+++ b/packages/gateway/src/choice/target-inquiry.ts
@@ -0,0 +1,157 @@
+/** Asks a target for its load just before a request is sent. */
+
+import {Buffer} from 'node:buffer';
+import type {Clock} from '@bilberryscale/core';
+import {
+	TargetRequest,
+	type Connection,
+	type TargetAnswer,
+} from '@bilberryscale/daemon';
+import type {TargetProtocol} from '../targets/target-protocol.js';
+import type {TargetState} from '../targets/target-state.js';
+
+/** What an inquiry works with. */
+export type TargetInquiryOptions = {
+	readonly state: TargetState;
+	readonly healthPath: string;
+	readonly protocol: TargetProtocol;
+	readonly clock: Clock;
+	/** Runs once, when the target has answered or will not. */
+	readonly onEnd: (inquiry: TargetInquiry) => void;
+};
+
+/** After this time without an answer a target counts as silent, in milliseconds. */
+const silenceMs = 120;
+/** How long a target is left alone after it was silent, in milliseconds. */
+const silentPauseMs = 600;
+/** How long a target is left alone after its address answered for another, in milliseconds. */
+const misplacedPauseMs = 1000;
+/** How long a target is left alone after it took no connection, in milliseconds. */
+const unreachablePauseMs = 250;
+
+/** One question to one target; it keeps the connection for a request to follow. */
+export class TargetInquiry {
+	readonly state: TargetState;
+	/** Whether the target has answered as itself. */
+	hasAnswered = false;
+	hasEnded = false;
+	readonly #options: TargetInquiryOptions;
+	readonly #request: TargetRequest;
+	#connection: Connection | undefined;
+	#cancelTimer: () => void = () => undefined;
+	#isReleased = false;
+
+	/**
+	 * @param options - Whom to ask.
+	 */
+	constructor(options: TargetInquiryOptions) {
+		this.state = options.state;
+		this.#options = options;
+		this.#request = new TargetRequest({
+			onAnswer: (answer) => {
+				this.#takeAnswer(answer);
+			},
+			onEnd: (error) => {
+				this.#end(error);
+			},
+		});
+	}
+
+	/** Sends the question. */
+	start(): void {
+		this.#connection = this.state.link.take();
+		if (this.#connection === undefined) {
+			this.hasEnded = true;
+			return;
+		}
+
+		this.#cancelTimer = this.#options.clock.schedule(silenceMs, () => {
+			this.#noteSilence();
+		});
+		this.#connection.dispatch(
+			{method: 'GET', path: this.#options.healthPath},
+			this.#request,
+		);
+	}
+
+	/**
+	 * Gives the connection to the request that follows.
+	 *
+	 * @returns The connection; undefined if the target has not answered on one.
+	 */
+	takeConnection(): Connection | undefined {
+		if (!this.hasAnswered || this.#isReleased) {
+			return undefined;
+		}
+
+		this.#isReleased = true;
+		return this.#connection;
+	}
+
+	/** Gives the connection back as soon as the question has ended. */
+	release(): void {
+		if (this.#isReleased) {
+			return;
+		}
+
+		this.#isReleased = true;
+		if (this.hasEnded && this.#connection !== undefined) {
+			this.state.link.giveBack(this.#connection, this.hasAnswered);
+		}
+	}
+
+	#takeAnswer({status, headers, body}: TargetAnswer): void {
+		if (!Buffer.isBuffer(body)) {
+			body.on('error', () => undefined);
+			body.resume();
+		}
+
+		const {protocol, clock} = this.#options;
+		const nowMs = clock.monotonicMs();
+		const {listed} = this.state;
+		const health = protocol.readHealth(status, headers, listed, nowMs);
+		if (health.answeredBy === listed.id) {
+			this.hasAnswered = true;
+			this.state.addHealth(health);
+			return;
+		}
+
+		if (health.answeredBy !== undefined) {
+			this.state.avoidUntilMs = nowMs + misplacedPauseMs;
+		}
+	}
+
+	#end(error: Error | undefined): void {
+		this.#cancelTimer();
+		const isFirst = !this.hasEnded;
+		this.hasEnded = true;
+		this.hasAnswered &&= error === undefined;
+		if (this.#isReleased && this.#connection !== undefined) {
+			this.state.link.giveBack(this.#connection, this.hasAnswered);
+		}
+
+		if (!isFirst) {
+			return;
+		}
+
+		if (error !== undefined && !(error instanceof SilenceError)) {
+			const nowMs = this.#options.clock.monotonicMs();
+			this.state.unansweredCount++;
+			this.state.avoidUntilMs = nowMs + unreachablePauseMs;
+		}
+
+		this.#options.onEnd(this);
+	}
+
+	#noteSilence(): void {
+		const nowMs = this.#options.clock.monotonicMs();
+		this.state.unansweredCount++;
+		this.state.avoidUntilMs = nowMs + silentPauseMs;
+		this.state.link.dropIdle();
+		this.#request.cancel(new SilenceError());
+	}
+}
+
+class SilenceError extends Error {
+	override readonly name = 'SilenceError';
+}
--- /dev/null
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -0,0 +1,259 @@
+/** The one context of a gateway process: it builds and owns all objects. */
+
+import {
+	makeSeededRandom,
+	notRun,
+	type Clock,
+	type Failure,
+} from '@bilberryscale/core';
+import {makeCallerServer, type CallerProtocol} from '@bilberryscale/daemon';
+import {CrashSuspects} from '@bilberryscale/decisions';
+import {TargetInquiry} from '../choice/target-inquiry.js';
+import {TargetPicker} from '../choice/target-picker.js';
+import {TextServer} from '../edge/text-server.js';
+import {KnowledgeFeed} from '../knowledge/knowledge-feed.js';
+import type {FactDecoder, PublishedReader} from '../knowledge/published-reader.js';
+import type {Knowledge} from '../plan/knowledge.js';
+import {RouteTable} from '../plan/route-table.js';
+import {SplitPicker} from '../plan/split-picker.js';
+import {CallJournal} from '../records/call-journal.js';
+import type {EventLog} from '../records/event-log.js';
+import {GatewayMetrics} from '../records/gateway-metrics.js';
+import {Relay, type PlanInForce} from '../relay/relay.js';
+import {SilenceWatch} from '../relay/silence-watch.js';
+import {WorkTimes} from '../relay/work-times.js';
+import {TargetBook} from '../targets/target-book.js';
+import type {TargetProtocol} from '../targets/target-protocol.js';
+import type {TargetState} from '../targets/target-state.js';
+import type {GatewaySettings} from './gateway-settings.js';
+
+/** What a gateway host is built from. */
+export type GatewayHostOptions = {
+	readonly settings: GatewaySettings;
+	readonly clock: Clock;
+	readonly seed: number;
+	readonly log: EventLog;
+	/** The store, or what stands for it. */
+	readonly store: PublishedReader;
+	readonly decode: FactDecoder;
+	readonly callerProtocol: CallerProtocol;
+	readonly targetProtocol: TargetProtocol;
+};
+
+/** A balancer asks once a second and gives a host up after two misses, in milliseconds. */
+const balancerNoticeMs = 2600;
+/** Left of the time for a stop when the last requests are cut, in milliseconds. */
+const stopReserveMs = 400;
+const pollMs = 50;
+/** Hosts are assumed to be so many until they are counted. */
+const assumedHostCount = 16;
+/** The largest head that any plan may allow, in bytes. */
+const mostHeaderBytes = 65_536;
+/** How long a connection may be idle if no plan says so, in milliseconds. */
+const idleTimeoutMs = 15_000;
+const okStatus = 200;
+const unavailableStatus = 503;
+
+/** A gateway host: its servers, its knowledge and its state. */
+export class GatewayHost {
+	readonly #options: GatewayHostOptions;
+	readonly #metrics = new GatewayMetrics();
+	readonly #feed;
+	readonly #book;
+	readonly #callers;
+	readonly #readiness;
+	readonly #metricsServer;
+	#plan: PlanInForce | undefined;
+	#targetCount = 0;
+	#openCalls = 0;
+	#isLeaving = false;
+	#isReady = false;
+
+	/**
+	 * @param options - The settings and what surrounds the host.
+	 */
+	constructor(options: GatewayHostOptions) {
+		this.#options = options;
+		const {clock, settings, log, decode, store} = options;
+		const random = makeSeededRandom(options.seed);
+		this.#feed = new KnowledgeFeed({
+			clock,
+			random,
+			log,
+			metrics: this.#metrics,
+			decode,
+			getReaders: () => [store],
+			onKnowledge: (knowledge) => {
+				this.#setKnowledge(knowledge);
+			},
+		});
+		const getHostCount = () => assumedHostCount;
+		this.#book = new TargetBook({
+			clock,
+			localAddress: settings.callers.address,
+			getHostCount,
+		});
+		const relay = this.#makeRelay(random, getHostCount);
+		this.#callers = makeCallerServer({
+			pipeline: async (exchange) => {
+				this.#openCalls++;
+				try {
+					return await relay.run(exchange);
+				} finally {
+					this.#openCalls--;
+				}
+			},
+			clock,
+			log: {
+				error(message: string, fields: Record<string, unknown>) {
+					log.warn(message, fields);
+				},
+			},
+			headerBytes: mostHeaderBytes,
+			idleTimeoutMs,
+			getClosedFailure: () => this.#getClosedFailure(),
+			isLeaving: () => this.#isLeaving,
+			protocol: options.callerProtocol,
+		});
+		this.#readiness = new TextServer(() => ({
+			status: this.#isReady ? okStatus : unavailableStatus,
+			contentType: 'text/plain',
+			text: this.#isReady ? 'ready\n' : 'not ready\n',
+		}));
+		this.#metricsServer = new TextServer(async () => ({
+			status: okStatus,
+			contentType: this.#metrics.contentType,
+			text: await this.#metrics.getText(),
+		}));
+	}
+
+	/** Starts to listen and to learn. */
+	async start(): Promise<void> {
+		const {settings, log} = this.#options;
+		log.writeState('process started', {dataCentre: settings.dataCentre});
+		await this.#readiness.listen(settings.readiness);
+		await this.#metricsServer.listen(settings.metrics);
+		const {address, port} = settings.callers;
+		await this.#callers.listen({host: address, port});
+		void this.#feed.run();
+	}
+
+	/**
+	 * Leaves: stops being ready, serves on until the balancer knows, finishes
+	 * every request and closes.
+	 */
+	async stop(): Promise<void> {
+		const {clock, settings, log} = this.#options;
+		const endMs = clock.monotonicMs() + settings.shutdownMs - stopReserveMs;
+		this.#isLeaving = true;
+		this.#isReady = false;
+		log.writeState('process stopping', {openCalls: this.#openCalls});
+		await this.#sleep(balancerNoticeMs);
+		this.#callers.server.close();
+		this.#callers.server.closeIdleConnections();
+		while (this.#openCalls > 0 && clock.monotonicMs() < endMs) {
+			await this.#sleep(pollMs);
+			this.#callers.server.closeIdleConnections();
+		}
+
+		await this.#sleep(pollMs);
+		log.writeState('process stopped', {openCalls: this.#openCalls});
+		this.#feed.stop();
+		this.#book.close();
+		this.#readiness.close();
+		this.#metricsServer.close();
+	}
+
+	#makeRelay(random: () => number, getHostCount: () => number): Relay {
+		const {clock, settings, log, targetProtocol} = this.#options;
+		const picker = new TargetPicker({
+			clock,
+			random,
+			book: this.#book,
+			protocol: targetProtocol,
+			dataCentre: settings.dataCentre,
+			questionsPerTargetSecond: settings.questionsPerTargetSecond,
+			getHostCount,
+		});
+		return new Relay({
+			clock,
+			picker,
+			splits: new SplitPicker(random),
+			workTimes: new WorkTimes(),
+			silenceWatch: new SilenceWatch({
+				clock,
+				ask: (state) => {
+					this.#ask(state);
+				},
+			}),
+			protocol: targetProtocol,
+			retryBound: settings.retryBound,
+			getHostCount,
+			getPlan: () => this.#plan,
+			journal: new CallJournal({
+				log,
+				metrics: this.#metrics,
+				getPlanVersion: () => this.#plan?.version,
+				getNowMs: () => clock.monotonicMs(),
+			}),
+			suspects: new CrashSuspects(),
+		});
+	}
+
+	#ask(state: TargetState): void {
+		const {clock, targetProtocol} = this.#options;
+		const plan = this.#book.getServicePlan(state.listed.service);
+		const inquiry = new TargetInquiry({
+			state,
+			healthPath: plan?.healthPath ?? '/',
+			protocol: targetProtocol,
+			clock,
+			onEnd: () => undefined,
+		});
+		inquiry.start();
+		inquiry.release();
+	}
+
+	#setKnowledge(knowledge: Knowledge): void {
+		const {plan, targets, emptied} = knowledge;
+		const {log} = this.#options;
+		this.#targetCount = targets.size;
+		this.#book.setKnowledge(knowledge);
+		if (plan !== undefined && plan.version !== this.#plan?.version) {
+			log.writeState('plan in force', {
+				version: plan.version,
+				former: this.#plan?.version,
+				routes: plan.routes.length,
+				targets: targets.size,
+				emptied: [...emptied],
+			});
+			this.#plan = {
+				version: plan.version,
+				table: new RouteTable(plan.routes),
+				limits: plan.limits,
+			};
+		}
+
+		const isReady =
+			!this.#isLeaving && this.#plan !== undefined && this.#targetCount > 0;
+		if (isReady !== this.#isReady) {
+			this.#isReady = isReady;
+			log.writeState(isReady ? 'ready' : 'not ready', {
+				version: this.#plan?.version,
+				targets: this.#targetCount,
+			});
+		}
+	}
+
+	#getClosedFailure(): Failure | undefined {
+		return this.#plan === undefined
+			? notRun('not-ready', 'This host has no plan yet.')
+			: undefined;
+	}
+
+	async #sleep(durationMs: number): Promise<void> {
+		await new Promise<void>((resolve) => {
+			this.#options.clock.schedule(durationMs, resolve);
+		});
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,27 @@
+/** The gateway: routes, choice of targets by asking, limits, knowledge. */
+
+export type {CallerProtocol} from '@bilberryscale/daemon';
+export {GatewayHost, type GatewayHostOptions} from './context/gateway-host.js';
+export type {Endpoint, GatewaySettings} from './context/gateway-settings.js';
+export type {
+	FactDecoder,
+	PublishedChange,
+	PublishedChanges,
+	PublishedFact,
+	PublishedReader,
+	ReadFault,
+} from './knowledge/published-reader.js';
+export type {ListedTarget, TargetLife} from './plan/listed-target.js';
+export type {
+	CallerLimits,
+	PlanVersion,
+	Route,
+	RouteName,
+	RoutePart,
+	RoutingPlan,
+	ServicePlan,
+} from './plan/routing-plan.js';
+export {EventLog} from './records/event-log.js';
+export {LineWriter} from './records/line-writer.js';
+export type {TargetProtocol} from './targets/target-protocol.js';
+export type {HealthReport, TargetReport} from './targets/target-report.js';
--- /dev/null
+++ b/packages/gateway/src/relay/relay.ts
@@ -0,0 +1,378 @@
+/** The way of a request from its route to its answer. */
+
+import type {Buffer} from 'node:buffer';
+import {
+	notRun,
+	perhapsRun,
+	type Clock,
+	type Failure,
+	type TargetId,
+} from '@bilberryscale/core';
+import {
+	BodyReader,
+	getRequestSignature,
+	type Exchange,
+	type FilterResult,
+} from '@bilberryscale/daemon';
+import {CrashSuspects} from '@bilberryscale/decisions';
+import {Err, Ok, type Result} from 'ts-results-es';
+import type {Pick, TargetPicker} from '../choice/target-picker.js';
+import {RetryAllowance, type RetryBound} from '../limits/retry-allowance.js';
+import type {RouteTable} from '../plan/route-table.js';
+import type {CallerLimits, Route} from '../plan/routing-plan.js';
+import type {SplitPicker} from '../plan/split-picker.js';
+import type {CallJournal} from '../records/call-journal.js';
+import type {TargetProtocol} from '../targets/target-protocol.js';
+import type {SendResult} from './send-result.js';
+import type {SilenceWatch} from './silence-watch.js';
+import {TargetSend} from './target-send.js';
+import type {WorkTimes} from './work-times.js';
+
+/** The plan in force, prepared for requests. */
+export type PlanInForce = {
+	readonly version: number;
+	readonly table: RouteTable;
+	readonly limits: CallerLimits;
+};
+
+/** What the relay works with. */
+export type RelayOptions = {
+	readonly clock: Clock;
+	readonly picker: TargetPicker;
+	readonly splits: SplitPicker;
+	readonly workTimes: WorkTimes;
+	readonly silenceWatch: SilenceWatch;
+	readonly protocol: TargetProtocol;
+	readonly retryBound: RetryBound;
+	readonly getHostCount: () => number;
+	readonly getPlan: () => PlanInForce | undefined;
+	readonly journal: CallJournal;
+	/** The requests that may have crashed targets. */
+	readonly suspects: CrashSuspects;
+};
+
+/** A request with all that was found out about it. */
+type RelayCall = {
+	readonly exchange: Exchange;
+	readonly route: Route;
+	readonly service: Route['parts'][number]['service'];
+	readonly deadlineMs: number;
+	readonly body: Buffer | undefined;
+};
+
+/** The part of the hoped-for latency in which a target is looked for. */
+const patienceShare = 0.12;
+/** Callers come back within this part of the time that they have left. */
+const returnShare = 1 / 3;
+const shortestReturnMs = 50;
+/** A body may pause so long, in milliseconds. */
+const bodyIdleMs = 5000;
+/** Sends beyond those that may have run: refusals cost targets little. */
+const mostRefusals = 3;
+const lowestFault = 500;
+const barredRetryMs = 60_000;
+
+/** Relays requests to targets. */
+export class Relay {
+	readonly #options: RelayOptions;
+	readonly #allowances = new Map<string, RetryAllowance>();
+
+	/**
+	 * @param options - The parts of the way.
+	 */
+	constructor(options: RelayOptions) {
+		this.#options = options;
+	}
+
+	/**
+	 * Relays a request.
+	 *
+	 * @param exchange - The request.
+	 * @returns The answer, or why there is none.
+	 */
+	async run(exchange: Exchange): Promise<FilterResult> {
+		const result = await this.#identify(exchange);
+		if (result.isErr()) {
+			this.#options.journal.addRefusal(exchange, result.error);
+			return result;
+		}
+
+		const call = result.value;
+		const barred = this.#getBarred(call);
+		const end = barred === undefined ? await this.#attempt(call) : Err(barred);
+		this.#options.journal.addEnd(exchange, call.route, end);
+		return end;
+	}
+
+	async #identify(exchange: Exchange): Promise<Result<RelayCall, Failure>> {
+		const plan = this.#options.getPlan();
+		if (plan === undefined) {
+			return Err(notRun('not-ready', 'This host has no plan yet.'));
+		}
+
+		const {headers, url, receivedAtMs} = exchange.incoming;
+		const route = plan.table.getRoute(headers.host ?? '', url);
+		if (route === undefined) {
+			return Err(
+				notRun(
+					'service-unknown',
+					`No route for "${headers.host ?? ''}${url}" in version ${plan.version}.`,
+				),
+			);
+		}
+
+		const deadlineMs = receivedAtMs + this.#getTimeMs(exchange, route);
+		const body = await this.#readBody(exchange, plan.limits, deadlineMs);
+		const service = this.#options.splits.pick(route);
+		return body.map((bytes) => {
+			exchange.bodyBytes = bytes;
+			return {exchange, route, service, deadlineMs, body: bytes};
+		});
+	}
+
+	#getTimeMs({incoming}: Exchange, {timeoutMs}: Route): number {
+		const given = Number(incoming.headers[this.#options.protocol.deadlineHeader]);
+		return given > 0 ? Math.min(given, timeoutMs) : timeoutMs;
+	}
+
+	async #readBody(
+		exchange: Exchange,
+		{bodyBytes}: CallerLimits,
+		deadlineMs: number,
+	): Promise<Result<Buffer | undefined, Failure>> {
+		const {headers, body} = exchange.incoming;
+		const length = headers['content-length'];
+		if (length === undefined && headers['transfer-encoding'] === undefined) {
+			return Ok(undefined);
+		}
+
+		if (Number(length ?? 0) > bodyBytes) {
+			return Err(
+				notRun('body-too-large', `The body has over ${bodyBytes} bytes.`),
+			);
+		}
+
+		const bounds = {
+			clock: this.#options.clock,
+			idleMs: bodyIdleMs,
+			limitBytes: bodyBytes,
+			deadlineMs,
+		};
+		return new BodyReader(body, bounds).read();
+	}
+
+	#getBarred({exchange}: RelayCall): Failure | undefined {
+		const {suspects, clock} = this.#options;
+		if (suspects.isEmpty) {
+			return undefined;
+		}
+
+		const signature = getRequestSignature(exchange);
+		return suspects.isBarred(signature, clock.monotonicMs())
+			? notRun(
+					'no-target',
+					'Targets ended each time they ran this request.',
+					barredRetryMs,
+				)
+			: undefined;
+	}
+
+	async #attempt(call: RelayCall): Promise<FilterResult> {
+		const {clock} = this.#options;
+		const allowance = this.#getAllowance(call.service);
+		allowance.addRequest(clock.monotonicMs());
+		const tried = new Set<TargetId>();
+		let last: SendResult | undefined;
+		let runs = 0;
+		for (;;) {
+			if (last !== undefined && !allowance.take(clock.monotonicMs())) {
+				return this.#conclude(call, last, runs, 'the retry allowance is used up');
+			}
+
+			const picked = await this.#pick(call, tried);
+			if (picked.isErr()) {
+				return last === undefined
+					? Err(this.#addReturn(call, picked.error))
+					: this.#conclude(call, last, runs, picked.error.detail);
+			}
+
+			const {listed} = picked.value.state;
+			tried.add(listed.id);
+			last = await this.#send(call, picked.value, tried.size);
+			runs += mayHaveRun(last) ? 1 : 0;
+			if (!this.#mayTryAgain(call, last, runs, tried.size)) {
+				return this.#conclude(call, last, runs, undefined);
+			}
+		}
+	}
+
+	async #pick(
+		call: RelayCall,
+		tried: ReadonlySet<TargetId>,
+	): Promise<Result<Pick, Failure>> {
+		const {clock, picker} = this.#options;
+		const {route, service, deadlineMs} = call;
+		return picker.pick({
+			service,
+			isIdempotent: route.isIdempotent,
+			workMs: this.#getWorkMs(route),
+			tried,
+			deadlineMs,
+			patienceEndsMs:
+				clock.monotonicMs() + route.targetLatencyMs * patienceShare,
+		});
+	}
+
+	#getWorkMs({name, targetLatencyMs}: Route): number {
+		return this.#options.workTimes.getMs(name, targetLatencyMs);
+	}
+
+	async #send(
+		call: RelayCall,
+		{state, connection, expectedMs, askedCount, answeredCount}: Pick,
+		attempt: number,
+	): Promise<SendResult> {
+		const {clock, protocol, silenceWatch, workTimes, journal} = this.#options;
+		const {exchange, route, body, deadlineMs} = call;
+		const {report} = state;
+		const startedAtMs = clock.monotonicMs();
+		const load = state.load;
+		const result = await new TargetSend({
+			incoming: exchange.incoming,
+			body,
+			state,
+			connection,
+			protocol,
+			clock,
+			deadlineMs,
+			silenceWatch: route.isIdempotent ? silenceWatch : undefined,
+		}).run();
+		const durationMs = clock.monotonicMs() - startedAtMs;
+		if (result.kind === 'answered' && result.answer.status < lowestFault) {
+			workTimes.add(route.name, durationMs / (report?.slowness ?? 1));
+		}
+
+		this.#noteCrash(call, state, result);
+		journal.addSend(exchange, {
+			attempt,
+			target: state.listed.id,
+			load,
+			slots: state.slots,
+			slowness: report?.slowness,
+			reportAgeMs: startedAtMs - (report?.receivedAtMs ?? startedAtMs),
+			askedCount,
+			answeredCount,
+			expectedMs,
+			durationMs,
+			result,
+		});
+		return result;
+	}
+
+	/** A request under which a connection broke may have crashed the target. */
+	#noteCrash(
+		{exchange}: RelayCall,
+		state: Pick['state'],
+		result: SendResult,
+	): void {
+		const {suspects, clock} = this.#options;
+		if (result.kind === 'answered' && !suspects.isEmpty) {
+			suspects.clear(getRequestSignature(exchange));
+		}
+
+		if (result.kind === 'broken' && result.cause === 'broken') {
+			const brokenAtMs = clock.monotonicMs();
+			suspects.addIncident(getRequestSignature(exchange), {
+				life: state.listed.life,
+				atMs: brokenAtMs,
+				hasEnded: () =>
+					state.unansweredCount > 0 && state.heardAtMs < brokenAtMs,
+			});
+		}
+	}
+
+	#mayTryAgain(
+		{route, exchange, deadlineMs}: RelayCall,
+		result: SendResult,
+		runs: number,
+		sends: number,
+	): boolean {
+		const isFinal =
+			(result.kind === 'answered' && result.answer.status < lowestFault) ||
+			exchange.incoming.signal.aborted ||
+			runs >= route.maxAttempts ||
+			sends >= route.maxAttempts + mostRefusals;
+		if (isFinal) {
+			return false;
+		}
+
+		const leftMs = deadlineMs - this.#options.clock.monotonicMs();
+		return (
+			leftMs > this.#getWorkMs(route) / 2 &&
+			(route.isIdempotent || !mayHaveRun(result))
+		);
+	}
+
+	/** Makes the final answer out of the last send. */
+	#conclude(
+		call: RelayCall,
+		last: SendResult,
+		runs: number,
+		reason: string | undefined,
+	): FilterResult {
+		if (last.kind === 'answered') {
+			return Ok(last.answer);
+		}
+
+		const detail = describe(last) + (reason === undefined ? '' : `; ${reason}`);
+		if (runs === 0) {
+			const failure = notRun('target-refused', detail);
+			return Err(this.#addReturn(call, failure));
+		}
+
+		const isOverdue = last.kind === 'broken' && last.cause === 'overdue';
+		return Err(
+			perhapsRun(isOverdue ? 'deadline-exceeded' : 'target-failed', detail),
+		);
+	}
+
+	/** Tells the caller to come back while it still waits. */
+	#addReturn({deadlineMs, exchange}: RelayCall, failure: Failure): Failure {
+		const {clock, protocol} = this.#options;
+		const {headers, receivedAtMs} = exchange.incoming;
+		const given = Number(headers[protocol.deadlineHeader]);
+		const endMs = given > 0 ? receivedAtMs + given : deadlineMs;
+		const leftMs = endMs - clock.monotonicMs();
+		const retryAfterMs = Math.max(shortestReturnMs, leftMs * returnShare * 0.9);
+		return {...failure, retryAfterMs: Math.min(retryAfterMs, 1000)};
+	}
+
+	#getAllowance(service: string): RetryAllowance {
+		const {retryBound, getHostCount} = this.#options;
+		const known = this.#allowances.get(service);
+		const allowance = known ?? new RetryAllowance(retryBound, getHostCount);
+		this.#allowances.set(service, allowance);
+		return allowance;
+	}
+}
+
+function mayHaveRun(result: SendResult): boolean {
+	return result.kind === 'answered' ||
+		(result.kind === 'broken' && result.mayHaveRun);
+}
+
+function describe(result: SendResult): string {
+	switch (result.kind) {
+		case 'answered': {
+			return `answered with status ${result.answer.status}`;
+		}
+
+		case 'refused': {
+			return `refused with status ${result.status}`;
+		}
+
+		case 'broken': {
+			return `${result.cause}: ${result.detail}`;
+		}
+	}
+}
