Wait at the host for a target below its last slot

Ruled out: slowness that changes during the work (sends at slowness 1 took 1.0 times the usual time). Resets of connections were taken for silence; they are not. Change: acceptance.ts decides between the best target of now and another look; the last slot's factor is learnt; a lost store is asked without waiting.

--- a/packages/gateway/src/choice/expected-time.ts
+++ b/packages/gateway/src/choice/expected-time.ts
@@ -19,17 +19,17 @@
 export type WorkView = {
 	/** How long such work usually takes, in milliseconds. */
 	readonly workMs: number;
+	/** How many times longer work takes that begins on the last free slot. */
+	readonly lastSlotFactor: number;
 	readonly isIdempotent: boolean;
 };
 
-/** Slowness changes while work runs, so only part of it counts. */
-const slownessShare = 0.6;
-/** Many targets slow down as their last slot fills. */
-const fullFactor = 1.35;
-/** A cold target works at about half its speed. */
+/** A cold target works at about half its speed, which its slowness tells as well. */
 const coldFactor = 2;
 /** Bytes between data centres cost; a tie goes to the near target. */
 const farMs = 12;
+/** Part of the work that each request already there adds, to spread them. */
+const spreadShare = 0.04;
 /** A target that calls itself ill is taken only if the others are far worse. */
 const illFactor = 4;
 const failureFactors = {idempotent: 3, once: 8};
@@ -48,7 +48,10 @@
 	const doubt =
 		(target.isHealthy ? 1 : illFactor) *
 		(1 + failureFactor * target.failureShare);
-	return getExpectedMs(target, work) * doubt + (target.isNear ? 0 : farMs);
+	const spread = 1 + spreadShare * target.load;
+	return (
+		getExpectedMs(target, work) * doubt * spread + (target.isNear ? 0 : farMs)
+	);
 }
 
 /**
@@ -59,13 +62,11 @@
  * @returns The time in milliseconds, the wait for a slot included.
  */
 export function getExpectedMs(target: TargetView, work: WorkView): number {
-	const {load, slots, slowness, isCold} = target;
-	const lasting = slowness > 1 ? 1 + (slowness - 1) * slownessShare : slowness;
-	const serviceMs = work.workMs * lasting * (isCold ? coldFactor : 1);
+	const {load, slots, isCold} = target;
+	const slowness = Math.max(target.slowness, isCold ? coldFactor : 0);
+	const beginsFull = load + 1 >= slots && slots > 1;
+	const serviceMs =
+		work.workMs * slowness * (beginsFull ? work.lastSlotFactor : 1);
 	const ahead = Math.max(0, load + 1 - slots);
-	const isFull = load + 1 >= slots && slots > 1;
-	return (
-		serviceMs * (isFull ? fullFactor : 1 + load / slots / 10) +
-		(ahead * serviceMs) / slots
-	);
+	return serviceMs + (ahead * serviceMs) / slots;
 }
--- a/packages/gateway/src/choice/target-inquiry.ts
+++ b/packages/gateway/src/choice/target-inquiry.ts
@@ -26,10 +26,12 @@
 const silentPauseMs = 600;
 /** How long a target is left alone after its address answered for another, in milliseconds. */
 const misplacedPauseMs = 1000;
+/** A connection that has been idle for longer may be closed by the target, in milliseconds. */
+const mostIdleMs = 8000;
 /** How long a target is left alone after it took no connection, in milliseconds. */
 const unreachablePauseMs = 250;
 
-/** One question to one target; it keeps the connection for a request to follow. */
+/** One question to one target. */
 export class TargetInquiry {
 	readonly state: TargetState;
 	/** Whether the target has answered as itself. */
@@ -39,7 +41,6 @@
 	readonly #request: TargetRequest;
 	#connection: Connection | undefined;
 	#cancelTimer: () => void = () => undefined;
-	#isReleased = false;
 
 	/**
 	 * @param options - Whom to ask.
@@ -59,7 +60,7 @@
 
 	/** Sends the question. */
 	start(): void {
-		this.#connection = this.state.link.take();
+		this.#connection = this.state.link.take(mostIdleMs);
 		if (this.#connection === undefined) {
 			this.hasEnded = true;
 			return;
@@ -74,32 +75,6 @@
 		);
 	}
 
-	/**
-	 * Gives the connection to the request that follows.
-	 *
-	 * @returns The connection; undefined if the target has not answered on one.
-	 */
-	takeConnection(): Connection | undefined {
-		if (!this.hasAnswered || this.#isReleased) {
-			return undefined;
-		}
-
-		this.#isReleased = true;
-		return this.#connection;
-	}
-
-	/** Gives the connection back as soon as the question has ended. */
-	release(): void {
-		if (this.#isReleased) {
-			return;
-		}
-
-		this.#isReleased = true;
-		if (this.hasEnded && this.#connection !== undefined) {
-			this.state.link.giveBack(this.#connection, this.hasAnswered);
-		}
-	}
-
 	#takeAnswer({status, headers, body}: TargetAnswer): void {
 		if (!Buffer.isBuffer(body)) {
 			body.on('error', () => undefined);
@@ -126,17 +101,17 @@
 		const isFirst = !this.hasEnded;
 		this.hasEnded = true;
 		this.hasAnswered &&= error === undefined;
-		if (this.#isReleased && this.#connection !== undefined) {
-			this.state.link.giveBack(this.#connection, this.hasAnswered);
-		}
-
 		if (!isFirst) {
 			return;
 		}
 
+		if (this.#connection !== undefined) {
+			this.state.link.giveBack(this.#connection, this.hasAnswered);
+		}
+
 		if (error !== undefined && !(error instanceof SilenceError)) {
 			const nowMs = this.#options.clock.monotonicMs();
-			this.state.unansweredCount++;
+			this.state.unreachableAtMs = nowMs;
 			this.state.avoidUntilMs = nowMs + unreachablePauseMs;
 		}
 
--- a/packages/gateway/src/choice/target-picker.ts
+++ b/packages/gateway/src/choice/target-picker.ts
@@ -15,8 +15,16 @@
 import type {TargetBook} from '../targets/target-book.js';
 import type {TargetProtocol} from '../targets/target-protocol.js';
 import type {TargetState} from '../targets/target-state.js';
-import {getCostMs, getExpectedMs, type TargetView} from './expected-time.js';
-import {TargetInquiry} from './target-inquiry.js';
+import {decideAcceptance, type Acceptance} from './acceptance.js';
+import {
+	getCostMs,
+	getExpectedMs,
+	type TargetView,
+	type WorkView,
+} from './expected-time.js';
+import {askTargets} from './inquiry-round.js';
+import type {LastSlotFactor} from './last-slot-factor.js';
+import {WakeUps} from './wake-ups.js';
 
 /** What the picker works with. */
 export type TargetPickerOptions = {
@@ -24,6 +32,7 @@
 	readonly random: RandomSource;
 	readonly book: TargetBook;
 	readonly protocol: TargetProtocol;
+	readonly lastSlot: LastSlotFactor;
 	/** The data centre of this host. */
 	readonly dataCentre: DataCentreId;
 	/** How many questions a target gets in a second from the fleet. */
@@ -39,43 +48,62 @@
 	readonly workMs: number;
 	/** The targets that the request was sent to already. */
 	readonly tried: ReadonlySet<TargetId>;
+	/** When the request came, on the monotonic clock. */
+	readonly receivedAtMs: number;
+	/** The latency that its caller hopes for, in milliseconds. */
+	readonly targetLatencyMs: number;
 	/** When the request must have its answer, on the monotonic clock. */
 	readonly deadlineMs: number;
-	/** Until when a target may be looked for, on the monotonic clock. */
-	readonly patienceEndsMs: number;
+	/** Aborts when the caller has gone. */
+	readonly signal: AbortSignal;
 };
 
-/** A target and a connection on which it has just answered. */
+/** A target and a connection to it. */
 export type Pick = {
 	readonly state: TargetState;
 	readonly connection: Connection;
 	readonly expectedMs: number;
-	/** How many targets were asked and how many answered in time. */
 	readonly askedCount: number;
-	readonly answeredCount: number;
+	readonly waitedMs: number;
 };
 
-/** How many targets are asked for one request. */
-const mostAsked = 8;
-/** How long to wait for slower answers once one is there, in milliseconds. */
-const slowerAnswersMs = 12;
-/** How long to wait for the first answer, in milliseconds. */
-const firstAnswerMs = 130;
+type Candidate = {
+	readonly state: TargetState;
+	readonly costMs: number;
+	readonly expectedMs: number;
+};
+
+/** How many targets are asked for a request, and at each later look. */
+const askedFirst = 8;
+const askedAgain = 3;
+/** Answers of this age are as good as new, in milliseconds. */
+const freshMs = 15;
 /** The pause before targets are asked again, in milliseconds. */
-const askAgainMs = 60;
+const askAgainMs = 45;
+/** A round of questions serves all requests of the next milliseconds. */
+const sharedRoundMs = 3;
 /** The time between two requests of this host to a cold target, in milliseconds. */
 const coldSpacingMs = 1000;
+/** How long a connection may have been idle, in milliseconds, by what a loss would cost. */
+const mostIdleMs = {idempotent: 5000, once: 150};
 
 /** Asks targets and picks the one that is expected to answer first. */
 export class TargetPicker {
 	readonly #options: TargetPickerOptions;
 	readonly #allowances = new Map<ServiceName, AskAllowance>();
+	readonly #rounds = new Map<
+		ServiceName,
+		{readonly startedAtMs: number; readonly end: Promise<void>}
+	>();
+
+	readonly #wakeUps: WakeUps;
 
 	/**
 	 * @param options - The targets and how they are asked.
 	 */
 	constructor(options: TargetPickerOptions) {
 		this.#options = options;
+		this.#wakeUps = new WakeUps(options.clock);
 	}
 
 	/**
@@ -86,153 +114,144 @@
 	 */
 	async pick(request: PickRequest): Promise<Result<Pick, Failure>> {
 		const {clock} = this.#options;
+		const startedAtMs = clock.monotonicMs();
+		let askedCount = await this.#ask(request, askedFirst);
 		for (;;) {
-			const result = await this.#pickOnce(request);
-			const nextMs = clock.monotonicMs() + askAgainMs;
-			if (result.isOk() || nextMs > request.patienceEndsMs) {
-				return result;
+			const best = this.#getBest(request);
+			const acceptance = this.#decide(request, best);
+			if (acceptance === 'take' && best !== undefined) {
+				const connection = this.#connect(best.state, request);
+				if (connection !== undefined) {
+					const waitedMs = clock.monotonicMs() - startedAtMs;
+					const {state, expectedMs} = best;
+					return Ok({state, connection, expectedMs, askedCount, waitedMs});
+				}
+			}
+
+			if (acceptance === 'refuse' || this.#isHopeless(request)) {
+				return Err(this.#describeRefusal(request, best, askedCount));
 			}
 
-			await new Promise<void>((resolve) => {
-				clock.schedule(askAgainMs, resolve);
-			});
+			const isWoken = await this.#wakeUps.wait(request.service, askAgainMs);
+			askedCount += isWoken ? 0 : await this.#ask(request, askedAgain);
 		}
 	}
 
-	async #pickOnce(request: PickRequest): Promise<Result<Pick, Failure>> {
-		const asked = this.#getAsked(request);
-		if (asked.length === 0) {
-			return Err(
-				notRun('no-target', `No target of "${request.service}" is open.`),
-			);
-		}
+	/**
+	 * Lets waiting requests look at a target that has just told its load.
+	 *
+	 * @param service - The service of the target.
+	 */
+	noteReport(service: ServiceName): void {
+		this.#wakeUps.wake(service);
+	}
 
-		const inquiries = await this.#ask(asked, request.service);
-		const best = this.#getBest(inquiries, request);
-		const connection = best?.takeConnection();
-		const answeredCount = inquiries.filter(
-			({hasAnswered}) => hasAnswered,
-		).length;
-		for (const inquiry of inquiries) {
-			inquiry.release();
-		}
+	#decide(
+		{receivedAtMs, deadlineMs, targetLatencyMs, workMs}: PickRequest,
+		best: Candidate | undefined,
+	): Acceptance {
+		const nowMs = this.#options.clock.monotonicMs();
+		return decideAcceptance({
+			ageMs: nowMs - receivedAtMs,
+			leftMs: deadlineMs - nowMs,
+			targetLatencyMs,
+			workMs,
+			bestMs: best?.expectedMs ?? Number.POSITIVE_INFINITY,
+			hasFreeSlot: best !== undefined && best.state.load < best.state.slots,
+		});
+	}
 
-		if (best === undefined || connection === undefined) {
-			return Err(
-				notRun(
-					'no-target',
-					`Of ${asked.length} targets of "${request.service}" asked, ${answeredCount} answered and none may take the request.`,
-				),
-			);
+	#isHopeless({service, tried, signal}: PickRequest): boolean {
+		const open = this.#options.book.getOpenTargets(service);
+		return signal.aborted || open.every(({listed}) => tried.has(listed.id));
+	}
+
+	#connect(state: TargetState, {isIdempotent}: PickRequest) {
+		return state.link.take(
+			isIdempotent ? mostIdleMs.idempotent : mostIdleMs.once,
+		);
+	}
+
+	/** Asks targets, or shares the answers of questions that were just sent. */
+	async #ask(request: PickRequest, wanted: number): Promise<number> {
+		const {book, clock, protocol} = this.#options;
+		const {service} = request;
+		const nowMs = clock.monotonicMs();
+		const running = this.#rounds.get(service);
+		if (
+			running !== undefined &&
+			nowMs - running.startedAtMs <= sharedRoundMs
+		) {
+			await running.end;
+			return 0;
 		}
 
-		const expectedMs = getExpectedMs(this.#getView(best.state), request);
-		return Ok({
-			state: best.state,
-			connection,
-			expectedMs,
-			askedCount: asked.length,
-			answeredCount,
-		});
+		const states = this.#getAsked(request, wanted);
+		const healthPath = book.getServicePlan(service)?.healthPath ?? '/';
+		const end = askTargets({states, healthPath, protocol, clock});
+		this.#rounds.set(service, {startedAtMs: nowMs, end});
+		await end;
+		return states.length;
 	}
 
-	#getAsked({service, tried}: PickRequest): TargetState[] {
-		const {book, clock} = this.#options;
+	#getAsked({service, tried}: PickRequest, wanted: number): TargetState[] {
+		const {book, clock, random} = this.#options;
 		const nowMs = clock.monotonicMs();
 		const open = book
 			.getOpenTargets(service)
 			.filter(({listed}) => !tried.has(listed.id));
 		const calm = open.filter(({avoidUntilMs}) => avoidUntilMs <= nowMs);
 		const candidates = calm.length > 0 ? calm : open;
-		const allowance = this.#getAllowance(service);
-		const wanted = Math.min(mostAsked, candidates.length);
-		const allowed = allowance.take(wanted, open.length, nowMs);
-		return this.#shuffle(candidates).slice(0, Math.max(1, allowed));
-	}
-
-	async #ask(
-		states: readonly TargetState[],
-		service: ServiceName,
-	): Promise<TargetInquiry[]> {
-		const {book, clock, protocol} = this.#options;
-		const healthPath = book.getServicePlan(service)?.healthPath ?? '/';
-		return new Promise((resolve) => {
-			let openCount = states.length;
-			const cancelFirst = clock.schedule(firstAnswerMs, () => {
-				finish();
-			});
-			let cancelSlower: (() => void) | undefined;
-			const finish = () => {
-				cancelFirst();
-				cancelSlower?.();
-				resolve(inquiries);
-			};
-
-			const inquiries = states.map(
-				(state) =>
-					new TargetInquiry({
-						state,
-						healthPath,
-						protocol,
-						clock,
-						onEnd(inquiry) {
-							openCount--;
-							if (openCount === 0) {
-								finish();
-							} else if (inquiry.hasAnswered) {
-								cancelSlower ??= clock.schedule(slowerAnswersMs, finish);
-							}
-						},
-					}),
-			);
-			for (const inquiry of inquiries) {
-				inquiry.start();
-				openCount -= inquiry.hasEnded ? 1 : 0;
-			}
-
-			if (openCount === 0) {
-				finish();
-			}
-		});
+		const allowed = this.#getAllowance(service).take(
+			Math.min(wanted, candidates.length),
+			open.length,
+			nowMs,
+		);
+		return candidates
+			.map((state) => ({state, rank: random()}))
+			.toSorted((a, b) => a.rank - b.rank)
+			.slice(0, Math.max(1, allowed))
+			.map(({state}) => state);
 	}
 
-	#getBest(
-		inquiries: readonly TargetInquiry[],
-		request: PickRequest,
-	): TargetInquiry | undefined {
-		const nowMs = this.#options.clock.monotonicMs();
-		let best: TargetInquiry | undefined;
-		let bestMs = Number.POSITIVE_INFINITY;
-		for (const inquiry of inquiries) {
-			const {state} = inquiry;
-			if (!inquiry.hasAnswered || !this.#mayTake(state, nowMs)) {
+	#getBest(request: PickRequest): Candidate | undefined {
+		const {book, clock} = this.#options;
+		const nowMs = clock.monotonicMs();
+		let best: Candidate | undefined;
+		for (const state of book.getOpenTargets(request.service)) {
+			if (!this.#mayTake(state, request, nowMs)) {
 				continue;
 			}
 
-			const costMs = getCostMs(this.#getView(state), request);
-			if (costMs < bestMs) {
-				best = inquiry;
-				bestMs = costMs;
+			const view = this.#getView(state, nowMs);
+			const work = this.#getWork(state, request);
+			const costMs = getCostMs(view, work);
+			if (costMs < (best?.costMs ?? Number.POSITIVE_INFINITY)) {
+				best = {state, costMs, expectedMs: getExpectedMs(view, work)};
 			}
 		}
 
 		return best;
 	}
 
-	/** Knowledge may have changed while targets were asked. */
-	#mayTake(state: TargetState, nowMs: number): boolean {
-		if (!this.#options.book.isOpen(state)) {
+	#mayTake(
+		state: TargetState,
+		{tried}: PickRequest,
+		nowMs: number,
+	): boolean {
+		const reportedAtMs = state.report?.receivedAtMs ?? Number.NEGATIVE_INFINITY;
+		if (tried.has(state.listed.id) || nowMs - reportedAtMs > freshMs) {
 			return false;
 		}
 
 		return (
-			!state.isCold(nowMs) ||
-			(state.load === 0 && nowMs - state.coldSendAtMs >= coldSpacingMs)
+			state.avoidUntilMs <= nowMs &&
+			(!state.isCold(nowMs) ||
+				(state.load === 0 && nowMs - state.coldSendAtMs >= coldSpacingMs))
 		);
 	}
 
-	#getView(state: TargetState): TargetView {
-		const nowMs = this.#options.clock.monotonicMs();
+	#getView(state: TargetState, nowMs: number): TargetView {
 		return {
 			load: state.load,
 			slots: state.slots,
@@ -244,6 +263,31 @@
 		};
 	}
 
+	#getWork(
+		{slots}: TargetState,
+		{service, workMs, isIdempotent}: PickRequest,
+	): WorkView {
+		const lastSlotFactor = this.#options.lastSlot.get(service, slots);
+		return {workMs, lastSlotFactor, isIdempotent};
+	}
+
+	#describeRefusal(
+		{service}: PickRequest,
+		best: Candidate | undefined,
+		askedCount: number,
+	): Failure {
+		const openCount = this.#options.book.getOpenTargets(service).length;
+		return best === undefined
+			? notRun(
+					'no-target',
+					`None of ${openCount} open targets of "${service}" may take the request; ${askedCount} were asked.`,
+				)
+			: notRun(
+					'over-capacity',
+					`The best of ${openCount} open targets of "${service}" holds ${best.state.load} requests and would take ${Math.round(best.expectedMs)} ms.`,
+				);
+	}
+
 	#getAllowance(service: ServiceName): AskAllowance {
 		const {questionsPerTargetSecond, getHostCount} = this.#options;
 		const known = this.#allowances.get(service);
@@ -252,12 +296,4 @@
 		this.#allowances.set(service, allowance);
 		return allowance;
 	}
-
-	#shuffle(states: readonly TargetState[]): TargetState[] {
-		const {random} = this.#options;
-		return states
-			.map((state) => ({state, rank: random()}))
-			.toSorted((a, b) => a.rank - b.rank)
-			.map(({state}) => state);
-	}
 }
--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -8,6 +8,7 @@
 } from '@bilberryscale/core';
 import {makeCallerServer, type CallerProtocol} from '@bilberryscale/daemon';
 import {CrashSuspects} from '@bilberryscale/decisions';
+import {LastSlotFactor} from '../choice/last-slot-factor.js';
 import {TargetInquiry} from '../choice/target-inquiry.js';
 import {TargetPicker} from '../choice/target-picker.js';
 import {TextServer} from '../edge/text-server.js';
@@ -166,8 +167,10 @@
 
 	#makeRelay(random: () => number, getHostCount: () => number): Relay {
 		const {clock, settings, log, targetProtocol} = this.#options;
+		const lastSlot = new LastSlotFactor();
 		const picker = new TargetPicker({
 			clock,
+			lastSlot,
 			random,
 			book: this.#book,
 			protocol: targetProtocol,
@@ -180,6 +183,7 @@
 			picker,
 			splits: new SplitPicker(random),
 			workTimes: new WorkTimes(),
+			lastSlot,
 			silenceWatch: new SilenceWatch({
 				clock,
 				ask: (state) => {
@@ -211,7 +215,6 @@
 			onEnd: () => undefined,
 		});
 		inquiry.start();
-		inquiry.release();
 	}
 
 	#setKnowledge(knowledge: Knowledge): void {
--- a/packages/gateway/src/knowledge/knowledge-feed.ts
+++ b/packages/gateway/src/knowledge/knowledge-feed.ts
@@ -28,7 +28,7 @@
 /** Changes that come one after the other are read together after this pause, in milliseconds. */
 const pauseMs = 120;
 const shortestBackoffMs = 80;
-const longestBackoffMs = 1000;
+const longestBackoffMs = 400;
 /** A peer whose knowledge is older is passed over, in milliseconds. */
 const oldestPeerAgeMs = 1500;
 /** Targets whose entries lapsed with the store are back in this time after its return, in milliseconds. */
@@ -147,7 +147,7 @@
 		const startedAtMs = this.#options.clock.monotonicMs();
 		const result = this.#isWholeNeeded
 			? await reader.readAll(this.#mayLag)
-			: await reader.readChanges(this.revision);
+			: await reader.readChanges(this.revision, !this.#isLost);
 		if (result.isErr()) {
 			this.#noteFault(reader, result.error);
 			return false;
--- a/packages/gateway/src/knowledge/published-reader.ts
+++ b/packages/gateway/src/knowledge/published-reader.ts
@@ -49,9 +49,13 @@
 	 * Waits for changes.
 	 *
 	 * @param revision - The revision that is known.
+	 * @param mayWait - Whether to wait if there are none; else the answer comes at once.
 	 * @returns The changes after it, none after a while, or why they can't be had.
 	 */
-	readChanges(revision: number): Promise<Result<PublishedChanges, ReadFault>>;
+	readChanges(
+		revision: number,
+		mayWait: boolean,
+	): Promise<Result<PublishedChanges, ReadFault>>;
 };
 
 /** What a published item says. */
--- a/packages/gateway/src/limits/ask-allowance.ts
+++ b/packages/gateway/src/limits/ask-allowance.ts
@@ -1,9 +1,9 @@
 /** Bounds how often this host asks the targets of a service for their load. */
 
 /** Part of the fleet's bound on questions that is used. */
-const usedShare = 0.5;
+const usedShare = 0.6;
 /** How long a burst of questions may draw ahead, in seconds. */
-const burstSeconds = 8;
+const burstSeconds = 30;
 const msPerSecond = 1000;
 
 /** A token bucket that time fills and questions empty. */
--- a/packages/gateway/src/records/call-journal.ts
+++ b/packages/gateway/src/records/call-journal.ts
@@ -14,11 +14,13 @@
 	/** The requests that the target held. */
 	readonly load: number;
 	readonly slots: number;
-	readonly slowness: number | undefined;
+	readonly slowness: number;
 	/** How old the load was at the send, in milliseconds. */
 	readonly reportAgeMs: number;
+	/** How many targets were asked. */
 	readonly askedCount: number;
-	readonly answeredCount: number;
+	/** How long the request waited for a better target, in milliseconds. */
+	readonly waitedMs: number;
 	readonly expectedMs: number;
 	readonly durationMs: number;
 	readonly result: SendResult;
@@ -73,6 +75,7 @@
 			...record,
 			reportAgeMs: round(record.reportAgeMs),
 			expectedMs: round(record.expectedMs),
+			waitedMs: round(record.waitedMs),
 			durationMs: round(record.durationMs),
 			outcome,
 			...(result.kind === 'broken' && {
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -16,6 +16,7 @@
 } from '@bilberryscale/daemon';
 import {CrashSuspects} from '@bilberryscale/decisions';
 import {Err, Ok, type Result} from 'ts-results-es';
+import type {LastSlotFactor} from '../choice/last-slot-factor.js';
 import type {Pick, TargetPicker} from '../choice/target-picker.js';
 import {RetryAllowance, type RetryBound} from '../limits/retry-allowance.js';
 import type {RouteTable} from '../plan/route-table.js';
@@ -41,6 +42,7 @@
 	readonly picker: TargetPicker;
 	readonly splits: SplitPicker;
 	readonly workTimes: WorkTimes;
+	readonly lastSlot: LastSlotFactor;
 	readonly silenceWatch: SilenceWatch;
 	readonly protocol: TargetProtocol;
 	readonly retryBound: RetryBound;
@@ -60,8 +62,6 @@
 	readonly body: Buffer | undefined;
 };
 
-/** The part of the hoped-for latency in which a target is looked for. */
-const patienceShare = 0.12;
 /** Callers come back within this part of the time that they have left. */
 const returnShare = 1 / 3;
 const shortestReturnMs = 50;
@@ -210,7 +210,7 @@
 		call: RelayCall,
 		tried: ReadonlySet<TargetId>,
 	): Promise<Result<Pick, Failure>> {
-		const {clock, picker} = this.#options;
+		const {picker} = this.#options;
 		const {route, service, deadlineMs} = call;
 		return picker.pick({
 			service,
@@ -218,8 +218,9 @@
 			workMs: this.#getWorkMs(route),
 			tried,
 			deadlineMs,
-			patienceEndsMs:
-				clock.monotonicMs() + route.targetLatencyMs * patienceShare,
+			receivedAtMs: call.exchange.incoming.receivedAtMs,
+			signal: call.exchange.incoming.signal,
+			targetLatencyMs: route.targetLatencyMs,
 		});
 	}
 
@@ -229,14 +230,15 @@
 
 	async #send(
 		call: RelayCall,
-		{state, connection, expectedMs, askedCount, answeredCount}: Pick,
+		{state, connection, expectedMs, askedCount, waitedMs}: Pick,
 		attempt: number,
 	): Promise<SendResult> {
-		const {clock, protocol, silenceWatch, workTimes, journal} = this.#options;
+		const {clock, protocol, silenceWatch, journal} = this.#options;
 		const {exchange, route, body, deadlineMs} = call;
 		const {report} = state;
 		const startedAtMs = clock.monotonicMs();
-		const load = state.load;
+		const {load} = state;
+		const slowness = report?.slowness ?? 1;
 		const result = await new TargetSend({
 			incoming: exchange.incoming,
 			body,
@@ -249,19 +251,20 @@
 		}).run();
 		const durationMs = clock.monotonicMs() - startedAtMs;
 		if (result.kind === 'answered' && result.answer.status < lowestFault) {
-			workTimes.add(route.name, durationMs / (report?.slowness ?? 1));
+			this.#learn(call, {load, slots: state.slots}, durationMs / slowness);
 		}
 
+		this.#options.picker.noteReport(call.service);
 		this.#noteCrash(call, state, result);
 		journal.addSend(exchange, {
 			attempt,
 			target: state.listed.id,
 			load,
 			slots: state.slots,
-			slowness: report?.slowness,
+			slowness,
 			reportAgeMs: startedAtMs - (report?.receivedAtMs ?? startedAtMs),
 			askedCount,
-			answeredCount,
+			waitedMs,
 			expectedMs,
 			durationMs,
 			result,
@@ -269,6 +272,23 @@
 		return result;
 	}
 
+	#learn(
+		{route, service}: RelayCall,
+		{load, slots}: {readonly load: number; readonly slots: number},
+		durationMs: number,
+	): void {
+		const {workTimes, lastSlot} = this.#options;
+		const isLastSlot = load + 1 === slots;
+		if (load + 1 < slots || slots === 1) {
+			workTimes.add(route.name, durationMs);
+		}
+
+		if (load < slots) {
+			const relativeMs = durationMs / this.#getWorkMs(route);
+			lastSlot.add(service, isLastSlot, relativeMs);
+		}
+	}
+
 	/** A request under which a connection broke may have crashed the target. */
 	#noteCrash(
 		{exchange}: RelayCall,
@@ -286,7 +306,7 @@
 				life: state.listed.life,
 				atMs: brokenAtMs,
 				hasEnded: () =>
-					state.unansweredCount > 0 && state.heardAtMs < brokenAtMs,
+					state.unreachableAtMs > brokenAtMs && state.heardAtMs < brokenAtMs,
 			});
 		}
 	}
--- a/packages/gateway/src/targets/target-book.ts
+++ b/packages/gateway/src/targets/target-book.ts
@@ -113,6 +113,7 @@
 		}
 
 		const link = new TargetLink({
+			clock: this.#options.clock,
 			origin: `http://${listed.address}:${listed.port}`,
 			localAddress: this.#options.localAddress,
 			getLimit: () => this.#getLinkLimit(listed.service),
--- a/packages/gateway/src/targets/target-link.ts
+++ b/packages/gateway/src/targets/target-link.ts
@@ -1,9 +1,11 @@
 /** The connections of this host to one target. */
 
+import type {Clock} from '@bilberryscale/core';
 import {Connection} from '@bilberryscale/daemon';
 
 /** How the connections are opened. */
 export type TargetLinkOptions = {
+	readonly clock: Clock;
 	readonly origin: string;
 	/** The local IP number that connections leave from. */
 	readonly localAddress: string;
@@ -14,7 +16,7 @@
 /** Owns the connections to one target; each carries one request at a time. */
 export class TargetLink {
 	readonly #options: TargetLinkOptions;
-	/** The newest is last. */
+	/** The newest answer is last. */
 	readonly #idle: Connection[] = [];
 	readonly #busy = new Set<Connection>();
 	#isClosed = false;
@@ -34,10 +36,11 @@
 	/**
 	 * Takes a connection for a request.
 	 *
+	 * @param mostIdleMs - How long ago its last answer may have come.
 	 * @returns The connection; undefined if as many as allowed are busy.
 	 */
-	take(): Connection | undefined {
-		const connection = this.#idle.pop() ?? this.#open();
+	take(mostIdleMs: number): Connection | undefined {
+		const connection = this.#takeIdle(mostIdleMs) ?? this.#open();
 		if (connection !== undefined) {
 			this.#busy.add(connection);
 		}
@@ -57,6 +60,7 @@
 		}
 
 		if (isClean && !this.#isClosed) {
+			connection.answeredAtMs = this.#options.clock.monotonicMs();
 			this.#idle.push(connection);
 		} else {
 			connection.destroy();
@@ -76,9 +80,24 @@
 		this.dropIdle();
 	}
 
-	#open(): Connection | undefined {
-		return this.size < this.#options.getLimit()
-			? new Connection(this.#options)
+	#takeIdle(mostIdleMs: number): Connection | undefined {
+		const newest = this.#idle.at(-1);
+		const oldestMs = this.#options.clock.monotonicMs() - mostIdleMs;
+		return (newest?.answeredAtMs ?? Number.NEGATIVE_INFINITY) >= oldestMs
+			? this.#idle.pop()
 			: undefined;
 	}
+
+	#open(): Connection | undefined {
+		if (this.size >= this.#options.getLimit()) {
+			const oldest = this.#idle.shift();
+			if (oldest === undefined) {
+				return undefined;
+			}
+
+			oldest.destroy();
+		}
+
+		return new Connection(this.#options);
+	}
 }
--- a/packages/gateway/src/targets/target-state.ts
+++ b/packages/gateway/src/targets/target-state.ts
@@ -19,8 +19,10 @@
 	health: HealthReport | undefined;
 	/** When it was last heard, on the monotonic clock, in milliseconds. */
 	heardAtMs = Number.NEGATIVE_INFINITY;
-	/** How many questions in a row stayed unanswered. */
+	/** How many questions in a row met with silence. */
 	unansweredCount = 0;
+	/** When it last took no connection, on the monotonic clock, in milliseconds. */
+	unreachableAtMs = Number.NEGATIVE_INFINITY;
 	/** Until when it is left alone, on the monotonic clock, in milliseconds. */
 	avoidUntilMs = Number.NEGATIVE_INFINITY;
 	/** When it becomes warm, on the monotonic clock, in milliseconds. */
@@ -30,7 +32,7 @@
 	#failures = 0;
 	#goodAnswers = 0;
 	#decayedAtMs: number;
-	/** When requests were sent that the newest report does not hold yet. */
+	/** How many requests were sent that the newest report does not hold yet. */
 	#unreported = 0;
 
 	/**
