Take an answer without a length for whole only after an orderly end

Ruled out: the seal (it was there), the length (there was none). Change: the connection keeps the error of its socket and the request fails with it.

--- a/packages/daemon/src/upstream/connection.ts
+++ b/packages/daemon/src/upstream/connection.ts
@@ -1,6 +1,8 @@
 /** One connection to a target and what it did last. */
 
-import {Client, type Dispatcher} from 'undici';
+import {buildConnector, Client} from 'undici';
+import type {Dispatcher} from 'undici';
+import type {TargetRequest} from './target-request.js';
 
 /** How connections are opened and kept. */
 export type ConnectionOptions = {
@@ -25,6 +27,7 @@
 	/** How many requests it holds. */
 	requestCount = 0;
 	readonly #client: Client;
+	#socketError: Error | undefined;
 
 	/**
 	 * @param options - How it is opened and kept.
@@ -36,7 +39,7 @@
 			headersTimeout: 0,
 			bodyTimeout: 0,
 			localAddress: options.localAddress,
-			connect: {timeout: connectTimeoutMs},
+			connect: this.#makeConnector(),
 		});
 	}
 
@@ -48,8 +51,9 @@
 	 */
 	dispatch(
 		request: Dispatcher.DispatchOptions,
-		handler: Dispatcher.DispatchHandler,
+		handler: TargetRequest,
 	): void {
+		handler.getSocketError = () => this.#socketError;
 		this.#client.dispatch(request, handler);
 	}
 
@@ -62,4 +66,22 @@
 	destroy(): void {
 		void this.#client.destroy();
 	}
+
+	/**
+	 * Keeps the error of a socket, as undici takes a reset for the end of an
+	 * answer without a length.
+	 */
+	#makeConnector(): buildConnector.connector {
+		const connect = buildConnector({timeout: connectTimeoutMs});
+		return (options, callback) => {
+			this.#socketError = undefined;
+			connect(options, (...outcome) => {
+				const [, socket] = outcome;
+				socket?.once('error', (error) => {
+					this.#socketError = error;
+				});
+				callback(...outcome);
+			});
+		};
+	}
 }
--- a/packages/daemon/src/upstream/target-request.ts
+++ b/packages/daemon/src/upstream/target-request.ts
@@ -29,6 +29,8 @@
 export class TargetRequest implements Dispatcher.DispatchHandler {
 	/** Whether a connection may have taken bytes of the request. */
 	isWritten = false;
+	/** Gets the error of the connection, if it had one; set by the connection. */
+	getSocketError: () => Error | undefined = () => undefined;
 	readonly #events: TargetRequestEvents;
 	#controller: Dispatcher.DispatchController | undefined;
 	#cancelReason: Error | undefined;
@@ -97,6 +99,12 @@
 			return;
 		}
 
+		const error = this.getSocketError();
+		if (error !== undefined) {
+			this.#fail(error);
+			return;
+		}
+
 		this.#hasEnded = true;
 		if (this.#hasAnswered) {
 			this.#body?.push(null);
