--- a/packages/gateway/src/choice/target-picker.ts
+++ b/packages/gateway/src/choice/target-picker.ts
@@ -73,6 +73,9 @@
 	readonly expectedMs: number;
 };
 
+/** Which targets are asked: those in the data centre of this host, the others, or all. */
+type Reach = 'near' | 'far' | 'any';
+
 /** How many targets are asked for a request, and at each later look. */
 const askedFirst = 8;
 const askedAgain = 3;
@@ -92,7 +95,7 @@
 	readonly #options: TargetPickerOptions;
 	readonly #allowances = new Map<ServiceName, AskAllowance>();
 	readonly #rounds = new Map<
-		ServiceName,
+		string,
 		{readonly startedAtMs: number; readonly end: Promise<void>}
 	>();
 
@@ -115,7 +118,11 @@
 	async pick(request: PickRequest): Promise<Result<Pick, Failure>> {
 		const {clock} = this.#options;
 		const startedAtMs = clock.monotonicMs();
-		let askedCount = await this.#ask(request, askedFirst);
+		let askedCount = await this.#ask(request, askedFirst, 'near');
+		if (!this.#hasGood(request)) {
+			askedCount += await this.#ask(request, askedFirst, 'far');
+		}
+
 		for (;;) {
 			const best = this.#getBest(request);
 			const acceptance = this.#decide(request, best);
@@ -133,7 +140,7 @@
 			}
 
 			const isWoken = await this.#wakeUps.wait(request.service, askAgainMs);
-			askedCount += isWoken ? 0 : await this.#ask(request, askedAgain);
+			askedCount += isWoken ? 0 : await this.#ask(request, askedAgain, 'any');
 		}
 	}
 
@@ -146,6 +153,12 @@
 		this.#wakeUps.wake(service);
 	}
 
+	/** Tells whether no wait could bring a much better target. */
+	#hasGood(request: PickRequest): boolean {
+		const best = this.#getBest(request);
+		return best !== undefined && this.#decide(request, best) === 'take';
+	}
+
 	#decide(
 		{receivedAtMs, deadlineMs, targetLatencyMs, workMs}: PickRequest,
 		best: Candidate | undefined,
@@ -173,11 +186,16 @@
 	}
 
 	/** Asks targets, or shares the answers of questions that were just sent. */
-	async #ask(request: PickRequest, wanted: number): Promise<number> {
+	async #ask(
+		request: PickRequest,
+		wanted: number,
+		reach: Reach,
+	): Promise<number> {
 		const {book, clock, protocol} = this.#options;
 		const {service} = request;
 		const nowMs = clock.monotonicMs();
-		const running = this.#rounds.get(service);
+		const key = `${service} ${reach}`;
+		const running = this.#rounds.get(key);
 		if (
 			running !== undefined &&
 			nowMs - running.startedAtMs <= sharedRoundMs
@@ -186,20 +204,33 @@
 			return 0;
 		}
 
-		const states = this.#getAsked(request, wanted);
+		const states = this.#getAsked(request, wanted, reach);
+		if (states.length === 0) {
+			return 0;
+		}
+
 		const healthPath = book.getServicePlan(service)?.healthPath ?? '/';
 		const end = askTargets({states, healthPath, protocol, clock});
-		this.#rounds.set(service, {startedAtMs: nowMs, end});
+		this.#rounds.set(key, {startedAtMs: nowMs, end});
 		await end;
 		return states.length;
 	}
 
-	#getAsked({service, tried}: PickRequest, wanted: number): TargetState[] {
-		const {book, clock, random} = this.#options;
+	#getAsked(
+		{service, tried}: PickRequest,
+		wanted: number,
+		reach: Reach,
+	): TargetState[] {
+		const {book, clock, random, dataCentre} = this.#options;
 		const nowMs = clock.monotonicMs();
 		const open = book
 			.getOpenTargets(service)
-			.filter(({listed}) => !tried.has(listed.id));
+			.filter(
+				({listed}) =>
+					!tried.has(listed.id) &&
+					(reach === 'any' ||
+						(listed.dataCentre === dataCentre) === (reach === 'near')),
+			);
 		const calm = open.filter(({avoidUntilMs}) => avoidUntilMs <= nowMs);
 		const candidates = calm.length > 0 ? calm : open;
 		const allowed = this.#getAllowance(service).take(
