Start with Node's own HTTP server and the core of undici only

Of the bundle of 3.2 MB half was Fastify and undici's parts for browsers. Change: the caller's listener stands apart from the server; the gateway takes node:http; the bundle takes two files of undici; the daemon has a second entry, edge.

--- /dev/null
+++ b/packages/daemon/src/edge.ts
@@ -0,0 +1,18 @@
+/** The parts of the HTTP edge that a gateway shares, without settings, bundles and peers. */
+
+export type {CallerProtocol} from './http/caller-protocol.js';
+export {
+	makeCallerListener,
+	type CallerListenerOptions,
+} from './http/caller-listener.js';
+export {getForwardedHeaders} from './http/forwarded-headers.js';
+export {getRequestSignature} from './dispatch/request-signature.js';
+export type {
+	Answer,
+	Exchange,
+	FilterResult,
+	IncomingCall,
+} from './pipeline/exchange.js';
+export {BodyReader} from './pipeline/filters/read-body.js';
+export {Connection} from './upstream/connection.js';
+export {TargetRequest, type TargetAnswer} from './upstream/target-request.js';
--- a/packages/daemon/src/http/caller-connections.ts
+++ b/packages/daemon/src/http/caller-connections.ts
@@ -63,7 +63,7 @@
 	 */
 	closeAfter(request: IncomingMessage): boolean {
 		const calls = this.#calls.get(request.socket);
-		if (calls === undefined || calls.request !== request) {
+		if (calls?.request !== request) {
 			return false;
 		}
 
--- a/packages/daemon/src/http/caller-server.ts
+++ b/packages/daemon/src/http/caller-server.ts
@@ -1,56 +1,22 @@
 /** The server that callers talk to. */
 
-import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
-import {Readable} from 'node:stream';
-import {
-	makeId,
-	notRun,
-	perhapsRun,
-	type Clock,
-	type Failure,
-	type RequestId,
-} from '@bilberryscale/core';
 import {fastify, type FastifyInstance} from 'fastify';
-import {uuidv7} from 'uuidv7';
-import {Exchange, type Answer} from '../pipeline/exchange.js';
-import type {Pipeline} from '../pipeline/filter.js';
-import {CallerConnections, writeRefusal} from './caller-connections.js';
-import {ownProtocol, type CallerProtocol} from './caller-protocol.js';
-import {getRequestFailure} from './check-request.js';
-import {addIssuedKey, scopeToKey} from './key-scope.js';
-import {getProblemAnswer} from './problem.js';
-import {writeAnswer} from './write-answer.js';
-
-/** Takes what should not happen. */
-export type CallerServerLog = {
-	error(message: string, fields: Readonly<Record<string, unknown>>): unknown;
-};
+import {
+	makeCallerListener,
+	type CallerListenerOptions,
+} from './caller-listener.js';
 
 /** What the server works with. */
-export type CallerServerOptions = {
-	readonly pipeline: Pipeline;
-	readonly clock: Clock;
-	readonly log: CallerServerLog;
+export type CallerServerOptions = CallerListenerOptions & {
 	/** The largest head of a request, in bytes. */
 	readonly headerBytes: number;
 	/** How long the head of a request may take, in milliseconds. */
 	readonly headTimeoutMs?: number;
-	/** Why no work is taken now; undefined while it is. */
-	readonly getClosedFailure: () => Failure | undefined;
-	/** Whether connections close with their next answer, as the host leaves. */
-	readonly isLeaving?: () => boolean;
-	/** How long a connection may be idle, in milliseconds. */
-	readonly idleTimeoutMs?: number;
-	/** The names and the form of headers. */
-	readonly protocol?: CallerProtocol;
 };
 
 const defaultHeadTimeoutMs = 10_000;
 const headChecksPerTimeout = 10;
-/** The default of Fastify. */
-const defaultIdleTimeoutMs = 72_000;
-const requestIdPattern = /^[\w\-]{1,64}$/v;
 
 /**
  * Makes the server; it does not listen yet.
@@ -61,13 +27,12 @@
 export function makeCallerServer(
 	options: CallerServerOptions,
 ): FastifyInstance {
-	const connections = new CallerConnections();
+	const listener = makeCallerListener(options);
 	const headTimeoutMs = options.headTimeoutMs ?? defaultHeadTimeoutMs;
 	const server = fastify({
 		logger: false,
 		exposeHeadRoutes: false,
 		requestTimeout: 0,
-		keepAliveTimeout: options.idleTimeoutMs ?? defaultIdleTimeoutMs,
 		return503OnClosing: false,
 		forceCloseConnections: 'idle',
 		rewriteUrl: () => '/',
@@ -78,139 +43,14 @@
 			requireHostHeader: false,
 		},
 		clientErrorHandler(error: NodeJS.ErrnoException, socket: Socket) {
-			connections.refuseBytes(error, socket);
+			listener.onBadBytes(error, socket);
 		},
 	});
 	server.addHook('onRequest', (request, reply, _done) => {
 		void reply.hijack();
-		void serve(request.raw, reply.raw, connections, options);
+		listener.onRequest(request.raw, reply.raw);
 	});
-	server.server.on('connect', (_request: IncomingMessage, socket: Socket) => {
-		writeRefusal(socket, notRun('method-unsupported', 'No tunnels are made.'));
-	});
-	server.server.on(
-		'checkExpectation',
-		(request: IncomingMessage, response: ServerResponse) => {
-			refuseExpectation(request, response, options);
-		},
-	);
+	server.server.on('connect', listener.onConnect);
+	server.server.on('checkExpectation', listener.onExpectation);
 	return server;
 }
-
-async function serve(
-	request: IncomingMessage,
-	response: ServerResponse,
-	connections: CallerConnections,
-	options: CallerServerOptions,
-): Promise<void> {
-	const {clock, getClosedFailure, isLeaving, protocol = ownProtocol} = options;
-	if (!connections.begin(request, response)) {
-		return;
-	}
-
-	const controller = new AbortController();
-	response.once('close', () => {
-		connections.end(request.socket);
-		if (!response.writableFinished) {
-			controller.abort();
-		}
-	});
-	const exchange = makeExchange(request, options, controller.signal);
-	const {requestId} = exchange.incoming;
-	const failure = getRequestFailure(request);
-	const answer =
-		failure === undefined
-			? await getAnswer(exchange, options)
-			: getProblemAnswer(failure, requestId, protocol);
-	if (response.destroyed || controller.signal.aborted) {
-		discard(answer);
-		return;
-	}
-
-	const isClosed = () =>
-		getClosedFailure() !== undefined || isLeaving?.() === true;
-	response.once('finish', () => {
-		if (isClosed() && connections.closeAfter(request)) {
-			request.socket.end();
-		}
-	});
-	const mustClose = failure !== undefined || isClosed() || !request.complete;
-	const isLast = mustClose && connections.closeAfter(request);
-	writeAnswer({request, response, requestId, answer, isLast, clock, protocol});
-}
-
-function makeExchange(
-	request: IncomingMessage,
-	{clock, protocol = ownProtocol}: CallerServerOptions,
-	signal: AbortSignal,
-): Exchange {
-	const {originalUrl} = request as IncomingMessage & {originalUrl?: string};
-	return new Exchange({
-		requestId: getRequestId(request, protocol),
-		method: request.method ?? 'GET',
-		url: originalUrl ?? '/',
-		headers: request.headers,
-		body: request,
-		receivedAtMs: clock.monotonicMs(),
-		signal,
-	});
-}
-
-function getRequestId(
-	request: IncomingMessage,
-	{requestIdHeader}: CallerProtocol,
-): RequestId {
-	const given = request.headers[requestIdHeader];
-	const isUsable = typeof given === 'string' && requestIdPattern.test(given);
-	return makeId<RequestId>(isUsable ? given : uuidv7());
-}
-
-async function getAnswer(
-	exchange: Exchange,
-	options: CallerServerOptions,
-): Promise<Answer> {
-	const {requestId} = exchange.incoming;
-	const refuse = (failure: Failure) =>
-		getProblemAnswer(
-			scopeToKey(failure, exchange),
-			requestId,
-			options.protocol,
-		);
-	const closed = options.getClosedFailure();
-	if (closed !== undefined) {
-		return refuse(closed);
-	}
-
-	try {
-		const result = await options.pipeline(exchange);
-		const answer = result.isOk() ? result.value : refuse(result.error);
-		return addIssuedKey(answer, exchange);
-	} catch (error) {
-		options.log.error('call failed inside the host', {
-			requestId,
-			cause: (error as Error).stack,
-		});
-		return refuse(perhapsRun('internal', 'The entry host failed.'));
-	}
-}
-
-/** Ends an answer that nobody waits for. */
-function discard({body}: Answer): void {
-	if (body instanceof Readable) {
-		body.on('error', () => undefined);
-		body.destroy();
-	}
-}
-
-function refuseExpectation(
-	request: IncomingMessage,
-	response: ServerResponse,
-	{clock, protocol = ownProtocol}: CallerServerOptions,
-): void {
-	const requestId = getRequestId(request, protocol);
-	const expected = String(request.headers.expect);
-	const failure = notRun('bad-request', `"${expected}" cannot be met.`);
-	const answer = getProblemAnswer(failure, requestId, protocol);
-	const isLast = true;
-	writeAnswer({request, response, requestId, answer, isLast, clock, protocol});
-}
--- a/packages/daemon/src/http/problem.ts
+++ b/packages/daemon/src/http/problem.ts
@@ -1,11 +1,7 @@
 /** Refusals as RFC 9457 problem documents. */
 
 import {Buffer} from 'node:buffer';
-import {
-	answerTable,
-	type Failure,
-	type RequestId,
-} from '@bilberryscale/core';
+import {answerTable, type Failure, type RequestId} from '@bilberryscale/core';
 import type {Answer} from '../pipeline/exchange.js';
 import {ownProtocol, type CallerProtocol} from './caller-protocol.js';
 
--- a/packages/daemon/src/http/write-answer.ts
+++ b/packages/daemon/src/http/write-answer.ts
@@ -2,11 +2,7 @@
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {Readable, pipeline as pipeStreams} from 'node:stream';
-import {
-	perhapsRun,
-	type Clock,
-	type RequestId,
-} from '@bilberryscale/core';
+import {perhapsRun, type Clock, type RequestId} from '@bilberryscale/core';
 import type {Answer} from '../pipeline/exchange.js';
 import type {CallerProtocol} from './caller-protocol.js';
 import {getReturnedHeaders} from './forwarded-headers.js';
--- a/packages/daemon/src/logging/make-logger.ts
+++ b/packages/daemon/src/logging/make-logger.ts
@@ -19,9 +19,6 @@
 	readonly fields?: unknown;
 };
 
-/** Which host logs, and from which level on. */
-export type LogOptions = Pick<Settings, 'host' | 'logs'>;
-
 const levelNumbers = {debug: 2, info: 3, warn: 4, error: 5} as const;
 
 /**
@@ -33,7 +30,7 @@
  * @returns The log.
  */
 export function makeLogger(
-	settings: LogOptions,
+	settings: Settings,
 	incarnation: string,
 	write: (line: string) => void = writeToStandardOutput,
 ): Log {
--- a/packages/daemon/src/upstream/connection.ts
+++ b/packages/daemon/src/upstream/connection.ts
@@ -1,7 +1,6 @@
 /** One connection to a target and what it did last. */
 
-import {buildConnector, Client} from 'undici';
-import type {Dispatcher} from 'undici';
+import {buildConnector, Client, type Dispatcher} from 'undici';
 import type {TargetRequest} from './target-request.js';
 
 /** How connections are opened and kept. */
@@ -49,10 +48,7 @@
 	 * @param request - The request.
 	 * @param handler - Takes what happens to it.
 	 */
-	dispatch(
-		request: Dispatcher.DispatchOptions,
-		handler: TargetRequest,
-	): void {
+	dispatch(request: Dispatcher.DispatchOptions, handler: TargetRequest): void {
 		handler.getSocketError = () => this.#socketError;
 		this.#client.dispatch(request, handler);
 	}
@@ -76,8 +72,7 @@
 		return (options, callback) => {
 			this.#socketError = undefined;
 			connect(options, (...outcome) => {
-				const [, socket] = outcome;
-				socket?.once('error', (error) => {
+				outcome[1]?.once('error', (error: Error) => {
 					this.#socketError = error;
 				});
 				callback(...outcome);
--- a/packages/gateway/src/choice/target-inquiry.ts
+++ b/packages/gateway/src/choice/target-inquiry.ts
@@ -6,7 +6,7 @@
 	TargetRequest,
 	type Connection,
 	type TargetAnswer,
-} from '@bilberryscale/daemon';
+} from '@bilberryscale/daemon/edge';
 import type {TargetProtocol} from '../targets/target-protocol.js';
 import type {TargetState} from '../targets/target-state.js';
 
--- a/packages/gateway/src/choice/target-picker.ts
+++ b/packages/gateway/src/choice/target-picker.ts
@@ -9,7 +9,7 @@
 	type ServiceName,
 	type TargetId,
 } from '@bilberryscale/core';
-import type {Connection} from '@bilberryscale/daemon';
+import type {Connection} from '@bilberryscale/daemon/edge';
 import {Err, Ok, type Result} from 'ts-results-es';
 import {AskAllowance} from '../limits/ask-allowance.js';
 import type {TargetBook} from '../targets/target-book.js';
@@ -196,10 +196,7 @@
 		const nowMs = clock.monotonicMs();
 		const key = `${service} ${reach}`;
 		const running = this.#rounds.get(key);
-		if (
-			running !== undefined &&
-			nowMs - running.startedAtMs <= sharedRoundMs
-		) {
+		if (running !== undefined && nowMs - running.startedAtMs <= sharedRoundMs) {
 			await running.end;
 			return 0;
 		}
@@ -265,11 +262,7 @@
 		return best;
 	}
 
-	#mayTake(
-		state: TargetState,
-		{tried}: PickRequest,
-		nowMs: number,
-	): boolean {
+	#mayTake(state: TargetState, {tried}: PickRequest, nowMs: number): boolean {
 		const reportedAtMs = state.report?.receivedAtMs ?? Number.NEGATIVE_INFINITY;
 		if (tried.has(state.listed.id) || nowMs - reportedAtMs > freshMs) {
 			return false;
--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -6,14 +6,18 @@
 	type Clock,
 	type Failure,
 } from '@bilberryscale/core';
-import {makeCallerServer, type CallerProtocol} from '@bilberryscale/daemon';
+import type {CallerProtocol} from '@bilberryscale/daemon/edge';
 import {CrashSuspects} from '@bilberryscale/decisions';
 import {LastSlotFactor} from '../choice/last-slot-factor.js';
 import {TargetInquiry} from '../choice/target-inquiry.js';
 import {TargetPicker} from '../choice/target-picker.js';
+import {CallerEdge} from '../edge/caller-edge.js';
 import {TextServer} from '../edge/text-server.js';
 import {KnowledgeFeed} from '../knowledge/knowledge-feed.js';
-import type {FactDecoder, PublishedReader} from '../knowledge/published-reader.js';
+import type {
+	FactDecoder,
+	PublishedReader,
+} from '../knowledge/published-reader.js';
 import type {Knowledge} from '../plan/knowledge.js';
 import {RouteTable} from '../plan/route-table.js';
 import {SplitPicker} from '../plan/split-picker.js';
@@ -48,10 +52,6 @@
 const pollMs = 50;
 /** Hosts are assumed to be so many until they are counted. */
 const assumedHostCount = 16;
-/** The largest head that any plan may allow, in bytes. */
-const mostHeaderBytes = 65_536;
-/** How long a connection may be idle if no plan says so, in milliseconds. */
-const idleTimeoutMs = 15_000;
 const okStatus = 200;
 const unavailableStatus = 503;
 
@@ -95,7 +95,7 @@
 			getHostCount,
 		});
 		const relay = this.#makeRelay(random, getHostCount);
-		this.#callers = makeCallerServer({
+		this.#callers = new CallerEdge({
 			pipeline: async (exchange) => {
 				this.#openCalls++;
 				try {
@@ -110,8 +110,6 @@
 					log.warn(message, fields);
 				},
 			},
-			headerBytes: mostHeaderBytes,
-			idleTimeoutMs,
 			getClosedFailure: () => this.#getClosedFailure(),
 			isLeaving: () => this.#isLeaving,
 			protocol: options.callerProtocol,
@@ -134,8 +132,7 @@
 		log.writeState('process started', {dataCentre: settings.dataCentre});
 		await this.#readiness.listen(settings.readiness);
 		await this.#metricsServer.listen(settings.metrics);
-		const {address, port} = settings.callers;
-		await this.#callers.listen({host: address, port});
+		await this.#callers.listen(settings.callers);
 		void this.#feed.run();
 	}
 
@@ -150,11 +147,10 @@
 		this.#isReady = false;
 		log.writeState('process stopping', {openCalls: this.#openCalls});
 		await this.#sleep(balancerNoticeMs);
-		this.#callers.server.close();
-		this.#callers.server.closeIdleConnections();
+		this.#callers.close();
 		while (this.#openCalls > 0 && clock.monotonicMs() < endMs) {
 			await this.#sleep(pollMs);
-			this.#callers.server.closeIdleConnections();
+			this.#callers.closeIdle();
 		}
 
 		await this.#sleep(pollMs);
@@ -230,6 +226,7 @@
 				targets: targets.size,
 				emptied: [...emptied],
 			});
+			this.#callers.setIdleTimeout(plan.limits.idleTimeoutMs);
 			this.#plan = {
 				version: plan.version,
 				table: new RouteTable(plan.routes),
--- a/packages/gateway/src/knowledge/knowledge-feed.ts
+++ b/packages/gateway/src/knowledge/knowledge-feed.ts
@@ -165,7 +165,8 @@
 		this.#isWholeNeeded = false;
 		this.#mayLag = true;
 		this.#apply(result.value);
-		const confirmedAtMs = this.#options.clock.monotonicMs() - result.value.ageMs;
+		const confirmedAtMs =
+			this.#options.clock.monotonicMs() - result.value.ageMs;
 		this.confirmedAtMs = Math.max(this.confirmedAtMs, confirmedAtMs);
 		return true;
 	}
@@ -190,12 +191,15 @@
 		}
 
 		for (const name of expired) {
-			log.write('knowledge changed', {item: name, outcome: 'not back, removed'});
+			log.write('knowledge changed', {
+				item: name,
+				outcome: 'not back, removed',
+			});
 		}
 
 		if (news.length > 0 || expired.length > 0) {
 			onKnowledge(this.#publication.getKnowledge());
-			for (const wake of [...this.#waiters]) {
+			for (const wake of this.#waiters) {
 				wake();
 			}
 		}
@@ -286,4 +290,3 @@
 function getKind({isStore}: PublishedReader): string {
 	return isStore ? 'store' : 'peer';
 }
-
--- a/packages/gateway/src/knowledge/publication.ts
+++ b/packages/gateway/src/knowledge/publication.ts
@@ -106,7 +106,10 @@
 		const targets = new Map<TargetId, ListedTarget>();
 		const emptied = new Set<DataCentreId>();
 		for (const [name, {fact, text}] of this.#items) {
-			if (fact?.kind === 'target' && (text !== undefined || this.#held.has(name))) {
+			if (
+				fact?.kind === 'target' &&
+				(text !== undefined || this.#held.has(name))
+			) {
 				targets.set(fact.target.id, fact.target);
 			} else if (fact?.kind === 'emptied-data-centre' && text !== undefined) {
 				emptied.add(fact.dataCentre);
@@ -184,7 +187,10 @@
 		}
 
 		const fact = decoded.value;
-		if (fact?.kind === 'plan' && fact.plan.version > (this.#plan?.version ?? -1)) {
+		if (
+			fact?.kind === 'plan' &&
+			fact.plan.version > (this.#plan?.version ?? -1)
+		) {
 			this.#plan = fact.plan;
 		}
 
--- a/packages/gateway/src/knowledge/published-reader.ts
+++ b/packages/gateway/src/knowledge/published-reader.ts
@@ -75,4 +75,3 @@
 	name: string,
 	text: string,
 ) => Result<PublishedFact | undefined, string>;
-
--- a/packages/gateway/src/plan/route-table.ts
+++ b/packages/gateway/src/plan/route-table.ts
@@ -35,8 +35,7 @@
 	getRoute(host: string, url: string): Route | undefined {
 		const name = host.toLowerCase();
 		const routes =
-			this.#byHost.get(name) ??
-			this.#byHost.get(name.replace(portPattern, ''));
+			this.#byHost.get(name) ?? this.#byHost.get(name.replace(portPattern, ''));
 		const path = url.split('?', 1)[0]!;
 		return routes?.find(({pathPrefix}) => path.startsWith(pathPrefix));
 	}
--- a/packages/gateway/src/records/call-journal.ts
+++ b/packages/gateway/src/records/call-journal.ts
@@ -1,7 +1,7 @@
 /** One log line for each decision about a request, and its figures. */
 
 import type {Failure} from '@bilberryscale/core';
-import type {Exchange, FilterResult} from '@bilberryscale/daemon';
+import type {Exchange, FilterResult} from '@bilberryscale/daemon/edge';
 import type {Route} from '../plan/routing-plan.js';
 import type {SendResult} from '../relay/send-result.js';
 import type {EventLog} from './event-log.js';
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -13,8 +13,8 @@
 	getRequestSignature,
 	type Exchange,
 	type FilterResult,
-} from '@bilberryscale/daemon';
-import {CrashSuspects} from '@bilberryscale/decisions';
+} from '@bilberryscale/daemon/edge';
+import {type CrashSuspects} from '@bilberryscale/decisions';
 import {Err, Ok, type Result} from 'ts-results-es';
 import type {LastSlotFactor} from '../choice/last-slot-factor.js';
 import type {Pick, TargetPicker} from '../choice/target-picker.js';
@@ -131,7 +131,9 @@
 	}
 
 	#getTimeMs({incoming}: Exchange, {timeoutMs}: Route): number {
-		const given = Number(incoming.headers[this.#options.protocol.deadlineHeader]);
+		const given = Number(
+			incoming.headers[this.#options.protocol.deadlineHeader],
+		);
 		return given > 0 ? Math.min(given, timeoutMs) : timeoutMs;
 	}
 
@@ -186,7 +188,12 @@
 		let runs = 0;
 		for (;;) {
 			if (last !== undefined && !allowance.take(clock.monotonicMs())) {
-				return this.#conclude(call, last, runs, 'the retry allowance is used up');
+				return this.#conclude(
+					call,
+					last,
+					runs,
+					'the retry allowance is used up',
+				);
 			}
 
 			const picked = await this.#pick(call, tried);
@@ -377,8 +384,10 @@
 }
 
 function mayHaveRun(result: SendResult): boolean {
-	return result.kind === 'answered' ||
-		(result.kind === 'broken' && result.mayHaveRun);
+	return (
+		result.kind === 'answered' ||
+		(result.kind === 'broken' && result.mayHaveRun)
+	);
 }
 
 function describe(result: SendResult): string {
--- a/packages/gateway/src/relay/send-result.ts
+++ b/packages/gateway/src/relay/send-result.ts
@@ -1,6 +1,6 @@
 /** How one send to a target ended. */
 
-import type {Answer} from '@bilberryscale/daemon';
+import type {Answer} from '@bilberryscale/daemon/edge';
 
 /** Why a send brought no answer. */
 export type BrokenCause =
--- a/packages/gateway/src/relay/silence-watch.ts
+++ b/packages/gateway/src/relay/silence-watch.ts
@@ -66,7 +66,7 @@
 
 	#check(state: TargetState, watched: Watched): void {
 		if (state.unansweredCount >= unansweredToSilence) {
-			for (const onSilent of [...watched.onSilent]) {
+			for (const onSilent of watched.onSilent) {
 				onSilent();
 			}
 
--- a/packages/gateway/src/relay/target-send.ts
+++ b/packages/gateway/src/relay/target-send.ts
@@ -9,7 +9,7 @@
 	type Connection,
 	type IncomingCall,
 	type TargetAnswer,
-} from '@bilberryscale/daemon';
+} from '@bilberryscale/daemon/edge';
 import type {TargetProtocol} from '../targets/target-protocol.js';
 import type {TargetState} from '../targets/target-state.js';
 import {collectBody} from './collect-body.js';
@@ -190,10 +190,7 @@
 			: undefined;
 	}
 
-	#deliver(
-		{status, headers}: TargetAnswer,
-		body: Buffer | Readable,
-	): void {
+	#deliver({status, headers}: TargetAnswer, body: Buffer | Readable): void {
 		const answerHeaders = Buffer.isBuffer(body)
 			? {...headers, 'content-length': String(body.length)}
 			: headers;
--- a/packages/gateway/src/targets/target-book.ts
+++ b/packages/gateway/src/targets/target-book.ts
@@ -1,7 +1,11 @@
 /** The targets in use, kept in step with what is published. */
 
 import type {Clock, ServiceName, TargetId} from '@bilberryscale/core';
-import {getOpenTargets, noKnowledge, type Knowledge} from '../plan/knowledge.js';
+import {
+	getOpenTargets,
+	noKnowledge,
+	type Knowledge,
+} from '../plan/knowledge.js';
 import type {ListedTarget} from '../plan/listed-target.js';
 import type {ServicePlan} from '../plan/routing-plan.js';
 import {TargetLink} from './target-link.js';
--- a/packages/gateway/src/targets/target-link.ts
+++ b/packages/gateway/src/targets/target-link.ts
@@ -1,7 +1,7 @@
 /** The connections of this host to one target. */
 
 import type {Clock} from '@bilberryscale/core';
-import {Connection} from '@bilberryscale/daemon';
+import {Connection} from '@bilberryscale/daemon/edge';
 
 /** How the connections are opened. */
 export type TargetLinkOptions = {
