Read the store from one host of each data centre

Change: packages/gateway/src/fleet: members by datagrams (JSON-RPC notifications), knowledge from the first host of the data centre by a long poll, the store as the next source; a host that has lost the store says so at once. Crashes under a request are told to all hosts, failures to those of the data centre.

--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -4,6 +4,7 @@
 	makeSeededRandom,
 	notRun,
 	type Clock,
+	type Digest,
 	type Failure,
 } from '@bilberryscale/core';
 import type {CallerProtocol} from '@bilberryscale/daemon/edge';
@@ -13,6 +14,8 @@
 import {TargetPicker} from '../choice/target-picker.js';
 import {CallerEdge} from '../edge/caller-edge.js';
 import {TextServer} from '../edge/text-server.js';
+import {Fleet} from '../fleet/fleet.js';
+import type {CrashNotice} from '../fleet/fleet-messages.js';
 import {KnowledgeFeed} from '../knowledge/knowledge-feed.js';
 import type {
 	FactDecoder,
@@ -50,8 +53,8 @@
 /** Left of the time for a stop when the last requests are cut, in milliseconds. */
 const stopReserveMs = 400;
 const pollMs = 50;
-/** Hosts are assumed to be so many until they are counted. */
-const assumedHostCount = 16;
+/** A target that ended is asked after this time, in milliseconds. */
+const crashConfirmMs = 40;
 const okStatus = 200;
 const unavailableStatus = 503;
 
@@ -59,7 +62,9 @@
 export class GatewayHost {
 	readonly #options: GatewayHostOptions;
 	readonly #metrics = new GatewayMetrics();
-	readonly #feed;
+	readonly #fleet: Fleet;
+	readonly #suspects = new CrashSuspects();
+	readonly #feed: KnowledgeFeed;
 	readonly #book;
 	readonly #callers;
 	readonly #readiness;
@@ -69,6 +74,7 @@
 	#openCalls = 0;
 	#isLeaving = false;
 	#isReady = false;
+	#isCaughtUp = false;
 
 	/**
 	 * @param options - The settings and what surrounds the host.
@@ -77,18 +83,36 @@
 		this.#options = options;
 		const {clock, settings, log, decode, store} = options;
 		const random = makeSeededRandom(options.seed);
+		this.#fleet = new Fleet({
+			settings,
+			clock,
+			random,
+			log,
+			store,
+			getFeed: () => this.#feed,
+			onCrash: (notice) => {
+				this.#noteCrash(notice);
+			},
+			onFailure: (life) => {
+				this.#book.noteFailure(life);
+			},
+		});
 		this.#feed = new KnowledgeFeed({
 			clock,
 			random,
 			log,
 			metrics: this.#metrics,
 			decode,
-			getReaders: () => [store],
+			getReaders: (hasKnowledge) => this.#fleet.getReaders(hasKnowledge),
 			onKnowledge: (knowledge) => {
 				this.#setKnowledge(knowledge);
 			},
+			onCaughtUp: () => {
+				this.#isCaughtUp = true;
+				this.#updateReadiness();
+			},
 		});
-		const getHostCount = () => assumedHostCount;
+		const getHostCount = () => this.#fleet.hostCount;
 		this.#book = new TargetBook({
 			clock,
 			localAddress: settings.callers.address,
@@ -133,6 +157,7 @@
 		await this.#readiness.listen(settings.readiness);
 		await this.#metricsServer.listen(settings.metrics);
 		await this.#callers.listen(settings.callers);
+		await this.#fleet.start();
 		void this.#feed.run();
 	}
 
@@ -156,6 +181,7 @@
 		await this.#sleep(pollMs);
 		log.writeState('process stopped', {openCalls: this.#openCalls});
 		this.#feed.stop();
+		this.#fleet.stop();
 		this.#book.close();
 		this.#readiness.close();
 		this.#metricsServer.close();
@@ -196,11 +222,39 @@
 				getPlanVersion: () => this.#plan?.version,
 				getNowMs: () => clock.monotonicMs(),
 			}),
-			suspects: new CrashSuspects(),
+			suspects: this.#suspects,
+			onBroken: (state, signature) => {
+				this.#confirmCrash(state, signature);
+			},
+			onFailure: (state) => {
+				this.#fleet.tellFailure(state.listed.life);
+			},
 		});
 	}
 
-	#ask(state: TargetState): void {
+	/** Asks a target whose connection broke; if it takes none, it has ended. */
+	#confirmCrash(state: TargetState, signature: Digest): void {
+		const {clock, log} = this.#options;
+		clock.schedule(crashConfirmMs, () => {
+			this.#ask(state, () => {
+				if (state.unreachableAtMs > state.heardAtMs) {
+					const {life} = state.listed;
+					log.write('target ended under a request', {life, signature});
+					this.#fleet.tellCrash({life, signature});
+				}
+			});
+		});
+	}
+
+	#noteCrash({signature, life}: CrashNotice): void {
+		const {log, clock} = this.#options;
+		const incidents = [{life, ageMs: 0}];
+		const nowMs = clock.monotonicMs();
+		this.#suspects.addSuspects([{signature, incidents}], nowMs);
+		log.write('heard of a request that ended a target', {life, signature});
+	}
+
+	#ask(state: TargetState, onEnd: () => void = () => undefined): void {
 		const {clock, targetProtocol} = this.#options;
 		const plan = this.#book.getServicePlan(state.listed.service);
 		const inquiry = new TargetInquiry({
@@ -208,7 +262,7 @@
 			healthPath: plan?.healthPath ?? '/',
 			protocol: targetProtocol,
 			clock,
-			onEnd: () => undefined,
+			onEnd,
 		});
 		inquiry.start();
 	}
@@ -234,13 +288,21 @@
 			};
 		}
 
+		this.#updateReadiness();
+	}
+
+	#updateReadiness(): void {
 		const isReady =
-			!this.#isLeaving && this.#plan !== undefined && this.#targetCount > 0;
+			!this.#isLeaving &&
+			this.#isCaughtUp &&
+			this.#plan !== undefined &&
+			this.#targetCount > 0;
 		if (isReady !== this.#isReady) {
 			this.#isReady = isReady;
-			log.writeState(isReady ? 'ready' : 'not ready', {
+			this.#options.log.writeState(isReady ? 'ready' : 'not ready', {
 				version: this.#plan?.version,
 				targets: this.#targetCount,
+				knowledgeAgeMs: Math.round(this.#feed.ageMs),
 			});
 		}
 	}
--- a/packages/gateway/src/context/gateway-settings.ts
+++ b/packages/gateway/src/context/gateway-settings.ts
@@ -19,6 +19,8 @@
 	readonly readiness: Endpoint;
 	/** Where other hosts come in; undefined if this host takes none. */
 	readonly peers: Endpoint | undefined;
+	/** The port for datagrams between hosts, the same on all of them. */
+	readonly talkPort: number;
 	readonly metrics: Endpoint;
 	/** Some hosts by which the others are found; they may be gone. */
 	readonly seeds: readonly Endpoint[];
--- /dev/null
+++ b/packages/gateway/src/fleet/peer-reader.ts
@@ -0,0 +1,110 @@
+/** Reads published knowledge from a host that reads the store. */
+
+import type {Clock} from '@bilberryscale/core';
+import {Connection} from '@bilberryscale/daemon/edge';
+import {
+	JSONRPCClient,
+	type JSONRPCRequest,
+	type JSONRPCResponse,
+} from 'json-rpc-2.0';
+import {Err, Ok, type Result} from 'ts-results-es';
+import {fetchText} from '../edge/fetch-text.js';
+import type {
+	PublishedChanges,
+	PublishedReader,
+	ReadFault,
+} from '../knowledge/published-reader.js';
+import {knowledgeMethod, type KnowledgeQuery} from './knowledge-server.js';
+
+/** Which host is read. */
+export type PeerReaderOptions = {
+	readonly clock: Clock;
+	/** The IP number and port of the host. */
+	readonly address: string;
+	/** The local IP number that connections leave from. */
+	readonly localAddress: string;
+};
+
+/** How long the other host waits for changes, in milliseconds. */
+const waitMs = 700;
+/** How much longer an answer may take, in milliseconds. */
+const answerTimeoutMs = 350;
+
+/** A reader of one other host. */
+export class PeerReader implements PublishedReader {
+	readonly #options: PeerReaderOptions;
+	#connection: Connection;
+
+	/**
+	 * @param options - Which host is read.
+	 */
+	constructor(options: PeerReaderOptions) {
+		this.#options = options;
+		this.#connection = this.#connect();
+	}
+
+	get name(): string {
+		return `host ${this.#options.address}`;
+	}
+
+	get isStore(): boolean {
+		return false;
+	}
+
+	async readAll(): Promise<Result<PublishedChanges, ReadFault>> {
+		return this.#read({waitMs: 0});
+	}
+
+	async readChanges(
+		revision: number,
+		mayWait: boolean,
+	): Promise<Result<PublishedChanges, ReadFault>> {
+		return this.#read({after: revision, waitMs: mayWait ? waitMs : 0});
+	}
+
+	/** Closes the connection. */
+	close(): void {
+		this.#connection.destroy();
+	}
+
+	async #read(
+		query: KnowledgeQuery,
+	): Promise<Result<PublishedChanges, ReadFault>> {
+		const client = new JSONRPCClient(async (request) => {
+			client.receive(await this.#send(request as JSONRPCRequest, query));
+		});
+		try {
+			return Ok(
+				(await client.request(knowledgeMethod, query)) as PublishedChanges,
+			);
+		} catch (error) {
+			this.#connection.destroy();
+			this.#connection = this.#connect();
+			return Err({isHistoryGone: false, detail: (error as Error).message});
+		}
+	}
+
+	async #send(
+		request: JSONRPCRequest,
+		query: KnowledgeQuery,
+	): Promise<JSONRPCResponse> {
+		const response = await fetchText({
+			connection: this.#connection,
+			clock: this.#options.clock,
+			method: 'POST',
+			path: '/',
+			body: JSON.stringify(request),
+			timeoutMs: query.waitMs + answerTimeoutMs,
+		});
+		if (response.isErr()) {
+			throw new Error(response.error);
+		}
+
+		return JSON.parse(response.value.text) as JSONRPCResponse;
+	}
+
+	#connect(): Connection {
+		const {address, localAddress} = this.#options;
+		return new Connection({origin: `http://${address}`, localAddress});
+	}
+}
--- a/packages/gateway/src/knowledge/knowledge-feed.ts
+++ b/packages/gateway/src/knowledge/knowledge-feed.ts
@@ -19,23 +19,35 @@
 	readonly log: EventLog;
 	readonly metrics: GatewayMetrics;
 	readonly decode: FactDecoder;
-	/** Gets the sources in the order in which they are to be tried. */
-	readonly getReaders: () => readonly PublishedReader[];
+	/**
+	 * Gets the sources in the order in which they are to be tried.
+	 *
+	 * @param hasKnowledge - Whether anything is known yet.
+	 */
+	readonly getReaders: (hasKnowledge: boolean) => readonly PublishedReader[];
 	/** Told when something that decisions depend on has changed. */
 	readonly onKnowledge: (knowledge: Knowledge) => void;
+	/** Told once, when what is known does not lag any more. */
+	readonly onCaughtUp: () => void;
 };
 
 /** Changes that come one after the other are read together after this pause, in milliseconds. */
 const pauseMs = 120;
 const shortestBackoffMs = 80;
 const longestBackoffMs = 400;
-/** A peer whose knowledge is older is passed over, in milliseconds. */
-const oldestPeerAgeMs = 1500;
+/**
+ * A peer whose knowledge is older is passed over, in milliseconds: the wait of
+ * a watch, its timeout and a pause.
+ */
+const oldestPeerAgeMs = 1800;
 /** Targets whose entries lapsed with the store are back in this time after its return, in milliseconds. */
 const returnMs = 2000;
 /** A source that failed is passed over for so long while others are left, in milliseconds. */
 const avoidReaderMs = 2500;
 
+/** Stands for knowledge that the store does not confirm, in milliseconds. */
+const neverMs = 1e9;
+
 /** Reads from the first source that answers. */
 export class KnowledgeFeed {
 	/** When the store last confirmed what is known, on the monotonic clock. */
@@ -47,9 +59,12 @@
 	#source: string | undefined;
 	#isWholeNeeded = true;
 	#mayLag = true;
+	/** Whether changes were read after the first items, which may lag. */
+	#isCaughtUp = false;
 	#isLost = false;
 	#holdUntilMs = Number.NEGATIVE_INFINITY;
 	#backoffMs = shortestBackoffMs;
+	#hasToldReady = false;
 	#isStopped = false;
 
 	/**
@@ -79,7 +94,8 @@
 	async run(): Promise<void> {
 		while (!this.#isStopped) {
 			const hasRead = await this.#readFromAny();
-			await this.#sleep(hasRead ? pauseMs : this.#getBackoffMs());
+			const restMs = this.#isCaughtUp ? pauseMs : 0;
+			await this.#sleep(hasRead ? restMs : this.#getBackoffMs());
 		}
 	}
 
@@ -97,7 +113,7 @@
 	getChangesAfter(revision: number | undefined): PublishedChanges {
 		return {
 			...this.#publication.getChangesAfter(revision),
-			ageMs: this.ageMs,
+			ageMs: this.#isLost ? neverMs : Math.min(this.ageMs, neverMs),
 			holdMs: Math.max(
 				0,
 				this.#holdUntilMs - this.#options.clock.monotonicMs(),
@@ -130,7 +146,7 @@
 
 	async #readFromAny(): Promise<boolean> {
 		const nowMs = this.#options.clock.monotonicMs();
-		const readers = this.#options.getReaders();
+		const readers = this.#options.getReaders(this.revision > 0);
 		const usable = readers.filter(
 			({name}) => (this.#avoided.get(name) ?? 0) <= nowMs,
 		);
@@ -147,7 +163,10 @@
 		const startedAtMs = this.#options.clock.monotonicMs();
 		const result = this.#isWholeNeeded
 			? await reader.readAll(this.#mayLag)
-			: await reader.readChanges(this.revision, !this.#isLost);
+			: await reader.readChanges(
+					this.revision,
+					this.#isCaughtUp && !this.#isLost,
+				);
 		if (result.isErr()) {
 			this.#noteFault(reader, result.error);
 			return false;
@@ -162,15 +181,24 @@
 		}
 
 		this.#noteSuccess(reader, startedAtMs);
+		this.#isCaughtUp ||= !this.#isWholeNeeded || !reader.isStore;
 		this.#isWholeNeeded = false;
 		this.#mayLag = true;
 		this.#apply(result.value);
+		this.#tellReady();
 		const confirmedAtMs =
 			this.#options.clock.monotonicMs() - result.value.ageMs;
 		this.confirmedAtMs = Math.max(this.confirmedAtMs, confirmedAtMs);
 		return true;
 	}
 
+	#tellReady(): void {
+		if (this.#isCaughtUp && !this.#hasToldReady) {
+			this.#hasToldReady = true;
+			this.#options.onCaughtUp();
+		}
+	}
+
 	#apply(changes: PublishedChanges): void {
 		const {clock, log, onKnowledge} = this.#options;
 		const nowMs = clock.monotonicMs();
@@ -207,6 +235,12 @@
 		this.#scheduleExpiry();
 	}
 
+	#wakeWaiters(): void {
+		for (const wake of [...this.#waiters]) {
+			wake();
+		}
+	}
+
 	#scheduleExpiry(): void {
 		if (!this.#publication.hasHeld) {
 			return;
@@ -246,6 +280,7 @@
 
 		if (reader.isStore && !this.#isLost) {
 			this.#isLost = true;
+			this.#wakeWaiters();
 			log.writeState('dependency lost', {dependency: reader.name, detail});
 		}
 
@@ -257,6 +292,10 @@
 	#noteSuccess(reader: PublishedReader, startedAtMs: number): void {
 		const {clock, log} = this.#options;
 		this.#backoffMs = shortestBackoffMs;
+		if (!reader.isStore) {
+			this.#isLost = false;
+		}
+
 		if (reader.isStore && this.#isLost) {
 			this.#isLost = false;
 			this.#holdUntilMs = clock.monotonicMs() + returnMs;
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -5,6 +5,7 @@
 	notRun,
 	perhapsRun,
 	type Clock,
+	type Digest,
 	type Failure,
 	type TargetId,
 } from '@bilberryscale/core';
@@ -24,6 +25,7 @@
 import type {SplitPicker} from '../plan/split-picker.js';
 import type {CallJournal} from '../records/call-journal.js';
 import type {TargetProtocol} from '../targets/target-protocol.js';
+import type {TargetState} from '../targets/target-state.js';
 import type {SendResult} from './send-result.js';
 import type {SilenceWatch} from './silence-watch.js';
 import {TargetSend} from './target-send.js';
@@ -51,6 +53,10 @@
 	readonly journal: CallJournal;
 	/** The requests that may have crashed targets. */
 	readonly suspects: CrashSuspects;
+	/** Told when a connection broke under a request. */
+	readonly onBroken: (state: TargetState, signature: Digest) => void;
+	/** Told when a target failed a request. */
+	readonly onFailure: (state: TargetState) => void;
 };
 
 /** A request with all that was found out about it. */
@@ -263,6 +269,10 @@
 
 		this.#options.picker.noteReport(call.service);
 		this.#noteCrash(call, state, result);
+		if (isTargetsFault(result)) {
+			this.#options.onFailure(state);
+		}
+
 		journal.addSend(exchange, {
 			attempt,
 			target: state.listed.id,
@@ -309,7 +319,9 @@
 
 		if (result.kind === 'broken' && result.cause === 'broken') {
 			const brokenAtMs = clock.monotonicMs();
-			suspects.addIncident(getRequestSignature(exchange), {
+			const signature = getRequestSignature(exchange);
+			this.#options.onBroken(state, signature);
+			suspects.addIncident(signature, {
 				life: state.listed.life,
 				atMs: brokenAtMs,
 				hasEnded: () =>
@@ -390,6 +402,12 @@
 	);
 }
 
+function isTargetsFault(result: SendResult): boolean {
+	return result.kind === 'answered'
+		? result.answer.status >= lowestFault
+		: result.kind === 'broken' && result.cause === 'broken';
+}
+
 function describe(result: SendResult): string {
 	switch (result.kind) {
 		case 'answered': {
--- a/packages/gateway/src/targets/target-book.ts
+++ b/packages/gateway/src/targets/target-book.ts
@@ -6,7 +6,7 @@
 	noKnowledge,
 	type Knowledge,
 } from '../plan/knowledge.js';
-import type {ListedTarget} from '../plan/listed-target.js';
+import type {ListedTarget, TargetLife} from '../plan/listed-target.js';
 import type {ServicePlan} from '../plan/routing-plan.js';
 import {TargetLink} from './target-link.js';
 import {TargetState} from './target-state.js';
@@ -102,6 +102,20 @@
 		return this.getOpenTargets(state.listed.service).includes(state);
 	}
 
+	/**
+	 * Notes that a target failed a request of another host.
+	 *
+	 * @param life - The life of the target.
+	 */
+	noteFailure(life: TargetLife): void {
+		const nowMs = this.#options.clock.monotonicMs();
+		for (const state of this.#states.values()) {
+			if (state.listed.life === life) {
+				state.addHeardFailure(nowMs);
+			}
+		}
+	}
+
 	/** Closes all connections. */
 	close(): void {
 		for (const {link} of this.#states.values()) {
--- a/packages/gateway/src/targets/target-state.ts
+++ b/packages/gateway/src/targets/target-state.ts
@@ -9,6 +9,9 @@
 /** How many good answers stand against the first failure. */
 const priorGoodAnswers = 2;
 
+/** What a failure weighs that another host tells of. */
+const heardFailureWeight = 0.35;
+
 /** A target in use. */
 export class TargetState {
 	listed: ListedTarget;
@@ -118,6 +121,17 @@
 		}
 	}
 
+	/**
+	 * Notes that the target failed a request of another host, of whose good
+	 * answers this host hears nothing.
+	 *
+	 * @param nowMs - The monotonic time in milliseconds.
+	 */
+	addHeardFailure(nowMs: number): void {
+		this.#decay(nowMs);
+		this.#failures += heardFailureWeight;
+	}
+
 	/**
 	 * Gets how likely the target fails a request.
 	 *
