Let an answer without a length end with the caller's connection too

Change: such an answer is passed on as it came, without a length or chunks; one that may run again is sent once more first; if later requests are due on the connection the answer is replaced by 502.

--- a/packages/daemon/src/http/caller-listener.ts
+++ b/packages/daemon/src/http/caller-listener.ts
@@ -121,9 +121,27 @@
 			request.socket.end();
 		}
 	});
-	const mustClose = failure !== undefined || isClosed() || !request.complete;
+	const mustClose =
+		failure !== undefined ||
+		isClosed() ||
+		!request.complete ||
+		answer.isOpenEnded === true;
 	const isLast = mustClose && connections.closeAfter(request);
-	writeAnswer({request, response, requestId, answer, isLast, clock, protocol});
+	const delivery = {request, response, requestId, isLast, clock, protocol};
+	if (answer.isOpenEnded === true && !isLast) {
+		discard(answer);
+		const problem = perhapsRun(
+			'target-failed',
+			'The answer ends with its connection, on which others are still due.',
+		);
+		writeAnswer({
+			...delivery,
+			answer: getProblemAnswer(problem, requestId, protocol),
+		});
+		return;
+	}
+
+	writeAnswer({...delivery, answer});
 }
 
 function makeExchange(
--- a/packages/daemon/src/http/write-answer.ts
+++ b/packages/daemon/src/http/write-answer.ts
@@ -57,10 +57,16 @@
 	const {request, response, answer, requestId, isLast, protocol} = delivery;
 	const headers = getReturnedHeaders(answer.headers);
 	headers[protocol.requestIdHeader] = requestId;
-	if (isLast || !request.complete) {
+	if (isLast || !request.complete || answer.isOpenEnded) {
 		headers.connection = 'close';
 	}
 
+	if (answer.isOpenEnded) {
+		delete headers['content-length'];
+		// Without chunks the answer ends with the connection, as the target's does.
+		response.useChunkedEncodingByDefault = false;
+	}
+
 	try {
 		response.writeHead(answer.status, headers);
 		return true;
--- a/packages/daemon/src/pipeline/exchange.ts
+++ b/packages/daemon/src/pipeline/exchange.ts
@@ -44,6 +44,8 @@
 	readonly status: number;
 	readonly headers: Readonly<Record<string, string | string[] | undefined>>;
 	readonly body: Readable | Buffer;
+	/** Whether the caller must see it end with the connection, as it may be cut. */
+	readonly isOpenEnded?: boolean;
 };
 
 /** The end of a filter: an answer to pass on, or why there is none. */
--- a/packages/daemon/src/upstream/target-request.ts
+++ b/packages/daemon/src/upstream/target-request.ts
@@ -11,6 +11,8 @@
 	readonly headers: IncomingHttpHeaders;
 	/** The bytes if they came whole with the head; else a stream. */
 	readonly body: Readable | Buffer;
+	/** Whether only the end of the connection ends it, so that half may look whole. */
+	readonly isOpenEnded: boolean;
 };
 
 /** Takes what happens to the request. */
@@ -126,15 +128,16 @@
 		}
 
 		this.#hasAnswered = true;
+		const isOpenEnded = !bodilessStatuses.has(status) && !hasFraming(headers);
 		if (this.#hasEnded) {
 			const body = joinChunks(this.#chunks);
-			this.#events.onAnswer({status, headers, body});
+			this.#events.onAnswer({status, headers, body, isOpenEnded});
 			this.#events.onEnd(undefined);
 			return;
 		}
 
 		this.#body = this.#makeBody();
-		this.#events.onAnswer({status, headers, body: this.#body});
+		this.#events.onAnswer({status, headers, body: this.#body, isOpenEnded});
 	}
 
 	#makeBody(): Readable {
@@ -167,6 +170,13 @@
 	}
 }
 
+function hasFraming(headers: IncomingHttpHeaders): boolean {
+	return (
+		headers['content-length'] !== undefined ||
+		headers['transfer-encoding'] !== undefined
+	);
+}
+
 function joinChunks(chunks: readonly Buffer[]): Buffer {
 	return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
 }
--- a/packages/daemon/test/http/whole-answers.test.ts
+++ b/packages/daemon/test/http/whole-answers.test.ts
@@ -25,6 +25,26 @@
 }
 
 describe('whole answers', () => {
+	describe('an answer that ends with its connection', () => {
+		const openEnded = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf';
+
+		it('ends with the connection towards the caller too', async () => {
+			const script: RawScript = ({socket}) => {
+				socket.end(openEnded);
+			};
+
+			await withEdge({script}, async (edge) => {
+				const caller = edge.connect();
+				caller.send(keepingAlive);
+				await caller.closed;
+				const {headers, body} = parseAnswer(caller.text);
+				assert.is(headers.get('content-length'), undefined);
+				assert.is(headers.get('transfer-encoding'), undefined);
+				assert.is(body, 'half');
+			});
+		});
+	});
+
 	describe('a body that breaks off', () => {
 		function doTest(name: string, input: string, version = '1.1'): void {
 			it(name, async () => {
--- a/packages/gateway/src/fleet/fleet-messages.ts
+++ b/packages/gateway/src/fleet/fleet-messages.ts
@@ -63,10 +63,10 @@
 	}
 
 	const [first, second] = params as unknown[];
-	return decodeParams(String(method), first, second);
+	return decodeParameters(String(method), first, second);
 }
 
-function decodeParams(
+function decodeParameters(
 	method: string,
 	first: unknown,
 	second: unknown,
--- a/packages/gateway/src/knowledge/knowledge-feed.ts
+++ b/packages/gateway/src/knowledge/knowledge-feed.ts
@@ -236,7 +236,7 @@
 	}
 
 	#wakeWaiters(): void {
-		for (const wake of [...this.#waiters]) {
+		for (const wake of this.#waiters) {
 			wake();
 		}
 	}
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -211,9 +211,10 @@
 
 			const {listed} = picked.value.state;
 			tried.add(listed.id);
-			last = await this.#send(call, picked.value, tried.size);
-			runs += mayHaveRun(last) ? 1 : 0;
-			if (!this.#mayTryAgain(call, last, runs, tried.size)) {
+			const result = await this.#send(call, picked.value, tried.size);
+			last = getBetter(last, result);
+			runs += mayHaveRun(result) ? 1 : 0;
+			if (!this.#mayTryAgain(call, result, runs, tried.size)) {
 				return this.#conclude(call, last, runs, undefined);
 			}
 		}
@@ -337,7 +338,7 @@
 		sends: number,
 	): boolean {
 		const isFinal =
-			(result.kind === 'answered' && result.answer.status < lowestFault) ||
+			isGood(result) ||
 			exchange.incoming.signal.aborted ||
 			runs >= route.maxAttempts ||
 			sends >= route.maxAttempts + mostRefusals;
@@ -395,6 +396,34 @@
 	}
 }
 
+/** Gets what is passed on if no further send does better. */
+function getBetter(
+	former: SendResult | undefined,
+	latest: SendResult,
+): SendResult {
+	return former === undefined || getWorth(latest) >= getWorth(former)
+		? latest
+		: former;
+}
+
+/** Orders results by what they are worth to the caller. */
+function getWorth(result: SendResult): number {
+	if (result.kind !== 'answered') {
+		return 0;
+	}
+
+	return result.answer.status < lowestFault ? 2 : 1;
+}
+
+/** An answer that ends with its connection may be a half, so another is better. */
+function isGood(result: SendResult): boolean {
+	return (
+		result.kind === 'answered' &&
+		result.answer.status < lowestFault &&
+		result.answer.isOpenEnded !== true
+	);
+}
+
 function mayHaveRun(result: SendResult): boolean {
 	return (
 		result.kind === 'answered' ||
--- a/packages/gateway/src/relay/target-send.ts
+++ b/packages/gateway/src/relay/target-send.ts
@@ -190,11 +190,14 @@
 			: undefined;
 	}
 
-	#deliver({status, headers}: TargetAnswer, body: Buffer | Readable): void {
+	#deliver(
+		{status, headers, isOpenEnded}: TargetAnswer,
+		body: Buffer | Readable,
+	): void {
 		const answerHeaders = Buffer.isBuffer(body)
 			? {...headers, 'content-length': String(body.length)}
 			: headers;
-		const answer = {status, headers: answerHeaders, body};
+		const answer = {status, headers: answerHeaders, body, isOpenEnded};
 		this.#settle({kind: 'answered', answer}, status >= lowestFault);
 	}
 
