--- /dev/null
+++ b/packages/gateway/test/fixtures.ts
@@ -0,0 +1,148 @@
+/** Plans, targets and changes for the tests of the gateway. */
+
+import {
+	makeId,
+	type Clock,
+	type DataCentreId,
+	type ServiceName,
+	type TargetId,
+} from '@bilberryscale/core';
+import {Err, Ok, type Result} from 'ts-results-es';
+import type {
+	PublishedChange,
+	PublishedChanges,
+	PublishedFact,
+	PublishedReader,
+	ReadFault,
+} from '../src/knowledge/published-reader.js';
+import type {ListedTarget, TargetLife} from '../src/plan/listed-target.js';
+import type {PlanVersion, Route, RouteName} from '../src/plan/routing-plan.js';
+import {EventLog} from '../src/records/event-log.js';
+
+export const east = makeId<DataCentreId>('east');
+export const west = makeId<DataCentreId>('west');
+export const reading = makeId<ServiceName>('reading');
+
+export function makeRoute(changes: Partial<Route> = {}): Route {
+	return {
+		name: makeId<RouteName>('route-1'),
+		host: 'a.example',
+		pathPrefix: '/a/',
+		isIdempotent: true,
+		parts: [{service: reading, weight: 1}],
+		timeoutMs: 1000,
+		targetLatencyMs: 600,
+		maxAttempts: 2,
+		priority: 1,
+		...changes,
+	};
+}
+
+export function makeListed(
+	id: string,
+	changes: Partial<ListedTarget> = {},
+): ListedTarget {
+	return {
+		id: makeId<TargetId>(id),
+		life: makeId<TargetLife>(`${id}@1`),
+		service: reading,
+		address: '127.0.0.1',
+		port: 1,
+		dataCentre: east,
+		slots: 4,
+		isDraining: false,
+		coldMs: 0,
+		...changes,
+	};
+}
+
+/** Reads items of the form `target` or `plan VERSION`. */
+export function decodeTestFact(
+	name: string,
+	text: string,
+): Result<PublishedFact | undefined, string> {
+	if (text === 'broken') {
+		return Err('is broken');
+	}
+
+	if (name === 'plan') {
+		const limits = {
+			headerBytes: 1000,
+			bodyBytes: 1000,
+			headerTimeoutMs: 1000,
+			idleTimeoutMs: 1000,
+		};
+		const version = makeId<PlanVersion>(Number(text));
+		const plan = {version, routes: [makeRoute()], services: [], limits};
+		return Ok({kind: 'plan', plan});
+	}
+
+	return Ok({kind: 'target', target: makeListed(name)});
+}
+
+export function makeChanges(
+	revision: number,
+	changes: readonly PublishedChange[],
+	isWhole = false,
+): PublishedChanges {
+	return {isWhole, changes, revision, ageMs: 0, holdMs: 0};
+}
+
+export function set(
+	name: string,
+	revision: number,
+	text = 'target',
+): PublishedChange {
+	return {name, text, revision};
+}
+
+export function removed(name: string, revision: number): PublishedChange {
+	return {name, text: undefined, revision};
+}
+
+/** A log that keeps its lines. */
+export function makeTestLog(clock: Clock): {
+	readonly log: EventLog;
+	readonly lines: Array<Readonly<Record<string, unknown>>>;
+} {
+	const lines: Array<Readonly<Record<string, unknown>>> = [];
+	const log = new EventLog({
+		clock,
+		origin: {host: 'test'},
+		writeLine(line) {
+			lines.push(JSON.parse(line) as Record<string, unknown>);
+		},
+	});
+	return {log, lines};
+}
+
+type Read = Result<PublishedChanges, ReadFault>;
+
+/** A source that gives what a test has put in line. */
+export class ScriptedReader implements PublishedReader {
+	readonly name: string;
+	readonly isStore: boolean;
+	readonly reads: string[] = [];
+	readonly script: Read[] = [];
+
+	constructor(name: string, isStore: boolean) {
+		this.name = name;
+		this.isStore = isStore;
+	}
+
+	async readAll(mayLag: boolean): Promise<Read> {
+		this.reads.push(mayLag ? 'all, may lag' : 'all');
+		return this.#next();
+	}
+
+	async readChanges(revision: number, mayWait: boolean): Promise<Read> {
+		this.reads.push(`after ${revision}${mayWait ? '' : ', at once'}`);
+		return this.#next();
+	}
+
+	#next(): Read {
+		return (
+			this.script.shift() ?? Err({isHistoryGone: false, detail: 'not scripted'})
+		);
+	}
+}
--- /dev/null
+++ b/packages/gateway/test/knowledge/knowledge-feed.test.ts
@@ -0,0 +1,157 @@
+import {ManualClock, makeSeededRandom} from '@bilberryscale/core';
+import {describe, it} from '@bilberryscale/testing';
+import {Err, Ok} from 'ts-results-es';
+import * as assert from 'uvu/assert';
+import {KnowledgeFeed} from '../../src/knowledge/knowledge-feed.js';
+import type {Knowledge} from '../../src/plan/knowledge.js';
+import {GatewayMetrics} from '../../src/records/gateway-metrics.js';
+import {
+	decodeTestFact,
+	makeChanges,
+	makeTestLog,
+	removed,
+	ScriptedReader,
+	set,
+} from '../fixtures.js';
+
+const lost = Err({isHistoryGone: false, detail: 'no answer'});
+const gone = Err({isHistoryGone: true, detail: 'status 410'});
+
+async function settle(): Promise<void> {
+	for (let turn = 0; turn < 20; turn++) {
+		await Promise.resolve();
+	}
+}
+
+function makeFixture(readers: readonly ScriptedReader[]) {
+	const clock = new ManualClock();
+	const {log, lines} = makeTestLog(clock);
+	let knowledge: Knowledge | undefined;
+	let isCaughtUp = false;
+	const feed = new KnowledgeFeed({
+		clock,
+		random: makeSeededRandom(1),
+		log,
+		metrics: new GatewayMetrics(),
+		decode: decodeTestFact,
+		getReaders: () => readers,
+		onKnowledge(next) {
+			knowledge = next;
+		},
+		onCaughtUp() {
+			isCaughtUp = true;
+		},
+	});
+	return {
+		clock,
+		feed,
+		lines,
+		getTargets: () => [...(knowledge?.targets.keys() ?? [])].join(' '),
+		isCaughtUp: () => isCaughtUp,
+		async run(durationMs: number) {
+			await settle();
+			for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 20) {
+				clock.advance(20);
+				await settle();
+			}
+		},
+	};
+}
+
+describe('KnowledgeFeed', () => {
+	describe('run', () => {
+		it('is caught up only after the changes that a lagging read lacks', async () => {
+			const store = new ScriptedReader('store', true);
+			store.script.push(
+				Ok(makeChanges(5, [set('a', 4)], true)),
+				Ok(makeChanges(6, [set('b', 6)])),
+			);
+			const fixture = makeFixture([store]);
+			void fixture.feed.run();
+			await fixture.run(20);
+			assert.equal(store.reads.slice(0, 2), [
+				'all, may lag',
+				'after 5, at once',
+			]);
+			assert.is(fixture.getTargets(), 'a b');
+			assert.is(fixture.isCaughtUp(), true);
+			fixture.feed.stop();
+		});
+
+		it('reads all items anew once the history is gone', async () => {
+			const store = new ScriptedReader('store', true);
+			store.script.push(
+				Ok(makeChanges(5, [set('a', 4), set('b', 4)], true)),
+				Ok(makeChanges(5, [])),
+				gone,
+				Ok(makeChanges(9, [set('b', 4)], true)),
+			);
+			const fixture = makeFixture([store]);
+			void fixture.feed.run();
+			await fixture.run(600);
+			assert.equal(store.reads.slice(2, 4), ['after 5', 'all']);
+			assert.is(fixture.getTargets(), 'b');
+			fixture.feed.stop();
+		});
+
+		it('keeps targets that lapsed with the store for two seconds', async () => {
+			const store = new ScriptedReader('store', true);
+			store.script.push(
+				Ok(makeChanges(5, [set('a', 4), set('b', 4)], true)),
+				Ok(makeChanges(5, [])),
+				lost,
+				Ok(makeChanges(8, [removed('a', 7), removed('b', 8)])),
+				Ok(makeChanges(9, [set('b', 9)])),
+			);
+			const fixture = makeFixture([store]);
+			void fixture.feed.run();
+			await fixture.run(1000);
+			assert.is(fixture.getTargets(), 'a b');
+			await fixture.run(2500);
+			assert.is(fixture.getTargets(), 'b');
+			assert.ok(
+				fixture.lines.some(({message}) => message === 'dependency regained'),
+			);
+			fixture.feed.stop();
+		});
+
+		it('goes on to the next source if the first fails or lags', async () => {
+			const peer = new ScriptedReader('host 1', false);
+			const store = new ScriptedReader('store', true);
+			peer.script.push(
+				Ok({...makeChanges(3, [set('a', 3)], true), ageMs: 1e9}),
+			);
+			store.script.push(Ok(makeChanges(5, [set('b', 5)])));
+			const fixture = makeFixture([peer, store]);
+			void fixture.feed.run();
+			await fixture.run(20);
+			assert.equal(peer.reads.length, 1);
+			assert.ok(store.reads.length > 0);
+			assert.ok(fixture.getTargets().includes('b'));
+			fixture.feed.stop();
+		});
+
+		it('tells peers at once that the store is lost', async () => {
+			const store = new ScriptedReader('store', true);
+			store.script.push(
+				Ok(makeChanges(5, [set('a', 4)], true)),
+				Ok(makeChanges(5, [])),
+				lost,
+			);
+			const fixture = makeFixture([store]);
+			void fixture.feed.run();
+			await fixture.run(100);
+			let isWoken = false;
+			const wait = async () => {
+				await fixture.feed.waitForChange(5, 10_000);
+				isWoken = true;
+			};
+
+			void wait();
+			await fixture.run(300);
+			assert.is(isWoken, true);
+			assert.ok(fixture.feed.getChangesAfter(5).ageMs > 10_000);
+			fixture.feed.stop();
+		});
+	});
+});
--- /dev/null
+++ b/packages/gateway/test/relay/silence-watch.test.ts
@@ -0,0 +1,69 @@
+import {ManualClock} from '@bilberryscale/core';
+import {describe, it} from '@bilberryscale/testing';
+import * as assert from 'uvu/assert';
+import {SilenceWatch} from '../../src/relay/silence-watch.js';
+import {TargetLink} from '../../src/targets/target-link.js';
+import {TargetState} from '../../src/targets/target-state.js';
+import {makeListed} from '../fixtures.js';
+
+function makeState(clock: ManualClock): TargetState {
+	const link = new TargetLink({
+		clock,
+		origin: 'http://127.0.0.1:9',
+		localAddress: '127.0.0.1',
+		getLimit: () => 2,
+	});
+	return new TargetState(makeListed('a'), link, 0);
+}
+
+describe('SilenceWatch', () => {
+	describe('watch', () => {
+		function doTest(
+			name: string,
+			ask: (state: TargetState, clock: ManualClock) => void,
+			expected: boolean,
+		): void {
+			it(name, () => {
+				const clock = new ManualClock();
+				const state = makeState(clock);
+				state.addSign(0);
+				let isSilent = false;
+				const watch = new SilenceWatch({
+					clock,
+					ask(asked) {
+						ask(asked, clock);
+					},
+				});
+				const end = watch.watch(state, () => {
+					isSilent = true;
+				});
+				clock.advance(1000);
+				end();
+				assert.is(isSilent, expected);
+				assert.is(clock.pendingCount, 0);
+			});
+		}
+
+		doTest(
+			'ends requests at a target that leaves questions unanswered',
+			(state) => {
+				state.unansweredCount++;
+			},
+			true,
+		);
+		doTest(
+			'leaves requests alone at a target that answers questions',
+			(state, clock) => {
+				state.addSign(clock.monotonicMs());
+			},
+			false,
+		);
+		doTest(
+			'does not take a refused connection for silence',
+			(state, clock) => {
+				state.unreachableAtMs = clock.monotonicMs();
+			},
+			false,
+		);
+	});
+});
--- a/xo.config.js
+++ b/xo.config.js
@@ -1,6 +1,6 @@
 /** The linter's and the formatter's rules for the whole workspace. */
 const config = [
-	{ignores: ['**/dist/**', 'results/**']},
+	{ignores: ['**/dist/**', 'results/**', 'target/**']},
 	{
 		files: ['**/*.{js,ts}'],
 		prettier: true,
@@ -18,14 +18,21 @@
 		},
 	},
 	{
-		files: ['packages/*/test/**'],
+		files: ['packages/*/test/**', 'platform/test/**'],
 		rules: {
 			// Test bodies may give back what their last call gives.
 			'@typescript-eslint/strict-void-return': 'off',
 		},
 	},
 	{
-		files: ['packages/*/src/bin/**'],
+		files: ['platform/test/**'],
+		rules: {
+			// The platform's documents have its own field names.
+			'@typescript-eslint/naming-convention': 'off',
+		},
+	},
+	{
+		files: ['packages/*/src/bin/**', 'platform/src/bin/**'],
 		rules: {
 			// A program decides its own exit code.
 			'unicorn/no-process-exit': 'off',
