Let one host read the store for the fleet, and ask the same few targets

Change: the first host of all reads the store, the first of each data centre reads from it; a host that answers counts as alive; a peer that fails is left alone for longer each time. Each host has usual targets by rendezvous hashing, asks the other near ones next and far ones last.

--- a/packages/gateway/src/choice/target-picker.ts
+++ b/packages/gateway/src/choice/target-picker.ts
@@ -5,6 +5,7 @@
 	type Clock,
 	type DataCentreId,
 	type Failure,
+	type HostId,
 	type RandomSource,
 	type ServiceName,
 	type TargetId,
@@ -24,6 +25,7 @@
 } from './expected-time.js';
 import {askTargets} from './inquiry-round.js';
 import type {LastSlotFactor} from './last-slot-factor.js';
+import {getUsualTargets} from './usual-targets.js';
 import {WakeUps} from './wake-ups.js';
 
 /** What the picker works with. */
@@ -33,6 +35,7 @@
 	readonly book: TargetBook;
 	readonly protocol: TargetProtocol;
 	readonly lastSlot: LastSlotFactor;
+	readonly host: HostId;
 	/** The data centre of this host. */
 	readonly dataCentre: DataCentreId;
 	/** How many questions a target gets in a second from the fleet. */
@@ -73,8 +76,14 @@
 	readonly expectedMs: number;
 };
 
-/** Which targets are asked: those in the data centre of this host, the others, or all. */
-type Reach = 'near' | 'far' | 'any';
+/**
+ * Which targets are asked: the usual ones in the data centre of this host, the
+ * others there, those elsewhere, or all.
+ */
+type Reach = 'usual' | 'near' | 'far' | 'any';
+
+/** In which order targets are asked, until one is as good as can be hoped for. */
+const reaches: readonly Reach[] = ['usual', 'near', 'far'];
 
 /** How many targets are asked for a request, and at each later look. */
 const askedFirst = 8;
@@ -118,9 +127,12 @@
 	async pick(request: PickRequest): Promise<Result<Pick, Failure>> {
 		const {clock} = this.#options;
 		const startedAtMs = clock.monotonicMs();
-		let askedCount = await this.#ask(request, askedFirst, 'near');
-		if (!this.#hasGood(request)) {
-			askedCount += await this.#ask(request, askedFirst, 'far');
+		let askedCount = 0;
+		for (const reach of reaches) {
+			askedCount += await this.#ask(request, askedFirst, reach);
+			if (this.#hasGood(request)) {
+				break;
+			}
 		}
 
 		for (;;) {
@@ -218,16 +230,11 @@
 		wanted: number,
 		reach: Reach,
 	): TargetState[] {
-		const {book, clock, random, dataCentre} = this.#options;
+		const {clock, random} = this.#options;
 		const nowMs = clock.monotonicMs();
-		const open = book
-			.getOpenTargets(service)
-			.filter(
-				({listed}) =>
-					!tried.has(listed.id) &&
-					(reach === 'any' ||
-						(listed.dataCentre === dataCentre) === (reach === 'near')),
-			);
+		const open = this.#getInReach(service, reach).filter(
+			({listed}) => !tried.has(listed.id),
+		);
 		const calm = open.filter(({avoidUntilMs}) => avoidUntilMs <= nowMs);
 		const candidates = calm.length > 0 ? calm : open;
 		const allowed = this.#getAllowance(service).take(
@@ -242,6 +249,25 @@
 			.map(({state}) => state);
 	}
 
+	#getInReach(service: ServiceName, reach: Reach): readonly TargetState[] {
+		const {book, dataCentre, host} = this.#options;
+		const open = book.getOpenTargets(service);
+		if (reach === 'any') {
+			return open;
+		}
+
+		const isNear = ({listed}: TargetState) => listed.dataCentre === dataCentre;
+		if (reach === 'far') {
+			return open.filter((state) => !isNear(state));
+		}
+
+		const near = open.filter((state) => isNear(state));
+		const usual = getUsualTargets(near, host, askedFirst);
+		return reach === 'usual'
+			? usual
+			: near.filter((state) => !usual.includes(state));
+	}
+
 	#getBest(request: PickRequest): Candidate | undefined {
 		const {book, clock} = this.#options;
 		const nowMs = clock.monotonicMs();
--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -196,6 +196,7 @@
 			random,
 			book: this.#book,
 			protocol: targetProtocol,
+			host: settings.host,
 			dataCentre: settings.dataCentre,
 			questionsPerTargetSecond: settings.questionsPerTargetSecond,
 			getHostCount,
--- a/packages/gateway/src/fleet/fleet.ts
+++ b/packages/gateway/src/fleet/fleet.ts
@@ -138,6 +138,9 @@
 			clock,
 			address: `${address}:${port}`,
 			localAddress: settings.callers.address,
+			onAnswer: () => {
+				this.#membership.noteAnswer(address);
+			},
 		});
 		this.#peers.set(address, peer);
 		return peer;
--- a/packages/gateway/src/fleet/membership.ts
+++ b/packages/gateway/src/fleet/membership.ts
@@ -27,8 +27,8 @@
 	readonly incarnation: number;
 };
 
-/** A host whose beat has not risen for so long is not counted on, in milliseconds. */
-const liveMs = 8000;
+/** A host that was not heard of for so long is not counted on, in milliseconds. */
+const liveMs = 15_000;
 /** A host that was silent for longer is forgotten, in milliseconds. */
 const forgetMs = 60_000;
 
@@ -73,6 +73,18 @@
 		return records.filter((record) => this.#addOne(record));
 	}
 
+	/**
+	 * Notes that a host has answered.
+	 *
+	 * @param address - The IP number of the host.
+	 */
+	noteAnswer(address: string): void {
+		const member = this.#members.get(address);
+		if (member !== undefined) {
+			member.changedAtMs = this.#options.clock.monotonicMs();
+		}
+	}
+
 	/**
 	 * Gets records to tell another host.
 	 *
--- a/packages/gateway/src/fleet/peer-reader.ts
+++ b/packages/gateway/src/fleet/peer-reader.ts
@@ -23,6 +23,8 @@
 	readonly address: string;
 	/** The local IP number that connections leave from. */
 	readonly localAddress: string;
+	/** Told when the host has answered. */
+	readonly onAnswer: () => void;
 };
 
 /** How long the other host waits for changes, in milliseconds. */
@@ -100,6 +102,8 @@
 			throw new Error(response.error);
 		}
 
+		this.#options.onAnswer();
+
 		return JSON.parse(response.value.text) as JSONRPCResponse;
 	}
 
--- a/packages/gateway/src/fleet/reader-choice.ts
+++ b/packages/gateway/src/fleet/reader-choice.ts
@@ -19,16 +19,18 @@
 	readonly getPeer: (member: MemberRecord) => PublishedReader;
 };
 
-/** How many hosts of the own data centre are tried before others. */
+/** How many hosts of the own data centre are tried. */
 const nearPeers = 2;
-/** How many hosts of other data centres are tried last. */
+/** How many hosts of other data centres are tried. */
 const farPeers = 2;
 
 /**
  * Gets the sources of this host in the order in which they are to be tried.
  *
- * @remarks The first host of each data centre reads the store, the others read
- * from it. Nobody elects it: hosts that disagree only read the store once more.
+ * @remarks The first host of the first data centre reads the store, the first
+ * host of each other data centre reads from it, and all others from the first
+ * host of theirs. Nobody elects them: hosts that disagree only read the store
+ * once more.
  * @param options - The hosts that are known.
  * @param hasKnowledge - Whether this host knows anything yet.
  * @returns The sources.
@@ -43,14 +45,25 @@
 		.filter((member) => member.address !== address)
 		.slice(0, nearPeers)
 		.map((member) => getPeer(member));
-	const far = membership
+	const others = membership
 		.getDataCentres()
-		.filter((other) => other !== dataCentre)
+		.filter((other) => other !== dataCentre);
+	const far = others
 		.slice(0, farPeers)
 		.map((other) => getPeer(membership.getRanked(other)[0]!));
-	const isFirst = ranked[0]?.address === address;
-	const [first, ...others] = near;
-	return isFirst || !hasKnowledge || first === undefined
-		? [store, ...far, ...near]
-		: [first, store, ...far, ...others];
+	const isFirstHere = ranked[0]?.address === address;
+	const isHereFirst = others.every((other) => dataCentre < other);
+	const [firstNear, ...restNear] = near;
+	const [firstFar, ...restFar] = far;
+	if (!hasKnowledge || (isFirstHere && isHereFirst)) {
+		return [store, ...far, ...near];
+	}
+
+	if (isFirstHere && firstFar !== undefined) {
+		return [firstFar, store, ...restFar, ...near];
+	}
+
+	return firstNear === undefined
+		? [store, ...far]
+		: [firstNear, store, ...far, ...restNear];
 }
--- a/packages/gateway/src/knowledge/knowledge-feed.ts
+++ b/packages/gateway/src/knowledge/knowledge-feed.ts
@@ -37,13 +37,14 @@
 const longestBackoffMs = 400;
 /**
  * A peer whose knowledge is older is passed over, in milliseconds: the wait of
- * a watch, its timeout and a pause.
+ * a watch and of two hosts that read one after the other, with their timeouts.
  */
-const oldestPeerAgeMs = 1800;
+const oldestPeerAgeMs = 3500;
 /** Targets whose entries lapsed with the store are back in this time after its return, in milliseconds. */
 const returnMs = 2000;
 /** A source that failed is passed over for so long while others are left, in milliseconds. */
-const avoidReaderMs = 2500;
+const shortestAvoidMs = 2500;
+const longestAvoidMs = 20_000;
 
 /** Stands for knowledge that the store does not confirm, in milliseconds. */
 const neverMs = 1e9;
@@ -54,7 +55,7 @@
 	confirmedAtMs = Number.NEGATIVE_INFINITY;
 	readonly #options: KnowledgeFeedOptions;
 	readonly #publication: Publication;
-	readonly #avoided = new Map<string, number>();
+	readonly #avoided = new Map<string, {untilMs: number; forMs: number}>();
 	readonly #waiters = new Set<() => void>();
 	#source: string | undefined;
 	#isWholeNeeded = true;
@@ -148,7 +149,7 @@
 		const nowMs = this.#options.clock.monotonicMs();
 		const readers = this.#options.getReaders(this.revision > 0);
 		const usable = readers.filter(
-			({name}) => (this.#avoided.get(name) ?? 0) <= nowMs,
+			({name}) => (this.#avoided.get(name)?.untilMs ?? 0) <= nowMs,
 		);
 		for (const reader of usable.length > 0 ? usable : readers) {
 			if (await this.#readFrom(reader)) {
@@ -275,7 +276,7 @@
 		}
 
 		if (!reader.isStore) {
-			this.#avoided.set(reader.name, nowMs + avoidReaderMs);
+			this.#avoid(reader.name, nowMs);
 		}
 
 		if (reader.isStore && !this.#isLost) {
@@ -289,8 +290,16 @@
 		}
 	}
 
+	/** Leaves a failing peer alone for longer each time. */
+	#avoid(name: string, nowMs: number): void {
+		const former = this.#avoided.get(name)?.forMs ?? shortestAvoidMs / 2;
+		const forMs = Math.min(longestAvoidMs, former * 2);
+		this.#avoided.set(name, {untilMs: nowMs + forMs, forMs});
+	}
+
 	#noteSuccess(reader: PublishedReader, startedAtMs: number): void {
 		const {clock, log} = this.#options;
+		this.#avoided.delete(reader.name);
 		this.#backoffMs = shortestBackoffMs;
 		if (!reader.isStore) {
 			this.#isLost = false;
