Tell a new connection that waits for a slot from a silent target

A trace showed each unanswered question on a new connection to a target with all slots in use: a new connection holds a slot, so it waits for one. Ruled out: resets (none), the health path (it answers at once on a known connection). Change: such a question has 600 ms; a target that is left alone is logged with why.

--- a/packages/gateway/src/choice/inquiry-round.ts
+++ b/packages/gateway/src/choice/inquiry-round.ts
@@ -1,6 +1,7 @@
 /** Asks several targets of a service at once; requests that come together share the answers. */
 
 import type {Clock} from '@bilberryscale/core';
+import type {EventLog} from '../records/event-log.js';
 import type {TargetProtocol} from '../targets/target-protocol.js';
 import type {TargetState} from '../targets/target-state.js';
 import {TargetInquiry} from './target-inquiry.js';
@@ -11,6 +12,7 @@
 	readonly healthPath: string;
 	readonly protocol: TargetProtocol;
 	readonly clock: Clock;
+	readonly log: EventLog;
 };
 
 /** How long to wait for slower answers once one is there, in milliseconds. */
--- a/packages/gateway/src/choice/target-inquiry.ts
+++ b/packages/gateway/src/choice/target-inquiry.ts
@@ -7,6 +7,7 @@
 	type Connection,
 	type TargetAnswer,
 } from '@bilberryscale/daemon/edge';
+import type {EventLog} from '../records/event-log.js';
 import type {TargetProtocol} from '../targets/target-protocol.js';
 import type {TargetState} from '../targets/target-state.js';
 
@@ -16,12 +17,15 @@
 	readonly healthPath: string;
 	readonly protocol: TargetProtocol;
 	readonly clock: Clock;
+	readonly log: EventLog;
 	/** Runs once, when the target has answered or will not. */
 	readonly onEnd: (inquiry: TargetInquiry) => void;
 };
 
 /** After this time without an answer a target counts as silent, in milliseconds. */
 const silenceMs = 120;
+/** A new connection to a target waits for a slot there, so it has longer, in milliseconds. */
+const newConnectionSilenceMs = 600;
 /** How long a target is left alone after it was silent, in milliseconds. */
 const silentPauseMs = 600;
 /** How long a target is left alone after its address answered for another, in milliseconds. */
@@ -66,7 +70,10 @@
 			return;
 		}
 
-		this.#cancelTimer = this.#options.clock.schedule(silenceMs, () => {
+		const patienceMs = this.#mayWaitForSlot()
+			? newConnectionSilenceMs
+			: silenceMs;
+		this.#cancelTimer = this.#options.clock.schedule(patienceMs, () => {
 			this.#noteSilence();
 		});
 		this.#connection.dispatch(
@@ -92,7 +99,7 @@
 		}
 
 		if (health.answeredBy !== undefined) {
-			this.state.avoidUntilMs = nowMs + misplacedPauseMs;
+			this.#avoid('its address answers for another', misplacedPauseMs);
 		}
 	}
 
@@ -110,18 +117,38 @@
 		}
 
 		if (error !== undefined && !(error instanceof SilenceError)) {
-			const nowMs = this.#options.clock.monotonicMs();
-			this.state.unreachableAtMs = nowMs;
-			this.state.avoidUntilMs = nowMs + unreachablePauseMs;
+			this.state.unreachableAtMs = this.#options.clock.monotonicMs();
+			this.#avoid(error.message, unreachablePauseMs);
 		}
 
 		this.#options.onEnd(this);
 	}
 
+	#mayWaitForSlot(): boolean {
+		const isNew = this.#connection?.answeredAtMs === undefined;
+		const {report, load, slots} = this.state;
+		return isNew && (report === undefined || load >= slots);
+	}
+
+	#avoid(reason: string, forMs: number): void {
+		const {clock, log} = this.#options;
+		const {state} = this;
+		const nowMs = clock.monotonicMs();
+		state.avoidUntilMs = nowMs + forMs;
+		log.write('target left alone', {
+			target: state.listed.id,
+			reason,
+			forMs,
+			load: state.load,
+			slots: state.slots,
+			heardAgoMs: Math.round(nowMs - state.heardAtMs),
+			unansweredCount: state.unansweredCount,
+		});
+	}
+
 	#noteSilence(): void {
-		const nowMs = this.#options.clock.monotonicMs();
 		this.state.unansweredCount++;
-		this.state.avoidUntilMs = nowMs + silentPauseMs;
+		this.#avoid('silent', silentPauseMs);
 		this.state.link.dropIdle();
 		this.#request.cancel(new SilenceError());
 	}
--- a/packages/gateway/src/choice/target-picker.ts
+++ b/packages/gateway/src/choice/target-picker.ts
@@ -13,6 +13,7 @@
 import type {Connection} from '@bilberryscale/daemon/edge';
 import {Err, Ok, type Result} from 'ts-results-es';
 import {AskAllowance} from '../limits/ask-allowance.js';
+import type {EventLog} from '../records/event-log.js';
 import type {TargetBook} from '../targets/target-book.js';
 import type {TargetProtocol} from '../targets/target-protocol.js';
 import type {TargetState} from '../targets/target-state.js';
@@ -32,6 +33,7 @@
 export type TargetPickerOptions = {
 	readonly clock: Clock;
 	readonly random: RandomSource;
+	readonly log: EventLog;
 	readonly book: TargetBook;
 	readonly protocol: TargetProtocol;
 	readonly lastSlot: LastSlotFactor;
@@ -203,7 +205,7 @@
 		wanted: number,
 		reach: Reach,
 	): Promise<number> {
-		const {book, clock, protocol} = this.#options;
+		const {book, clock, protocol, log} = this.#options;
 		const {service} = request;
 		const nowMs = clock.monotonicMs();
 		const key = `${service} ${reach}`;
@@ -219,7 +221,7 @@
 		}
 
 		const healthPath = book.getServicePlan(service)?.healthPath ?? '/';
-		const end = askTargets({states, healthPath, protocol, clock});
+		const end = askTargets({states, healthPath, protocol, clock, log});
 		this.#rounds.set(key, {startedAtMs: nowMs, end});
 		await end;
 		return states.length;
--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -51,7 +51,7 @@
 /** A balancer asks once a second and gives a host up after two misses, in milliseconds. */
 const balancerNoticeMs = 2600;
 /** Left of the time for a stop when the last requests are cut, in milliseconds. */
-const stopReserveMs = 400;
+const stopReserveMs = 800;
 const pollMs = 50;
 /** A target that ended is asked after this time, in milliseconds. */
 const crashConfirmMs = 40;
@@ -192,6 +192,7 @@
 		const lastSlot = new LastSlotFactor();
 		const picker = new TargetPicker({
 			clock,
+			log,
 			lastSlot,
 			random,
 			book: this.#book,
@@ -256,13 +257,14 @@
 	}
 
 	#ask(state: TargetState, onEnd: () => void = () => undefined): void {
-		const {clock, targetProtocol} = this.#options;
+		const {clock, log, targetProtocol} = this.#options;
 		const plan = this.#book.getServicePlan(state.listed.service);
 		const inquiry = new TargetInquiry({
 			state,
 			healthPath: plan?.healthPath ?? '/',
 			protocol: targetProtocol,
 			clock,
+			log,
 			onEnd,
 		});
 		inquiry.start();
