Wait for changes only at the source that a host reads from

The store had gone silent for the first host of its data centre and for the first of all; each next source was tried with a wait, 1.5 s each. Ruled out: a lost change (all hosts had it later), the age bound alone. Test: knowledge-feed.test.ts, failed before.

--- a/packages/gateway/src/fleet/peer-reader.ts
+++ b/packages/gateway/src/fleet/peer-reader.ts
@@ -28,9 +28,9 @@
 };
 
 /** How long the other host waits for changes, in milliseconds. */
-const waitMs = 700;
+const waitMs = 500;
 /** How much longer an answer may take, in milliseconds. */
-const answerTimeoutMs = 350;
+const answerTimeoutMs = 300;
 
 /** A reader of one other host. */
 export class PeerReader implements PublishedReader {
--- a/packages/gateway/src/knowledge/knowledge-feed.ts
+++ b/packages/gateway/src/knowledge/knowledge-feed.ts
@@ -39,7 +39,7 @@
  * A peer whose knowledge is older is passed over, in milliseconds: the wait of
  * a watch and of two hosts that read one after the other, with their timeouts.
  */
-const oldestPeerAgeMs = 3500;
+const oldestPeerAgeMs = 2300;
 /** Targets whose entries lapsed with the store are back in this time after its return, in milliseconds. */
 const returnMs = 2000;
 /** A source that failed is passed over for so long while others are left, in milliseconds. */
@@ -166,7 +166,7 @@
 			? await reader.readAll(this.#mayLag)
 			: await reader.readChanges(
 					this.revision,
-					this.#isCaughtUp && !this.#isLost,
+					this.#isCaughtUp && this.#source === reader.name,
 				);
 		if (result.isErr()) {
 			this.#noteFault(reader, result.error);
--- a/packages/gateway/test/knowledge/knowledge-feed.test.ts
+++ b/packages/gateway/test/knowledge/knowledge-feed.test.ts
@@ -131,6 +131,23 @@
 			fixture.feed.stop();
 		});
 
+		it('waits for changes only at the source that it reads from', async () => {
+			const peer = new ScriptedReader('host 1', false);
+			const store = new ScriptedReader('store', true);
+			peer.script.push(
+				Ok(makeChanges(3, [set('a', 3)], true)),
+				Ok(makeChanges(3, [])),
+				lost,
+			);
+			store.script.push(Ok(makeChanges(5, [])), Ok(makeChanges(5, [])));
+			const fixture = makeFixture([peer, store]);
+			void fixture.feed.run();
+			await fixture.run(500);
+			assert.is(peer.reads.at(-1), 'after 3');
+			assert.equal(store.reads.slice(0, 2), ['after 3, at once', 'after 5']);
+			fixture.feed.stop();
+		});
+
 		it('tells peers at once that the store is lost', async () => {
 			const store = new ScriptedReader('store', true);
 			store.script.push(
