--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -71,6 +71,8 @@
 /** Callers come back within this part of the time that they have left. */
 const returnShare = 1 / 3;
 const shortestReturnMs = 50;
+/** Callers whose request was refused by targets with room come back after this time, in milliseconds. */
+const refusedReturnMs = 40;
 /** A body may pause so long, in milliseconds. */
 const bodyIdleMs = 5000;
 /** Sends beyond those that may have run: refusals cost targets little. */
@@ -366,8 +368,8 @@
 
 		const detail = describe(last) + (reason === undefined ? '' : `; ${reason}`);
 		if (runs === 0) {
-			const failure = notRun('target-refused', detail);
-			return Err(this.#addReturn(call, failure));
+			// Targets with room refuse at random, so that coming back soon helps.
+			return Err(notRun('target-refused', detail, refusedReturnMs));
 		}
 
 		const isOverdue = last.kind === 'broken' && last.cause === 'overdue';
