Leave most further sends to callers that come back

Cause: while all targets refuse at random the allowance for further sends was used up by first requests, whose callers come back once anyway; those that came back failed. Change: after a first refusal a request may take 40 of 100 of the allowance; a caller that has less time left than others of its route counts as coming back.

--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -27,6 +27,7 @@
 import {CallJournal} from '../records/call-journal.js';
 import type {EventLog} from '../records/event-log.js';
 import {GatewayMetrics} from '../records/gateway-metrics.js';
+import {CallerPatience} from '../relay/caller-patience.js';
 import {Relay, type PlanInForce} from '../relay/relay.js';
 import {SilenceWatch} from '../relay/silence-watch.js';
 import {WorkTimes} from '../relay/work-times.js';
@@ -207,6 +208,7 @@
 			picker,
 			splits: new SplitPicker(random),
 			workTimes: new WorkTimes(),
+			patience: new CallerPatience(),
 			lastSlot,
 			silenceWatch: new SilenceWatch({
 				clock,
--- a/packages/gateway/src/limits/retry-allowance.ts
+++ b/packages/gateway/src/limits/retry-allowance.ts
@@ -44,12 +44,14 @@
 	 * Takes a further send out of the allowance.
 	 *
 	 * @param nowMs - The monotonic time in milliseconds.
+	 * @param leftShare - The part that must be left to others, from 0 to 1.
 	 * @returns Whether there was one left.
 	 */
-	take(nowMs: number): boolean {
+	take(nowMs: number, leftShare = 0): boolean {
 		this.#move(nowMs);
 		const {ratio, slack} = this.#bound;
 		const allowed =
+			(1 - leftShare) *
 			(1 - reserve) *
 			(ratio * sum(this.#requests) + slack / this.#getHostCount());
 		if (sum(this.#further) + 1 > allowed) {
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -26,6 +26,7 @@
 import type {CallJournal} from '../records/call-journal.js';
 import type {TargetProtocol} from '../targets/target-protocol.js';
 import type {TargetState} from '../targets/target-state.js';
+import type {CallerPatience} from './caller-patience.js';
 import type {SendResult} from './send-result.js';
 import type {SilenceWatch} from './silence-watch.js';
 import {TargetSend} from './target-send.js';
@@ -44,6 +45,7 @@
 	readonly picker: TargetPicker;
 	readonly splits: SplitPicker;
 	readonly workTimes: WorkTimes;
+	readonly patience: CallerPatience;
 	readonly lastSlot: LastSlotFactor;
 	readonly silenceWatch: SilenceWatch;
 	readonly protocol: TargetProtocol;
@@ -66,8 +68,12 @@
 	readonly service: Route['parts'][number]['service'];
 	readonly deadlineMs: number;
 	readonly body: Buffer | undefined;
+	/** Whether its caller seems to have been refused before. */
+	readonly isReturning: boolean;
 };
 
+/** Part of the allowance for further sends that first requests leave to returning ones. */
+const shareOfReturning = 0.6;
 /** Callers come back within this part of the time that they have left. */
 const returnShare = 1 / 3;
 const shortestReturnMs = 50;
@@ -134,15 +140,24 @@
 		const service = this.#options.splits.pick(route);
 		return body.map((bytes) => {
 			exchange.bodyBytes = bytes;
-			return {exchange, route, service, deadlineMs, body: bytes};
+			const isReturning = this.#options.patience.isReturning(
+				route.name,
+				this.#getGivenMs(exchange),
+			);
+			return {exchange, route, service, deadlineMs, body: bytes, isReturning};
 		});
 	}
 
-	#getTimeMs({incoming}: Exchange, {timeoutMs}: Route): number {
+	#getTimeMs(exchange: Exchange, {timeoutMs}: Route): number {
+		return Math.min(this.#getGivenMs(exchange) ?? timeoutMs, timeoutMs);
+	}
+
+	/** Gets how long the caller says that it waits, in milliseconds. */
+	#getGivenMs({incoming}: Exchange): number | undefined {
 		const given = Number(
 			incoming.headers[this.#options.protocol.deadlineHeader],
 		);
-		return given > 0 ? Math.min(given, timeoutMs) : timeoutMs;
+		return given > 0 ? given : undefined;
 	}
 
 	async #readBody(
@@ -189,13 +204,12 @@
 
 	async #attempt(call: RelayCall): Promise<FilterResult> {
 		const {clock} = this.#options;
-		const allowance = this.#getAllowance(call.service);
-		allowance.addRequest(clock.monotonicMs());
+		this.#getAllowance(call.service).addRequest(clock.monotonicMs());
 		const tried = new Set<TargetId>();
 		let last: SendResult | undefined;
 		let runs = 0;
 		for (;;) {
-			if (last !== undefined && !allowance.take(clock.monotonicMs())) {
+			if (last !== undefined && !this.#takeFurtherSend(call, last)) {
 				return this.#conclude(
 					call,
 					last,
@@ -222,6 +236,15 @@
 		}
 	}
 
+	/** A caller that was refused once comes back once; the second time is its last. */
+	#takeFurtherSend({service, isReturning}: RelayCall, last: SendResult): boolean {
+		const isFirstRefusal = last.kind === 'refused' && !isReturning;
+		return this.#getAllowance(service).take(
+			this.#options.clock.monotonicMs(),
+			isFirstRefusal ? shareOfReturning : 0,
+		);
+	}
+
 	async #pick(
 		call: RelayCall,
 		tried: ReadonlySet<TargetId>,
@@ -380,10 +403,12 @@
 
 	/** Tells the caller to come back while it still waits. */
 	#addReturn({deadlineMs, exchange}: RelayCall, failure: Failure): Failure {
-		const {clock, protocol} = this.#options;
-		const {headers, receivedAtMs} = exchange.incoming;
-		const given = Number(headers[protocol.deadlineHeader]);
-		const endMs = given > 0 ? receivedAtMs + given : deadlineMs;
+		const {clock} = this.#options;
+		const givenMs = this.#getGivenMs(exchange);
+		const endMs =
+			givenMs === undefined
+				? deadlineMs
+				: exchange.incoming.receivedAtMs + givenMs;
 		const leftMs = endMs - clock.monotonicMs();
 		const retryAfterMs = Math.max(shortestReturnMs, leftMs * returnShare * 0.9);
 		return {...failure, retryAfterMs: Math.min(retryAfterMs, 1000)};
--- a/packages/gateway/test/limits/retry-allowance.test.ts
+++ b/packages/gateway/test/limits/retry-allowance.test.ts
@@ -34,6 +34,21 @@
 		doTest('adds a share of the requests', {hosts: 15, requests: 100}, 18);
 		doTest('leaves little to each of many', {hosts: 100, requests: 0}, 0);
 
+		it('leaves a part to callers that come back while all targets refuse', () => {
+			const allowance = new RetryAllowance(bound, () => 15);
+			for (let index = 0; index < 100; index++) {
+				allowance.addRequest(0);
+			}
+
+			let first = 0;
+			while (allowance.take(0, 0.6)) {
+				first++;
+			}
+
+			assert.is(first, 7);
+			assert.is(countTaken(allowance, 0), 11);
+		});
+
 		it('keeps the fleet below the bound', () => {
 			const hosts = Array.from(
 				{length: 16},
