Send a request to no more targets than its route allows

Cause: refused sends were not counted, so a request could go to three targets more than max_attempts names. Change: beyond that number a request goes again only to targets that refused it.

--- a/packages/gateway/src/choice/target-picker.ts
+++ b/packages/gateway/src/choice/target-picker.ts
@@ -53,6 +53,8 @@
 	readonly workMs: number;
 	/** The targets that the request was sent to already. */
 	readonly tried: ReadonlySet<TargetId>;
+	/** The only targets that may still get it; undefined allows all that were not tried. */
+	readonly among: ReadonlySet<TargetId> | undefined;
 	/** When the request came, on the monotonic clock. */
 	readonly receivedAtMs: number;
 	/** The latency that its caller hopes for, in milliseconds. */
@@ -188,9 +190,12 @@
 		});
 	}
 
-	#isHopeless({service, tried, signal}: PickRequest): boolean {
-		const open = this.#options.book.getOpenTargets(service);
-		return signal.aborted || open.every(({listed}) => tried.has(listed.id));
+	#isHopeless(request: PickRequest): boolean {
+		const open = this.#options.book.getOpenTargets(request.service);
+		return (
+			request.signal.aborted ||
+			open.every(({listed}) => !mayGet(request, listed.id))
+		);
 	}
 
 	#connect(state: TargetState, {isIdempotent}: PickRequest) {
@@ -227,15 +232,12 @@
 		return states.length;
 	}
 
-	#getAsked(
-		{service, tried}: PickRequest,
-		wanted: number,
-		reach: Reach,
-	): TargetState[] {
+	#getAsked(request: PickRequest, wanted: number, reach: Reach): TargetState[] {
+		const {service} = request;
 		const {clock, random} = this.#options;
 		const nowMs = clock.monotonicMs();
-		const open = this.#getInReach(service, reach).filter(
-			({listed}) => !tried.has(listed.id),
+		const open = this.#getInReach(service, reach).filter(({listed}) =>
+			mayGet(request, listed.id),
 		);
 		const calm = open.filter(({avoidUntilMs}) => avoidUntilMs <= nowMs);
 		const candidates = calm.length > 0 ? calm : open;
@@ -290,9 +292,9 @@
 		return best;
 	}
 
-	#mayTake(state: TargetState, {tried}: PickRequest, nowMs: number): boolean {
+	#mayTake(state: TargetState, request: PickRequest, nowMs: number): boolean {
 		const reportedAtMs = state.report?.receivedAtMs ?? Number.NEGATIVE_INFINITY;
-		if (tried.has(state.listed.id) || nowMs - reportedAtMs > freshMs) {
+		if (!mayGet(request, state.listed.id) || nowMs - reportedAtMs > freshMs) {
 			return false;
 		}
 
@@ -349,3 +351,7 @@
 		return allowance;
 	}
 }
+
+function mayGet({tried, among}: PickRequest, id: TargetId): boolean {
+	return among === undefined ? !tried.has(id) : among.has(id);
+}
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -81,8 +81,10 @@
 const refusedReturnMs = 40;
 /** A body may pause so long, in milliseconds. */
 const bodyIdleMs = 5000;
-/** Sends beyond those that may have run: refusals cost targets little. */
-const mostRefusals = 3;
+/** Sends beyond the targets of a route, to those that refused at random before. */
+const mostRepeats = 3;
+/** Says that the address belongs to another target now. */
+const misdirectedStatus = 421;
 const lowestFault = 500;
 const barredRetryMs = 60_000;
 
@@ -206,6 +208,8 @@
 		const {clock} = this.#options;
 		this.#getAllowance(call.service).addRequest(clock.monotonicMs());
 		const tried = new Set<TargetId>();
+		const refusing = new Set<TargetId>();
+		let sends = 0;
 		let last: SendResult | undefined;
 		let runs = 0;
 		for (;;) {
@@ -218,7 +222,12 @@
 				);
 			}
 
-			const picked = await this.#pick(call, tried);
+			const isAtMost = tried.size >= call.route.maxAttempts;
+			const picked = await this.#pick(
+				call,
+				tried,
+				isAtMost ? refusing : undefined,
+			);
 			if (picked.isErr()) {
 				return last === undefined
 					? Err(this.#addReturn(call, picked.error))
@@ -227,17 +236,25 @@
 
 			const {listed} = picked.value.state;
 			tried.add(listed.id);
-			const result = await this.#send(call, picked.value, tried.size);
+			sends++;
+			const result = await this.#send(call, picked.value, sends);
+			if (result.kind === 'refused' && result.status !== misdirectedStatus) {
+				refusing.add(listed.id);
+			}
+
 			last = getBetter(last, result);
 			runs += mayHaveRun(result) ? 1 : 0;
-			if (!this.#mayTryAgain(call, result, runs, tried.size)) {
+			if (!this.#mayTryAgain(call, result, runs, sends)) {
 				return this.#conclude(call, last, runs, undefined);
 			}
 		}
 	}
 
 	/** A caller that was refused once comes back once; the second time is its last. */
-	#takeFurtherSend({service, isReturning}: RelayCall, last: SendResult): boolean {
+	#takeFurtherSend(
+		{service, isReturning}: RelayCall,
+		last: SendResult,
+	): boolean {
 		const isFirstRefusal = last.kind === 'refused' && !isReturning;
 		return this.#getAllowance(service).take(
 			this.#options.clock.monotonicMs(),
@@ -248,6 +265,7 @@
 	async #pick(
 		call: RelayCall,
 		tried: ReadonlySet<TargetId>,
+		among: ReadonlySet<TargetId> | undefined,
 	): Promise<Result<Pick, Failure>> {
 		const {picker} = this.#options;
 		const {route, service, deadlineMs} = call;
@@ -256,6 +274,7 @@
 			isIdempotent: route.isIdempotent,
 			workMs: this.#getWorkMs(route),
 			tried,
+			among,
 			deadlineMs,
 			receivedAtMs: call.exchange.incoming.receivedAtMs,
 			signal: call.exchange.incoming.signal,
@@ -366,7 +385,7 @@
 			isGood(result) ||
 			exchange.incoming.signal.aborted ||
 			runs >= route.maxAttempts ||
-			sends >= route.maxAttempts + mostRefusals;
+			sends >= route.maxAttempts + mostRepeats;
 		if (isFinal) {
 			return false;
 		}
