--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -168,11 +168,12 @@
 	 */
 	async stop(): Promise<void> {
 		const {clock, settings, log} = this.#options;
-		const endMs = clock.monotonicMs() + settings.shutdownMs - stopReserveMs;
+		const timeMs = Math.max(0, settings.shutdownMs - stopReserveMs);
+		const endMs = clock.monotonicMs() + timeMs;
 		this.#isLeaving = true;
 		this.#isReady = false;
 		log.writeState('process stopping', {openCalls: this.#openCalls});
-		await this.#sleep(balancerNoticeMs);
+		await this.#sleep(Math.min(balancerNoticeMs, timeMs));
 		this.#callers.close();
 		while (this.#openCalls > 0 && clock.monotonicMs() < endMs) {
 			await this.#sleep(pollMs);
