Split the relay and the picker by what they do

Change: call-reader (what a request asks for), send-desk (sends and what is learnt from them), relay (when to send again); target-asker (whom to ask), pick-request.

--- a/packages/gateway/src/choice/target-picker.ts
+++ b/packages/gateway/src/choice/target-picker.ts
@@ -5,17 +5,11 @@
 	type Clock,
 	type DataCentreId,
 	type Failure,
-	type HostId,
-	type RandomSource,
 	type ServiceName,
-	type TargetId,
 } from '@bilberryscale/core';
 import type {Connection} from '@bilberryscale/daemon/edge';
 import {Err, Ok, type Result} from 'ts-results-es';
-import {AskAllowance} from '../limits/ask-allowance.js';
-import type {EventLog} from '../records/event-log.js';
 import type {TargetBook} from '../targets/target-book.js';
-import type {TargetProtocol} from '../targets/target-protocol.js';
 import type {TargetState} from '../targets/target-state.js';
 import {decideAcceptance, type Acceptance} from './acceptance.js';
 import {
@@ -24,45 +18,19 @@
 	type TargetView,
 	type WorkView,
 } from './expected-time.js';
-import {askTargets} from './inquiry-round.js';
 import type {LastSlotFactor} from './last-slot-factor.js';
-import {getUsualTargets} from './usual-targets.js';
+import {mayGet, type PickRequest} from './pick-request.js';
+import {mostAsked, reaches, type TargetAsker} from './target-asker.js';
 import {WakeUps} from './wake-ups.js';
 
 /** What the picker works with. */
 export type TargetPickerOptions = {
 	readonly clock: Clock;
-	readonly random: RandomSource;
-	readonly log: EventLog;
 	readonly book: TargetBook;
-	readonly protocol: TargetProtocol;
+	readonly asker: TargetAsker;
 	readonly lastSlot: LastSlotFactor;
-	readonly host: HostId;
 	/** The data centre of this host. */
 	readonly dataCentre: DataCentreId;
-	/** How many questions a target gets in a second from the fleet. */
-	readonly questionsPerTargetSecond: number;
-	readonly getHostCount: () => number;
-};
-
-/** A request that needs a target. */
-export type PickRequest = {
-	readonly service: ServiceName;
-	readonly isIdempotent: boolean;
-	/** How long such work usually takes, in milliseconds. */
-	readonly workMs: number;
-	/** The targets that the request was sent to already. */
-	readonly tried: ReadonlySet<TargetId>;
-	/** The only targets that may still get it; undefined allows all that were not tried. */
-	readonly among: ReadonlySet<TargetId> | undefined;
-	/** When the request came, on the monotonic clock. */
-	readonly receivedAtMs: number;
-	/** The latency that its caller hopes for, in milliseconds. */
-	readonly targetLatencyMs: number;
-	/** When the request must have its answer, on the monotonic clock. */
-	readonly deadlineMs: number;
-	/** Aborts when the caller has gone. */
-	readonly signal: AbortSignal;
 };
 
 /** A target and a connection to it. */
@@ -80,24 +48,12 @@
 	readonly expectedMs: number;
 };
 
-/**
- * Which targets are asked: the usual ones in the data centre of this host, the
- * others there, those elsewhere, or all.
- */
-type Reach = 'usual' | 'near' | 'far' | 'any';
-
-/** In which order targets are asked, until one is as good as can be hoped for. */
-const reaches: readonly Reach[] = ['usual', 'near', 'far'];
-
-/** How many targets are asked for a request, and at each later look. */
-const askedFirst = 8;
+/** How many targets are asked at each later look. */
 const askedAgain = 3;
 /** Answers of this age are as good as new, in milliseconds. */
 const freshMs = 15;
 /** The pause before targets are asked again, in milliseconds. */
 const askAgainMs = 45;
-/** A round of questions serves all requests of the next milliseconds. */
-const sharedRoundMs = 3;
 /** The time between two requests of this host to a cold target, in milliseconds. */
 const coldSpacingMs = 1000;
 /** How long a connection may have been idle, in milliseconds, by what a loss would cost. */
@@ -106,12 +62,6 @@
 /** Asks targets and picks the one that is expected to answer first. */
 export class TargetPicker {
 	readonly #options: TargetPickerOptions;
-	readonly #allowances = new Map<ServiceName, AskAllowance>();
-	readonly #rounds = new Map<
-		string,
-		{readonly startedAtMs: number; readonly end: Promise<void>}
-	>();
-
 	readonly #wakeUps: WakeUps;
 
 	/**
@@ -133,7 +83,7 @@
 		const startedAtMs = clock.monotonicMs();
 		let askedCount = 0;
 		for (const reach of reaches) {
-			askedCount += await this.#ask(request, askedFirst, reach);
+			askedCount += await this.#options.asker.ask(request, mostAsked, reach);
 			if (this.#hasGood(request)) {
 				break;
 			}
@@ -156,7 +106,9 @@
 			}
 
 			const isWoken = await this.#wakeUps.wait(request.service, askAgainMs);
-			askedCount += isWoken ? 0 : await this.#ask(request, askedAgain, 'any');
+			askedCount += isWoken
+				? 0
+				: await this.#options.asker.ask(request, askedAgain, 'any');
 		}
 	}
 
@@ -204,74 +156,6 @@
 		);
 	}
 
-	/** Asks targets, or shares the answers of questions that were just sent. */
-	async #ask(
-		request: PickRequest,
-		wanted: number,
-		reach: Reach,
-	): Promise<number> {
-		const {book, clock, protocol, log} = this.#options;
-		const {service} = request;
-		const nowMs = clock.monotonicMs();
-		const key = `${service} ${reach}`;
-		const running = this.#rounds.get(key);
-		if (running !== undefined && nowMs - running.startedAtMs <= sharedRoundMs) {
-			await running.end;
-			return 0;
-		}
-
-		const states = this.#getAsked(request, wanted, reach);
-		if (states.length === 0) {
-			return 0;
-		}
-
-		const healthPath = book.getServicePlan(service)?.healthPath ?? '/';
-		const end = askTargets({states, healthPath, protocol, clock, log});
-		this.#rounds.set(key, {startedAtMs: nowMs, end});
-		await end;
-		return states.length;
-	}
-
-	#getAsked(request: PickRequest, wanted: number, reach: Reach): TargetState[] {
-		const {service} = request;
-		const {clock, random} = this.#options;
-		const nowMs = clock.monotonicMs();
-		const open = this.#getInReach(service, reach).filter(({listed}) =>
-			mayGet(request, listed.id),
-		);
-		const calm = open.filter(({avoidUntilMs}) => avoidUntilMs <= nowMs);
-		const candidates = calm.length > 0 ? calm : open;
-		const allowed = this.#getAllowance(service).take(
-			Math.min(wanted, candidates.length),
-			open.length,
-			nowMs,
-		);
-		return candidates
-			.map((state) => ({state, rank: random()}))
-			.toSorted((a, b) => a.rank - b.rank)
-			.slice(0, Math.max(1, allowed))
-			.map(({state}) => state);
-	}
-
-	#getInReach(service: ServiceName, reach: Reach): readonly TargetState[] {
-		const {book, dataCentre, host} = this.#options;
-		const open = book.getOpenTargets(service);
-		if (reach === 'any') {
-			return open;
-		}
-
-		const isNear = ({listed}: TargetState) => listed.dataCentre === dataCentre;
-		if (reach === 'far') {
-			return open.filter((state) => !isNear(state));
-		}
-
-		const near = open.filter((state) => isNear(state));
-		const usual = getUsualTargets(near, host, askedFirst);
-		return reach === 'usual'
-			? usual
-			: near.filter((state) => !usual.includes(state));
-	}
-
 	#getBest(request: PickRequest): Candidate | undefined {
 		const {book, clock} = this.#options;
 		const nowMs = clock.monotonicMs();
@@ -341,17 +225,4 @@
 					`The best of ${openCount} open targets of "${service}" holds ${best.state.load} requests and would take ${Math.round(best.expectedMs)} ms.`,
 				);
 	}
-
-	#getAllowance(service: ServiceName): AskAllowance {
-		const {questionsPerTargetSecond, getHostCount} = this.#options;
-		const known = this.#allowances.get(service);
-		const allowance =
-			known ?? new AskAllowance(questionsPerTargetSecond, getHostCount);
-		this.#allowances.set(service, allowance);
-		return allowance;
-	}
-}
-
-function mayGet({tried, among}: PickRequest, id: TargetId): boolean {
-	return among === undefined ? !tried.has(id) : among.has(id);
 }
--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -11,6 +11,7 @@
 import {CrashSuspects} from '@bilberryscale/decisions';
 import {LastSlotFactor} from '../choice/last-slot-factor.js';
 import {TargetInquiry} from '../choice/target-inquiry.js';
+import {TargetAsker} from '../choice/target-asker.js';
 import {TargetPicker} from '../choice/target-picker.js';
 import {CallerEdge} from '../edge/caller-edge.js';
 import {TextServer} from '../edge/text-server.js';
@@ -28,7 +29,9 @@
 import type {EventLog} from '../records/event-log.js';
 import {GatewayMetrics} from '../records/gateway-metrics.js';
 import {CallerPatience} from '../relay/caller-patience.js';
-import {Relay, type PlanInForce} from '../relay/relay.js';
+import {CallReader, type PlanInForce} from '../relay/call-reader.js';
+import {Relay} from '../relay/relay.js';
+import {SendDesk} from '../relay/send-desk.js';
 import {SilenceWatch} from '../relay/silence-watch.js';
 import {WorkTimes} from '../relay/work-times.js';
 import {TargetBook} from '../targets/target-book.js';
@@ -192,11 +195,10 @@
 	#makeRelay(random: () => number, getHostCount: () => number): Relay {
 		const {clock, settings, log, targetProtocol} = this.#options;
 		const lastSlot = new LastSlotFactor();
-		const picker = new TargetPicker({
+		const asker = new TargetAsker({
 			clock,
-			log,
-			lastSlot,
 			random,
+			log,
 			book: this.#book,
 			protocol: targetProtocol,
 			host: settings.host,
@@ -204,30 +206,33 @@
 			questionsPerTargetSecond: settings.questionsPerTargetSecond,
 			getHostCount,
 		});
-		return new Relay({
+		const picker = new TargetPicker({
 			clock,
-			picker,
-			splits: new SplitPicker(random),
-			workTimes: new WorkTimes(),
-			patience: new CallerPatience(),
+			book: this.#book,
+			asker,
+			lastSlot,
+			dataCentre: settings.dataCentre,
+		});
+		const journal = new CallJournal({
+			log,
+			metrics: this.#metrics,
+			getPlanVersion: () => this.#plan?.version,
+			getNowMs: () => clock.monotonicMs(),
+		});
+		const workTimes = new WorkTimes();
+		const desk = new SendDesk({
+			clock,
+			workTimes,
 			lastSlot,
+			journal,
+			protocol: targetProtocol,
+			suspects: this.#suspects,
 			silenceWatch: new SilenceWatch({
 				clock,
 				ask: (state) => {
 					this.#ask(state);
 				},
 			}),
-			protocol: targetProtocol,
-			retryBound: settings.retryBound,
-			getHostCount,
-			getPlan: () => this.#plan,
-			journal: new CallJournal({
-				log,
-				metrics: this.#metrics,
-				getPlanVersion: () => this.#plan?.version,
-				getNowMs: () => clock.monotonicMs(),
-			}),
-			suspects: this.#suspects,
 			onBroken: (state, signature) => {
 				this.#confirmCrash(state, signature);
 			},
@@ -235,6 +240,24 @@
 				this.#fleet.tellFailure(state.listed.life);
 			},
 		});
+		const reader = new CallReader({
+			clock,
+			splits: new SplitPicker(random),
+			patience: new CallerPatience(),
+			deadlineHeader: targetProtocol.deadlineHeader,
+			getPlan: () => this.#plan,
+		});
+		const {retryBound} = settings;
+		return new Relay({
+			clock,
+			picker,
+			reader,
+			desk,
+			workTimes,
+			journal,
+			retryBound,
+			getHostCount,
+		});
 	}
 
 	/** Asks a target whose connection broke; if it takes none, it has ended. */
