Do not learn from a host that the store turns away, and never cut on a new connection's wait

Change: a host whose store read failed within 3 s is no source for others. Tests: knowledge-feed, target-inquiry and silence-watch, the new cases failed before.

--- a/packages/gateway/src/choice/target-inquiry.ts
+++ b/packages/gateway/src/choice/target-inquiry.ts
@@ -70,9 +70,8 @@
 			return;
 		}
 
-		const patienceMs = this.#mayWaitForSlot()
-			? newConnectionSilenceMs
-			: silenceMs;
+		const isNew = this.#connection.answeredAtMs === undefined;
+		const patienceMs = isNew ? newConnectionSilenceMs : silenceMs;
 		this.#cancelTimer = this.#options.clock.schedule(patienceMs, () => {
 			this.#noteSilence();
 		});
@@ -124,12 +123,6 @@
 		this.#options.onEnd(this);
 	}
 
-	#mayWaitForSlot(): boolean {
-		const isNew = this.#connection?.answeredAtMs === undefined;
-		const {report, load, slots} = this.state;
-		return isNew && (report === undefined || load >= slots);
-	}
-
 	#avoid(reason: string, forMs: number): void {
 		const {clock, log} = this.#options;
 		const {state} = this;
--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -232,6 +232,7 @@
 				ask: (state) => {
 					this.#ask(state);
 				},
+				isPaused: () => this.#isLeaving,
 			}),
 			onBroken: (state, signature) => {
 				this.#confirmCrash(state, signature);
--- a/packages/gateway/src/knowledge/knowledge-feed.ts
+++ b/packages/gateway/src/knowledge/knowledge-feed.ts
@@ -46,6 +46,8 @@
 const shortestAvoidMs = 2500;
 const longestAvoidMs = 20_000;
 
+/** So long after a failure a host counts as turned away by the store, in milliseconds. */
+const turnedAwayMs = 3000;
 /** Stands for knowledge that the store does not confirm, in milliseconds. */
 const neverMs = 1e9;
 
@@ -62,7 +64,12 @@
 	#mayLag = true;
 	/** Whether changes were read after the first items, which may lag. */
 	#isCaughtUp = false;
-	#isLost = false;
+	/** Whether the store failed and has not answered this host since. */
+	#isStoreLost = false;
+	/** When the store failed last, on the monotonic clock. */
+	#storeFailedAtMs = Number.NEGATIVE_INFINITY;
+	/** Whether entries may have lapsed unseen while the store was away. */
+	#mayHaveMissed = false;
 	#holdUntilMs = Number.NEGATIVE_INFINITY;
 	#backoffMs = shortestBackoffMs;
 	#hasToldReady = false;
@@ -114,7 +121,7 @@
 	getChangesAfter(revision: number | undefined): PublishedChanges {
 		return {
 			...this.#publication.getChangesAfter(revision),
-			ageMs: this.#isLost ? neverMs : Math.min(this.ageMs, neverMs),
+			ageMs: this.#isTurnedAway() ? neverMs : Math.min(this.ageMs, neverMs),
 			holdMs: Math.max(
 				0,
 				this.#holdUntilMs - this.#options.clock.monotonicMs(),
@@ -145,6 +152,12 @@
 		});
 	}
 
+	/** Others must not rely on a host that the store turns away: it may learn from them. */
+	#isTurnedAway(): boolean {
+		const sinceMs = this.#options.clock.monotonicMs() - this.#storeFailedAtMs;
+		return this.#isStoreLost && sinceMs < turnedAwayMs;
+	}
+
 	async #readFromAny(): Promise<boolean> {
 		const nowMs = this.#options.clock.monotonicMs();
 		const readers = this.#options.getReaders(this.revision > 0);
@@ -279,8 +292,13 @@
 			this.#avoid(reader.name, nowMs);
 		}
 
-		if (reader.isStore && !this.#isLost) {
-			this.#isLost = true;
+		if (reader.isStore) {
+			this.#storeFailedAtMs = nowMs;
+			this.#mayHaveMissed = true;
+		}
+
+		if (reader.isStore && !this.#isStoreLost) {
+			this.#isStoreLost = true;
 			this.#wakeWaiters();
 			log.writeState('dependency lost', {dependency: reader.name, detail});
 		}
@@ -302,12 +320,16 @@
 		this.#avoided.delete(reader.name);
 		this.#backoffMs = shortestBackoffMs;
 		if (!reader.isStore) {
-			this.#isLost = false;
+			this.#mayHaveMissed = false;
 		}
 
-		if (reader.isStore && this.#isLost) {
-			this.#isLost = false;
-			this.#holdUntilMs = clock.monotonicMs() + returnMs;
+		if (reader.isStore && this.#isStoreLost) {
+			this.#isStoreLost = false;
+			if (this.#mayHaveMissed) {
+				this.#holdUntilMs = clock.monotonicMs() + returnMs;
+			}
+
+			this.#mayHaveMissed = false;
 			log.writeState('dependency regained', {
 				dependency: reader.name,
 				revision: this.revision,
--- a/packages/gateway/src/relay/silence-watch.ts
+++ b/packages/gateway/src/relay/silence-watch.ts
@@ -8,6 +8,8 @@
 	readonly clock: Clock;
 	/** Asks a target; its state tells what came of it. */
 	readonly ask: (state: TargetState) => void;
+	/** Whether nothing is ended, as the host leaves and no other would serve it in time. */
+	readonly isPaused: () => boolean;
 };
 
 /** How often a target with requests under way is looked at, in milliseconds. */
@@ -65,7 +67,8 @@
 	}
 
 	#check(state: TargetState, watched: Watched): void {
-		if (state.unansweredCount >= unansweredToSilence) {
+		const {isPaused} = this.#options;
+		if (state.unansweredCount >= unansweredToSilence && !isPaused()) {
 			for (const onSilent of watched.onSilent) {
 				onSilent();
 			}
--- a/packages/gateway/test/choice/target-inquiry.test.ts
+++ b/packages/gateway/test/choice/target-inquiry.test.ts
@@ -38,7 +38,11 @@
 };
 
 /** Asks a target that answers so many questions and is quiet after them. */
-async function ask(answers: number, isNew: boolean): Promise<TargetState> {
+async function ask(
+	answers: number,
+	isNew: boolean,
+	hasRoom: boolean,
+): Promise<TargetState> {
 	let left = answers;
 	const server = net.createServer((socket) => {
 		socket.on('error', () => undefined);
@@ -73,6 +77,11 @@
 		link.dropIdle();
 	}
 
+	if (hasRoom) {
+		// The last report is old: others may have filled the slots since.
+		state.addReport({...state.health!, running: 0});
+	}
+
 	new TargetInquiry(options).start();
 	await sleep(pauseMs);
 	link.close();
@@ -82,15 +91,32 @@
 
 describe('TargetInquiry', () => {
 	describe('a question without an answer', () => {
-		function doTest(name: string, isNew: boolean, expected: number): void {
+		function doTest(
+			name: string,
+			input: {readonly isNew: boolean; readonly hasRoom: boolean},
+			expected: number,
+		): void {
 			it(name, async () => {
-				const state = await ask(1, isNew);
-				assert.is(state.load, state.slots);
+				const state = await ask(1, input.isNew, input.hasRoom);
+				assert.is(state.load, input.hasRoom ? 0 : state.slots);
 				assert.is(state.unansweredCount, expected);
 			});
 		}
 
-		doTest('is silence on a connection that has answered before', false, 1);
-		doTest('may wait for a slot on a new connection', true, 0);
+		doTest(
+			'is silence on a connection that has answered before',
+			{isNew: false, hasRoom: false},
+			1,
+		);
+		doTest(
+			'may wait for a slot on a new connection',
+			{isNew: true, hasRoom: false},
+			0,
+		);
+		doTest(
+			'may wait for a slot that others took since the last report',
+			{isNew: true, hasRoom: true},
+			0,
+		);
 	});
 });
--- a/packages/gateway/test/knowledge/knowledge-feed.test.ts
+++ b/packages/gateway/test/knowledge/knowledge-feed.test.ts
@@ -148,6 +148,22 @@
 			fixture.feed.stop();
 		});
 
+		it('is no source for others while the store turns it away', async () => {
+			const store = new ScriptedReader('store', true);
+			const peer = new ScriptedReader('host 1', false);
+			store.script.push(
+				Ok(makeChanges(5, [set('a', 4)], true)),
+				Ok(makeChanges(5, [])),
+			);
+			peer.script.push(Ok(makeChanges(5, [])), Ok(makeChanges(5, [])));
+			const fixture = makeFixture([store, peer]);
+			void fixture.feed.run();
+			await fixture.run(300);
+			assert.ok(peer.reads.length > 0);
+			assert.ok(fixture.feed.getChangesAfter(5).ageMs > 10_000);
+			fixture.feed.stop();
+		});
+
 		it('tells peers at once that the store is lost', async () => {
 			const store = new ScriptedReader('store', true);
 			store.script.push(
--- a/packages/gateway/test/relay/silence-watch.test.ts
+++ b/packages/gateway/test/relay/silence-watch.test.ts
@@ -22,6 +22,7 @@
 			name: string,
 			ask: (state: TargetState, clock: ManualClock) => void,
 			expected: boolean,
+			isPaused = false,
 		): void {
 			it(name, () => {
 				const clock = new ManualClock();
@@ -33,6 +34,7 @@
 					ask(asked) {
 						ask(asked, clock);
 					},
+					isPaused: () => isPaused,
 				});
 				const end = watch.watch(state, () => {
 					isSilent = true;
@@ -51,6 +53,14 @@
 			},
 			true,
 		);
+		doTest(
+			'ends nothing while the host leaves',
+			(state) => {
+				state.unansweredCount++;
+			},
+			false,
+			true,
+		);
 		doTest(
 			'leaves requests alone at a target that answers questions',
 			(state, clock) => {
