--- a/packages/gateway/src/edge/caller-edge.ts
+++ b/packages/gateway/src/edge/caller-edge.ts
@@ -15,7 +15,7 @@
 const headTimeoutMs = 10_000;
 const headCheckMs = 1000;
 
-/** Listens for callers; Node's own server starts in a third of Fastify's time. */
+/** Listens for callers by Node's own server, which loads faster than Fastify. */
 export class CallerEdge {
 	readonly #server: Server;
 
