Let the balancer stand-in believe only its newest answers

Cause: a round of questions counted only when the slowest host had answered, so that an older round could overwrite a newer one: a host that was starting held the balancer on the state of up to a second ago, which is longer than the second for which a leaving host of the proofs serves on.

--- a/packages/standins/src/load/balancer.ts
+++ b/packages/standins/src/load/balancer.ts
@@ -1,5 +1,6 @@
 /** Stands in for the platform's balancer: spreads calls over ready hosts. */
 
+import {performance} from 'node:perf_hooks';
 import {makeSeededRandom, type RandomSource} from '@bilberryscale/core';
 import {request, type Agent} from 'undici';
 import type {BalancedEntry} from './load-plan.js';
@@ -11,6 +12,12 @@
 	readonly seed: number;
 };
 
+type EntryState = {
+	/** When the question was sent, on the monotonic clock. */
+	readonly askedAtMs: number;
+	readonly isReady: boolean;
+};
+
 const pollMs = 250;
 const pollTimeoutMs = 1000;
 
@@ -18,6 +25,7 @@
 export class Balancer {
 	readonly #options: BalancerOptions;
 	readonly #random: RandomSource;
+	readonly #states = new Map<BalancedEntry, EntryState>();
 	#ready: readonly BalancedEntry[] = [];
 	#timer: NodeJS.Timeout | undefined;
 
@@ -58,11 +66,22 @@
 		return choices[Math.floor(this.#random() * choices.length)]!;
 	}
 
+	/** Asks every host; each answer counts as it comes, but none that an answer to a later question overtook. */
 	async #poll(): Promise<void> {
-		const answers = await Promise.all(
-			this.#options.entries.map(async (entry) => this.#isReady(entry)),
+		const askedAtMs = performance.now();
+		await Promise.all(
+			this.#options.entries.map(async (entry) => {
+				const isReady = await this.#isReady(entry);
+				const known = this.#states.get(entry);
+				if (known === undefined || known.askedAtMs <= askedAtMs) {
+					this.#states.set(entry, {askedAtMs, isReady});
+				}
+
+				this.#ready = this.#options.entries.filter(
+					(each) => this.#states.get(each)?.isReady,
+				);
+			}),
 		);
-		this.#ready = this.#options.entries.filter((_, index) => answers[index]);
 	}
 
 	async #isReady(entry: BalancedEntry): Promise<boolean> {
