Ask a lost store less often in a large fleet

Change: the host in front asks on as before; the others leave a lost store alone for 30 ms a host of the fleet, 2 s at most, and look at a peer that was behind again after 0.4 s.

Ruled out: the first reads of a start (a lagging read costs a tenth of a call) and the watch of the host in front.

Two of the new tests failed before.

--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -108,6 +108,7 @@
 			metrics: this.#metrics,
 			decode,
 			getReaders: (hasKnowledge) => this.#fleet.getReaders(hasKnowledge),
+			getHostCount: () => this.#fleet.hostCount,
 			onKnowledge: (knowledge) => {
 				this.#setKnowledge(knowledge);
 			},
--- a/packages/gateway/src/knowledge/knowledge-feed.ts
+++ b/packages/gateway/src/knowledge/knowledge-feed.ts
@@ -25,6 +25,7 @@
 	 * @param hasKnowledge - Whether anything is known yet.
 	 */
 	readonly getReaders: (hasKnowledge: boolean) => readonly PublishedReader[];
+	readonly getHostCount: () => number;
 	/** Told when something that decisions depend on has changed. */
 	readonly onKnowledge: (knowledge: Knowledge) => void;
 	/** Told once, when what is known does not lag any more. */
@@ -46,6 +47,12 @@
 const shortestAvoidMs = 2500;
 const longestAvoidMs = 20_000;
 
+/** A peer whose knowledge was too old is passed over for so long, in milliseconds: it may learn at any moment. */
+const staleAvoidMs = 400;
+/** How much of the time between two questions to a lost store each host adds, in milliseconds; one host in front asks on, and the others learn from it. */
+const lostStorePauseMs = 30;
+const longestLostStorePauseMs = 2000;
+
 /** So long after a failure a host counts as turned away by the store, in milliseconds. */
 const turnedAwayMs = 3000;
 /** Stands for knowledge that the store does not confirm, in milliseconds. */
@@ -68,6 +75,8 @@
 	#isStoreLost = false;
 	/** When the store failed last, on the monotonic clock. */
 	#storeFailedAtMs = Number.NEGATIVE_INFINITY;
+	/** When the store may be asked again, on the monotonic clock. */
+	#storeRetryAtMs = Number.NEGATIVE_INFINITY;
 	/** Whether entries may have lapsed unseen while the store was away. */
 	#mayHaveMissed = false;
 	#holdUntilMs = Number.NEGATIVE_INFINITY;
@@ -161,10 +170,13 @@
 	async #readFromAny(): Promise<boolean> {
 		const nowMs = this.#options.clock.monotonicMs();
 		const readers = this.#options.getReaders(this.revision > 0);
-		const usable = readers.filter(
+		const mayAskStore =
+			readers[0]?.isStore === true || this.#storeRetryAtMs <= nowMs;
+		const open = readers.filter(({isStore}) => !isStore || mayAskStore);
+		const usable = open.filter(
 			({name}) => (this.#avoided.get(name)?.untilMs ?? 0) <= nowMs,
 		);
-		for (const reader of usable.length > 0 ? usable : readers) {
+		for (const reader of usable.length > 0 ? usable : open) {
 			if (await this.#readFrom(reader)) {
 				return true;
 			}
@@ -190,7 +202,7 @@
 		if (!reader.isStore && result.value.ageMs > oldestPeerAgeMs) {
 			this.#apply(result.value);
 			const detail = `its knowledge is ${Math.round(result.value.ageMs)} ms old`;
-			this.#noteFault(reader, {isHistoryGone: false, detail});
+			this.#noteFault(reader, {isHistoryGone: false, detail}, staleAvoidMs);
 			return false;
 		}
 
@@ -277,6 +289,7 @@
 	#noteFault(
 		reader: PublishedReader,
 		{isHistoryGone, detail}: ReadFault,
+		avoidMs = this.#getAvoidMs(reader),
 	): void {
 		const {clock, log, metrics} = this.#options;
 		const nowMs = clock.monotonicMs();
@@ -289,11 +302,15 @@
 		}
 
 		if (!reader.isStore) {
-			this.#avoid(reader.name, nowMs);
+			this.#avoided.set(reader.name, {
+				untilMs: nowMs + avoidMs,
+				forMs: avoidMs,
+			});
 		}
 
 		if (reader.isStore) {
 			this.#storeFailedAtMs = nowMs;
+			this.#storeRetryAtMs = nowMs + this.#getLostStorePauseMs();
 			this.#mayHaveMissed = true;
 		}
 
@@ -308,11 +325,19 @@
 		}
 	}
 
-	/** Leaves a failing peer alone for longer each time. */
-	#avoid(name: string, nowMs: number): void {
-		const former = this.#avoided.get(name)?.forMs ?? shortestAvoidMs / 2;
-		const forMs = Math.min(longestAvoidMs, former * 2);
-		this.#avoided.set(name, {untilMs: nowMs + forMs, forMs});
+	/** Gets how long to leave a failing peer alone: longer each time. */
+	#getAvoidMs({name}: PublishedReader): number {
+		const former = this.#avoided.get(name)?.forMs ?? 0;
+		return Math.min(longestAvoidMs, Math.max(shortestAvoidMs, former * 2));
+	}
+
+	#getLostStorePauseMs(): number {
+		const {getHostCount, random} = this.#options;
+		const pauseMs = Math.min(
+			longestLostStorePauseMs,
+			getHostCount() * lostStorePauseMs,
+		);
+		return pauseMs * (0.75 + random() / 2);
 	}
 
 	#noteSuccess(reader: PublishedReader, startedAtMs: number): void {
--- a/packages/gateway/test/knowledge/knowledge-feed.test.ts
+++ b/packages/gateway/test/knowledge/knowledge-feed.test.ts
@@ -23,7 +23,7 @@
 	}
 }
 
-function makeFixture(readers: readonly ScriptedReader[]) {
+function makeFixture(readers: readonly ScriptedReader[], hostCount = 3) {
 	const clock = new ManualClock();
 	const {log, lines} = makeTestLog(clock);
 	let knowledge: Knowledge | undefined;
@@ -35,6 +35,7 @@
 		metrics: new GatewayMetrics(),
 		decode: decodeTestFact,
 		getReaders: () => readers,
+		getHostCount: () => hostCount,
 		onKnowledge(next) {
 			knowledge = next;
 		},
@@ -131,6 +132,63 @@
 			fixture.feed.stop();
 		});
 
+		describe('while the store is away and no peer knows more', () => {
+			function doTest(
+				name: string,
+				hostCount: number,
+				isInFront: boolean,
+				expected: {readonly atLeast: number; readonly atMost: number},
+			): void {
+				it(name, async () => {
+					const peer = new ScriptedReader('host 1', false);
+					const store = new ScriptedReader('store', true);
+					const old = {...makeChanges(3, [set('a', 3)], true), ageMs: 1e9};
+					for (let count = 0; count < 500; count++) {
+						peer.script.push(Ok(old));
+						store.script.push(lost);
+					}
+
+					const readers = isInFront ? [store, peer] : [peer, store];
+					const fixture = makeFixture(readers, hostCount);
+					void fixture.feed.run();
+					await fixture.run(10_000);
+					fixture.feed.stop();
+					const count = store.reads.length;
+					assert.ok(
+						count >= expected.atLeast && count <= expected.atMost,
+						`${count} questions to the store`,
+					);
+				});
+			}
+
+			const often = {atLeast: 20, atMost: 60};
+			doTest('asks it on in a small fleet', 16, false, {
+				atLeast: 10,
+				atMost: 30,
+			});
+			doTest('asks it seldom in a large fleet', 96, false, {
+				atLeast: 4,
+				atMost: 7,
+			});
+			doTest('asks it on as the host in front', 96, true, often);
+		});
+
+		it('learns soon from a peer that was behind', async () => {
+			const peer = new ScriptedReader('host 1', false);
+			const store = new ScriptedReader('store', true);
+			const old = {...makeChanges(3, [set('a', 3)], true), ageMs: 1e9};
+			peer.script.push(Ok(old), Ok(old), Ok(makeChanges(4, [set('b', 4)])));
+			for (let count = 0; count < 500; count++) {
+				store.script.push(lost);
+			}
+
+			const fixture = makeFixture([peer, store], 96);
+			void fixture.feed.run();
+			await fixture.run(1500);
+			assert.ok(fixture.getTargets().includes('b'));
+			fixture.feed.stop();
+		});
+
 		it('waits for changes only at the source that it reads from', async () => {
 			const peer = new ScriptedReader('host 1', false);
 			const store = new ScriptedReader('store', true);
