Give the head of a request the time that the plan says

Cause: the plan's time for heads was decoded but not used; heads had a fixed 10 s. The plan's size of heads still is not: 64 KB bound them all.

--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -328,7 +328,7 @@
 				targets: targets.size,
 				emptied: [...emptied],
 			});
-			callers.setIdleTimeout(plan.limits.idleTimeoutMs);
+			callers.setTimeouts(plan.limits);
 			this.#plans.setPlan({
 				version: plan.version,
 				table: new RouteTable(plan.routes),
--- a/packages/gateway/src/edge/caller-edge.ts
+++ b/packages/gateway/src/edge/caller-edge.ts
@@ -5,15 +5,22 @@
 import type {Duplex} from 'node:stream';
 import type {CallerListener} from '@bilberryscale/daemon/edge';
 import type {Endpoint} from '../context/gateway-settings.js';
+import type {CallerLimits} from '../plan/routing-plan.js';
 
 /** The largest head that any plan may allow, in bytes. */
 const mostHeaderBytes = 65_536;
 /** How long a connection may be idle if no plan says so, in milliseconds. */
 const defaultIdleTimeoutMs = 15_000;
-/** How long the head of a request may take, in milliseconds. */
+/** How long the head of a request may take if no plan says so, in milliseconds. */
 const headTimeoutMs = 10_000;
 const headCheckMs = 1000;
 
+/** How long callers may take. */
+export type CallerTimeouts = Pick<
+	CallerLimits,
+	'headerTimeoutMs' | 'idleTimeoutMs'
+>;
+
 type Held = {
 	readonly socket: Duplex;
 	readonly pass: (listener: CallerListener) => void;
@@ -81,11 +88,12 @@
 	}
 
 	/**
-	 * Takes over how long connections may be idle.
+	 * Takes over how long callers may take.
 	 *
-	 * @param idleTimeoutMs - The time in milliseconds.
+	 * @param limits - The times for the head of a request and for an idle connection, in milliseconds.
 	 */
-	setIdleTimeout(idleTimeoutMs: number): void {
+	setTimeouts({headerTimeoutMs, idleTimeoutMs}: CallerTimeouts): void {
+		this.#server.headersTimeout = headerTimeoutMs;
 		this.#server.keepAliveTimeout = idleTimeoutMs;
 	}
 
--- a/packages/gateway/test/edge/caller-edge.test.ts
+++ b/packages/gateway/test/edge/caller-edge.test.ts
@@ -1,4 +1,6 @@
+import {once} from 'node:events';
 import net, {type AddressInfo} from 'node:net';
+import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {CallerListener} from '@bilberryscale/daemon/edge';
 import {describe, it} from '@bilberryscale/testing';
@@ -36,21 +38,45 @@
 	return response.text();
 }
 
+async function withEdge(
+	body: (edge: CallerEdge, url: string) => Promise<void>,
+): Promise<void> {
+	const edge = new CallerEdge();
+	const port = await getFreePort();
+	await edge.listen({address: loopback, port});
+	try {
+		await body(edge, `http://${loopback}:${port}`);
+	} finally {
+		edge.close();
+	}
+}
+
 describe('CallerEdge', () => {
-	describe('serve, when callers come before the rest is loaded', () => {
-		async function withEdge(
-			body: (edge: CallerEdge, url: string) => Promise<void>,
-		): Promise<void> {
-			const edge = new CallerEdge();
-			const port = await getFreePort();
-			await edge.listen({address: loopback, port});
-			try {
-				await body(edge, `http://${loopback}:${port}`);
-			} finally {
-				edge.close();
-			}
-		}
+	describe('setTimeouts', () => {
+		it('refuses a head that comes too slowly', async () => {
+			await withEdge(async (edge, url) => {
+				edge.setTimeouts({headerTimeoutMs: 100, idleTimeoutMs: 1000});
+				const paths: string[] = [];
+				edge.serve({
+					...makeListener(paths),
+					onBadBytes(error, socket) {
+						paths.push(error.code!);
+						socket.destroy();
+					},
+				});
+				const {hostname, port} = new URL(url);
+				const startedAtMs = performance.now();
+				const socket = net.connect(Number(port), hostname);
+				socket.write('GET / HTTP/1.1\r\n');
+				await once(socket, 'close');
+				const tookMs = performance.now() - startedAtMs;
+				assert.ok(tookMs < 3000, `${tookMs} ms`);
+				assert.equal(paths, ['ERR_HTTP_REQUEST_TIMEOUT']);
+			});
+		});
+	});
 
+	describe('serve, when callers come before the rest is loaded', () => {
 		it('takes connections and answers them later', async () => {
 			await withEdge(async (edge, url) => {
 				const answer = fetchText(`${url}/early`);
