--- a/packages/gateway/src/knowledge/knowledge-feed.ts
+++ b/packages/gateway/src/knowledge/knowledge-feed.ts
@@ -11,6 +11,7 @@
 	PublishedReader,
 	ReadFault,
 } from './published-reader.js';
+import {SourceHealth} from './source-health.js';
 
 /** What the feed works with. */
 export type KnowledgeFeedOptions = {
@@ -43,18 +44,6 @@
 const oldestPeerAgeMs = 2300;
 /** Targets whose entries lapsed with the store are back in this time after its return, in milliseconds. */
 const returnMs = 2000;
-/** A source that failed is passed over for so long while others are left, in milliseconds. */
-const shortestAvoidMs = 2500;
-const longestAvoidMs = 20_000;
-
-/** A peer whose knowledge was too old is passed over for so long, in milliseconds: it may learn at any moment. */
-const staleAvoidMs = 400;
-/** How much of the time between two questions to a lost store each host adds, in milliseconds; one host in front asks on, and the others learn from it. */
-const lostStorePauseMs = 30;
-const longestLostStorePauseMs = 2000;
-
-/** So long after a failure a host counts as turned away by the store, in milliseconds. */
-const turnedAwayMs = 3000;
 /** Stands for knowledge that the store does not confirm, in milliseconds. */
 const neverMs = 1e9;
 
@@ -64,19 +53,13 @@
 	confirmedAtMs = Number.NEGATIVE_INFINITY;
 	readonly #options: KnowledgeFeedOptions;
 	readonly #publication: Publication;
-	readonly #avoided = new Map<string, {untilMs: number; forMs: number}>();
+	readonly #health: SourceHealth;
 	readonly #waiters = new Set<() => void>();
 	#source: string | undefined;
 	#isWholeNeeded = true;
 	#mayLag = true;
 	/** Whether changes were read after the first items, which may lag. */
 	#isCaughtUp = false;
-	/** Whether the store failed and has not answered this host since. */
-	#isStoreLost = false;
-	/** When the store failed last, on the monotonic clock. */
-	#storeFailedAtMs = Number.NEGATIVE_INFINITY;
-	/** When the store may be asked again, on the monotonic clock. */
-	#storeRetryAtMs = Number.NEGATIVE_INFINITY;
 	/** Whether entries may have lapsed unseen while the store was away. */
 	#mayHaveMissed = false;
 	#holdUntilMs = Number.NEGATIVE_INFINITY;
@@ -89,6 +72,7 @@
 	 */
 	constructor(options: KnowledgeFeedOptions) {
 		this.#options = options;
+		this.#health = new SourceHealth(options);
 		this.#publication = new Publication({
 			decode: options.decode,
 			onUnreadable(name, reason) {
@@ -130,7 +114,9 @@
 	getChangesAfter(revision: number | undefined): PublishedChanges {
 		return {
 			...this.#publication.getChangesAfter(revision),
-			ageMs: this.#isTurnedAway() ? neverMs : Math.min(this.ageMs, neverMs),
+			ageMs: this.#health.isTurnedAway
+				? neverMs
+				: Math.min(this.ageMs, neverMs),
 			holdMs: Math.max(
 				0,
 				this.#holdUntilMs - this.#options.clock.monotonicMs(),
@@ -161,22 +147,9 @@
 		});
 	}
 
-	/** Others must not rely on a host that the store turns away: it may learn from them. */
-	#isTurnedAway(): boolean {
-		const sinceMs = this.#options.clock.monotonicMs() - this.#storeFailedAtMs;
-		return this.#isStoreLost && sinceMs < turnedAwayMs;
-	}
-
 	async #readFromAny(): Promise<boolean> {
-		const nowMs = this.#options.clock.monotonicMs();
 		const readers = this.#options.getReaders(this.revision > 0);
-		const mayAskStore =
-			readers[0]?.isStore === true || this.#storeRetryAtMs <= nowMs;
-		const open = readers.filter(({isStore}) => !isStore || mayAskStore);
-		const usable = open.filter(
-			({name}) => (this.#avoided.get(name)?.untilMs ?? 0) <= nowMs,
-		);
-		for (const reader of usable.length > 0 ? usable : open) {
+		for (const reader of this.#health.getUsable(readers)) {
 			if (await this.#readFrom(reader)) {
 				return true;
 			}
@@ -201,8 +174,10 @@
 		this.#options.metrics.addRead(getKind(reader), 'ok');
 		if (!reader.isStore && result.value.ageMs > oldestPeerAgeMs) {
 			this.#apply(result.value);
+			this.#health.noteStale(reader);
+			this.#options.metrics.addRead(getKind(reader), 'failed');
 			const detail = `its knowledge is ${Math.round(result.value.ageMs)} ms old`;
-			this.#noteFault(reader, {isHistoryGone: false, detail}, staleAvoidMs);
+			this.#forgetSource(reader, detail);
 			return false;
 		}
 
@@ -253,9 +228,7 @@
 
 		if (news.length > 0 || expired.length > 0) {
 			onKnowledge(this.#publication.getKnowledge());
-			for (const wake of this.#waiters) {
-				wake();
-			}
+			this.#wakeWaiters();
 		}
 
 		this.#scheduleExpiry();
@@ -289,10 +262,8 @@
 	#noteFault(
 		reader: PublishedReader,
 		{isHistoryGone, detail}: ReadFault,
-		avoidMs = this.#getAvoidMs(reader),
 	): void {
-		const {clock, log, metrics} = this.#options;
-		const nowMs = clock.monotonicMs();
+		const {log, metrics} = this.#options;
 		metrics.addRead(getKind(reader), isHistoryGone ? 'history-gone' : 'failed');
 		if (isHistoryGone) {
 			this.#isWholeNeeded = true;
@@ -301,55 +272,35 @@
 			return;
 		}
 
-		if (!reader.isStore) {
-			this.#avoided.set(reader.name, {
-				untilMs: nowMs + avoidMs,
-				forMs: avoidMs,
-			});
-		}
-
-		if (reader.isStore) {
-			this.#storeFailedAtMs = nowMs;
-			this.#storeRetryAtMs = nowMs + this.#getLostStorePauseMs();
-			this.#mayHaveMissed = true;
-		}
-
-		if (reader.isStore && !this.#isStoreLost) {
-			this.#isStoreLost = true;
+		this.#mayHaveMissed ||= reader.isStore;
+		if (this.#health.noteFailure(reader)) {
 			this.#wakeWaiters();
 			log.writeState('dependency lost', {dependency: reader.name, detail});
 		}
 
-		if (this.#source === reader.name) {
-			this.#source = undefined;
-		}
+		this.#forgetSource(reader, detail);
 	}
 
-	/** Gets how long to leave a failing peer alone: longer each time. */
-	#getAvoidMs({name}: PublishedReader): number {
-		const former = this.#avoided.get(name)?.forMs ?? 0;
-		return Math.min(longestAvoidMs, Math.max(shortestAvoidMs, former * 2));
-	}
+	#forgetSource({name, isStore}: PublishedReader, detail: string): void {
+		if (this.#source !== name) {
+			return;
+		}
 
-	#getLostStorePauseMs(): number {
-		const {getHostCount, random} = this.#options;
-		const pauseMs = Math.min(
-			longestLostStorePauseMs,
-			getHostCount() * lostStorePauseMs,
-		);
-		return pauseMs * (0.75 + random() / 2);
+		this.#source = undefined;
+		if (!isStore) {
+			this.#options.log.write('knowledge source lost', {source: name, detail});
+		}
 	}
 
 	#noteSuccess(reader: PublishedReader, startedAtMs: number): void {
 		const {clock, log} = this.#options;
-		this.#avoided.delete(reader.name);
+		const isBack = this.#health.noteSuccess(reader);
 		this.#backoffMs = shortestBackoffMs;
 		if (!reader.isStore) {
 			this.#mayHaveMissed = false;
 		}
 
-		if (reader.isStore && this.#isStoreLost) {
-			this.#isStoreLost = false;
+		if (isBack) {
 			if (this.#mayHaveMissed) {
 				this.#holdUntilMs = clock.monotonicMs() + returnMs;
 			}
--- a/packages/gateway/test/knowledge/knowledge-feed.test.ts
+++ b/packages/gateway/test/knowledge/knowledge-feed.test.ts
@@ -189,6 +189,23 @@
 			fixture.feed.stop();
 		});
 
+		it('says why it leaves a peer that it read from', async () => {
+			const peer = new ScriptedReader('host 1', false);
+			const store = new ScriptedReader('store', true);
+			const first = makeChanges(3, [set('a', 3)], true);
+			peer.script.push(Ok(first), Ok({...makeChanges(3, []), ageMs: 5000}));
+			const fixture = makeFixture([peer, store]);
+			void fixture.feed.run();
+			await fixture.run(1000);
+			assert.equal(
+				fixture.lines
+					.filter(({message}) => message === 'knowledge source lost')
+					.map(({source, detail}) => [source, detail]),
+				[['host 1', 'its knowledge is 5000 ms old']],
+			);
+			fixture.feed.stop();
+		});
+
 		it('waits for changes only at the source that it reads from', async () => {
 			const peer = new ScriptedReader('host 1', false);
 			const store = new ScriptedReader('store', true);
