Split the confirming of crashes off the gateway's context

The context builds and owns the parts; that it also confirmed crashes hid that decision among the wiring.

--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -1,6 +1,6 @@
 /** The one context of a gateway process: it builds and owns all objects. */
 
-import {makeSeededRandom, type Clock, type Digest} from '@bilberryscale/core';
+import {makeSeededRandom, type Clock} from '@bilberryscale/core';
 import {
 	makeCallerListener,
 	type CallerProtocol,
@@ -13,7 +13,6 @@
 import type {CallerEdge} from '../edge/caller-edge.js';
 import {TextServer} from '../edge/text-server.js';
 import {Fleet} from '../fleet/fleet.js';
-import type {CrashNotice} from '../fleet/fleet-messages.js';
 import {KnowledgeFeed} from '../knowledge/knowledge-feed.js';
 import type {
 	FactDecoder,
@@ -35,6 +34,7 @@
 import {TargetBook} from '../targets/target-book.js';
 import type {TargetProtocol} from '../targets/target-protocol.js';
 import type {TargetState} from '../targets/target-state.js';
+import {CrashDesk} from './crash-desk.js';
 import type {GatewaySettings} from './gateway-settings.js';
 import {LiveSettings, type SettingsChange} from './live-settings.js';
 
@@ -58,8 +58,6 @@
 /** Left of the time for a stop when the last requests are cut, in milliseconds. */
 const stopReserveMs = 800;
 const pollMs = 50;
-/** A target that ended is asked after this time, in milliseconds. */
-const crashConfirmMs = 40;
 const okStatus = 200;
 const unavailableStatus = 503;
 
@@ -70,6 +68,7 @@
 	readonly #metrics = new GatewayMetrics();
 	readonly #fleet: Fleet;
 	readonly #suspects = new CrashSuspects();
+	readonly #crashes: CrashDesk;
 	readonly #feed: KnowledgeFeed;
 	readonly #book;
 	readonly #plans: PlanHolder;
@@ -90,6 +89,17 @@
 		const {clock, settings, log, decode, store} = options;
 		const random = makeSeededRandom(options.seed);
 		this.#plans = new PlanHolder(clock);
+		this.#crashes = new CrashDesk({
+			clock,
+			log,
+			suspects: this.#suspects,
+			ask: (state, onEnd) => {
+				this.#ask(state, onEnd);
+			},
+			tell: (notice) => {
+				this.#fleet.tellCrash(notice);
+			},
+		});
 		this.#fleet = new Fleet({
 			settings,
 			getSeeds: () => this.#settings.current.seeds,
@@ -99,7 +109,7 @@
 			store,
 			getFeed: () => this.#feed,
 			onCrash: (notice) => {
-				this.#noteCrash(notice);
+				this.#crashes.take(notice);
 			},
 			onFailure: (life) => {
 				this.#book.noteFailure(life);
@@ -253,7 +263,7 @@
 				isPaused: () => this.#isLeaving,
 			}),
 			onBroken: (state, signature) => {
-				this.#confirmCrash(state, signature);
+				this.#crashes.confirm(state, signature);
 			},
 			onFailure: (state) => {
 				this.#fleet.tellFailure(state.listed.life);
@@ -278,28 +288,6 @@
 		});
 	}
 
-	/** Asks a target whose connection broke; if it takes none, it has ended. */
-	#confirmCrash(state: TargetState, signature: Digest): void {
-		const {clock, log} = this.#options;
-		clock.schedule(crashConfirmMs, () => {
-			this.#ask(state, () => {
-				if (state.unreachableAtMs > state.heardAtMs) {
-					const {life} = state.listed;
-					log.write('target ended under a request', {life, signature});
-					this.#fleet.tellCrash({life, signature});
-				}
-			});
-		});
-	}
-
-	#noteCrash({signature, life}: CrashNotice): void {
-		const {log, clock} = this.#options;
-		const incidents = [{life, ageMs: 0}];
-		const nowMs = clock.monotonicMs();
-		this.#suspects.addSuspects([{signature, incidents}], nowMs);
-		log.write('heard of a request that ended a target', {life, signature});
-	}
-
 	#ask(state: TargetState, onEnd: () => void = () => undefined): void {
 		const {clock, log, targetProtocol} = this.#options;
 		const plan = this.#book.getServicePlan(state.listed.service);
