--- a/packages/gateway/test/edge/caller-edge.test.ts
+++ b/packages/gateway/test/edge/caller-edge.test.ts
@@ -1,26 +1,14 @@
 import {once} from 'node:events';
-import net, {type AddressInfo} from 'node:net';
+import net from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {CallerListener} from '@bilberryscale/daemon/edge';
-import {describe, it} from '@bilberryscale/testing';
+import {describe, getFreePorts, it} from '@bilberryscale/testing';
 import * as assert from 'uvu/assert';
 import {CallerEdge} from '../../src/edge.js';
 
 const loopback = '127.0.0.1';
 
-async function getFreePort(): Promise<number> {
-	const server = net.createServer();
-	await new Promise<void>((resolve) => {
-		server.listen(0, loopback, resolve);
-	});
-	const {port} = server.address() as AddressInfo;
-	await new Promise((resolve) => {
-		server.close(resolve);
-	});
-	return port;
-}
-
 function makeListener(paths: string[]): CallerListener {
 	return {
 		onRequest(request, response) {
@@ -42,8 +30,8 @@
 	body: (edge: CallerEdge, url: string) => Promise<void>,
 ): Promise<void> {
 	const edge = new CallerEdge();
-	const port = await getFreePort();
-	await edge.listen({address: loopback, port});
+	const [port] = await getFreePorts(loopback, 1);
+	await edge.listen({address: loopback, port: port!});
 	try {
 		await body(edge, `http://${loopback}:${port}`);
 	} finally {
