Read what has arrived before a leaving host closes its server

Cause of the known red "loses no answer while every host is replaced in turn": on a host that is held up, the timer at whose end it closes is late and runs before the connections and requests that came meanwhile are looked at; closing then resets them.

Ruled out: a late balancer (both were sent in time), and the closing of connections after answers (these had no request yet).

Change: both kinds of host let the event loop accept and read first.

--- a/packages/daemon/src/context/entry-host.ts
+++ b/packages/daemon/src/context/entry-host.ts
@@ -18,6 +18,7 @@
 import {CallDesk} from '../dispatch/call-desk.js';
 import {FleetFeed} from '../dispatch/fleet-feed.js';
 import {makeCallerServer} from '../http/caller-server.js';
+import {takeArrived} from '../http/take-arrived.js';
 import {makeLogger, type Log} from '../logging/make-logger.js';
 import {
 	makeStatsdSink,
@@ -210,6 +211,7 @@
 		this.#auditShutdown('not ready any more');
 		this.#fleet.leave();
 		await this.#waitForBalancer();
+		await takeArrived();
 		this.#isShuttingDown = true;
 		this.#auditShutdown('no new work is taken');
 		this.#watch.stop();
--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -3,6 +3,7 @@
 import {makeSeededRandom, type Clock} from '@bilberryscale/core';
 import {
 	makeCallerListener,
+	takeArrived,
 	type CallerProtocol,
 } from '@bilberryscale/daemon/edge';
 import {CrashSuspects} from '@bilberryscale/decisions';
@@ -204,9 +205,11 @@
 		this.#isReady = false;
 		log.writeState('process stopping', {openCalls: this.#openCalls});
 		await this.#sleep(Math.min(balancerNoticeMs, timeMs));
+		await takeArrived();
 		this.#options.callers.close();
 		while (this.#openCalls > 0 && clock.monotonicMs() < endMs) {
 			await this.#sleep(pollMs);
+			await takeArrived();
 			this.#options.callers.closeIdle();
 		}
 
