Close connections with their answers while a leaving host reads what has arrived

Cause: four turns of the event loop now pass before a leaving host refuses new requests; an answer that fell into them kept its connection.

Change: from the end of the leave on, answers close their connections; new requests are refused only after what had arrived was read.

--- a/packages/daemon/src/context/entry-host.ts
+++ b/packages/daemon/src/context/entry-host.ts
@@ -72,6 +72,9 @@
 	readonly #callers;
 	readonly #operators;
 	#isLeaving = false;
+	/** Whether connections close with their next answer. */
+	#isClosing = false;
+	/** Whether new requests are refused. */
 	#isShuttingDown = false;
 	readonly #auditSink: AuditSink = (event) => {
 		this.#audit.add(event);
@@ -159,6 +162,7 @@
 			log: this.#log,
 			headerBytes: settings.limits.headerBytes,
 			getClosedFailure: () => this.#getClosedFailure(),
+			isLeaving: () => this.#isClosing,
 		});
 		this.#operators = makeOperatorServer({
 			token: settings.operators.token,
@@ -211,6 +215,7 @@
 		this.#auditShutdown('not ready any more');
 		this.#fleet.leave();
 		await this.#waitForBalancer();
+		this.#isClosing = true;
 		await takeArrived();
 		this.#isShuttingDown = true;
 		this.#auditShutdown('no new work is taken');
