Keep and renew the connection to a source of knowledge in one class

Cause: the reader of the store and the reader of a peer each held a connection, renewed it after a lost answer and closed it, in the same lines.

No change of behaviour.

--- a/packages/gateway/src/fleet/peer-reader.ts
+++ b/packages/gateway/src/fleet/peer-reader.ts
@@ -1,14 +1,13 @@
 /** Reads published knowledge from a host that reads the store. */
 
 import type {Clock} from '@bilberryscale/core';
-import {Connection} from '@bilberryscale/daemon/edge';
 import {
 	JSONRPCClient,
 	type JSONRPCRequest,
 	type JSONRPCResponse,
 } from 'json-rpc-2.0';
 import {Err, Ok, type Result} from 'ts-results-es';
-import {fetchText} from '../edge/fetch-text.js';
+import {TextClient, type TextClientOptions} from '../edge/text-client.js';
 import type {
 	PublishedChanges,
 	PublishedReader,
@@ -17,12 +16,7 @@
 import {knowledgeMethod, type KnowledgeQuery} from './knowledge-server.js';
 
 /** Which host is read. */
-export type PeerReaderOptions = {
-	readonly clock: Clock;
-	/** The IP number and port of the host. */
-	readonly address: string;
-	/** The local IP number that connections leave from. */
-	readonly localAddress: string;
+export type PeerReaderOptions = TextClientOptions & {
 	/** Told when the host has answered. */
 	readonly onAnswer: () => void;
 };
@@ -35,14 +29,14 @@
 /** A reader of one other host. */
 export class PeerReader implements PublishedReader {
 	readonly #options: PeerReaderOptions;
-	#connection: Connection;
+	readonly #client: TextClient;
 
 	/**
 	 * @param options - Which host is read.
 	 */
 	constructor(options: PeerReaderOptions) {
 		this.#options = options;
-		this.#connection = this.#connect();
+		this.#client = new TextClient(options);
 	}
 
 	get name(): string {
@@ -66,7 +60,7 @@
 
 	/** Closes the connection. */
 	close(): void {
-		this.#connection.destroy();
+		this.#client.close();
 	}
 
 	async #read(
@@ -80,8 +74,7 @@
 				(await client.request(knowledgeMethod, query)) as PublishedChanges,
 			);
 		} catch (error) {
-			this.#connection.destroy();
-			this.#connection = this.#connect();
+			this.#client.renew();
 			return Err({isHistoryGone: false, detail: (error as Error).message});
 		}
 	}
@@ -90,9 +83,7 @@
 		request: JSONRPCRequest,
 		query: KnowledgeQuery,
 	): Promise<JSONRPCResponse> {
-		const response = await fetchText({
-			connection: this.#connection,
-			clock: this.#options.clock,
+		const response = await this.#client.fetch({
 			method: 'POST',
 			path: '/',
 			body: JSON.stringify(request),
@@ -106,9 +97,4 @@
 
 		return JSON.parse(response.value.text) as JSONRPCResponse;
 	}
-
-	#connect(): Connection {
-		const {address, localAddress} = this.#options;
-		return new Connection({origin: `http://${address}`, localAddress});
-	}
 }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,13 +1,9 @@
 /** The gateway: routes, choice of targets by asking, limits, knowledge. */
 
-export {Connection, type CallerProtocol} from '@bilberryscale/daemon/edge';
+export type {CallerProtocol} from '@bilberryscale/daemon/edge';
 export {GatewayHost, type GatewayHostOptions} from './context/gateway-host.js';
 export type {Endpoint, GatewaySettings} from './context/gateway-settings.js';
-export {
-	fetchText,
-	type TextRequest,
-	type TextResponse,
-} from './edge/fetch-text.js';
+export {TextClient, type TextClientOptions} from './edge/text-client.js';
 export type {
 	FactDecoder,
 	PublishedChange,
