--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -7,10 +7,7 @@
 	type CallerProtocol,
 } from '@bilberryscale/daemon/edge';
 import {CrashSuspects} from '@bilberryscale/decisions';
-import {LastSlotFactor} from '../choice/last-slot-factor.js';
 import {TargetInquiry} from '../choice/target-inquiry.js';
-import {TargetAsker} from '../choice/target-asker.js';
-import {TargetPicker} from '../choice/target-picker.js';
 import type {CallerEdge} from '../edge/caller-edge.js';
 import {TextServer} from '../edge/text-server.js';
 import {Fleet} from '../fleet/fleet.js';
@@ -22,22 +19,15 @@
 import type {Knowledge} from '../plan/knowledge.js';
 import {PlanHolder} from '../plan/plan-holder.js';
 import {RouteTable} from '../plan/route-table.js';
-import {SplitPicker} from '../plan/split-picker.js';
-import {CallJournal} from '../records/call-journal.js';
 import type {EventLog} from '../records/event-log.js';
 import {GatewayMetrics} from '../records/gateway-metrics.js';
-import {CallerPatience} from '../relay/caller-patience.js';
-import {CallReader} from '../relay/call-reader.js';
-import {Relay} from '../relay/relay.js';
-import {SendDesk} from '../relay/send-desk.js';
-import {SilenceWatch} from '../relay/silence-watch.js';
-import {WorkTimes} from '../relay/work-times.js';
 import {TargetBook} from '../targets/target-book.js';
 import type {TargetProtocol} from '../targets/target-protocol.js';
 import type {TargetState} from '../targets/target-state.js';
 import {CrashDesk} from './crash-desk.js';
 import type {GatewaySettings} from './gateway-settings.js';
 import {LiveSettings, type SettingsChange} from './live-settings.js';
+import {makeRelay} from './make-relay.js';
 
 /** What a gateway host is built from. */
 export type GatewayHostOptions = {
@@ -138,7 +128,28 @@
 			localAddress: settings.callers.address,
 			getHostCount,
 		});
-		const relay = this.#makeRelay(random, getHostCount);
+		const relay = makeRelay({
+			clock,
+			random,
+			log,
+			metrics: this.#metrics,
+			settings: this.#settings,
+			protocol: options.targetProtocol,
+			book: this.#book,
+			plans: this.#plans,
+			suspects: this.#suspects,
+			getHostCount,
+			isLeaving: () => this.#isLeaving,
+			ask: (state) => {
+				this.#ask(state);
+			},
+			onBroken: (state, signature) => {
+				this.#crashes.confirm(state, signature);
+			},
+			onFailure: (state) => {
+				this.#fleet.tellFailure(state.listed.life);
+			},
+		});
 		options.callers.serve(
 			makeCallerListener({
 				pipeline: async (exchange) => {
@@ -222,75 +233,6 @@
 		this.#metricsServer.close();
 	}
 
-	#makeRelay(random: () => number, getHostCount: () => number): Relay {
-		const {clock, settings, log, targetProtocol} = this.#options;
-		const lastSlot = new LastSlotFactor();
-		const asker = new TargetAsker({
-			clock,
-			random,
-			log,
-			book: this.#book,
-			protocol: targetProtocol,
-			host: settings.host,
-			dataCentre: settings.dataCentre,
-			getQuestionsPerTargetSecond: () =>
-				this.#settings.current.questionsPerTargetSecond,
-			getHostCount,
-		});
-		const picker = new TargetPicker({
-			clock,
-			book: this.#book,
-			asker,
-			lastSlot,
-			dataCentre: settings.dataCentre,
-		});
-		const journal = new CallJournal({
-			log,
-			metrics: this.#metrics,
-			getPlanVersion: () => this.#plans.plan?.version,
-			getNowMs: () => clock.monotonicMs(),
-		});
-		const workTimes = new WorkTimes();
-		const desk = new SendDesk({
-			clock,
-			workTimes,
-			lastSlot,
-			journal,
-			protocol: targetProtocol,
-			suspects: this.#suspects,
-			silenceWatch: new SilenceWatch({
-				clock,
-				ask: (state) => {
-					this.#ask(state);
-				},
-				isPaused: () => this.#isLeaving,
-			}),
-			onBroken: (state, signature) => {
-				this.#crashes.confirm(state, signature);
-			},
-			onFailure: (state) => {
-				this.#fleet.tellFailure(state.listed.life);
-			},
-		});
-		const reader = new CallReader({
-			clock,
-			splits: new SplitPicker(random),
-			patience: new CallerPatience(),
-			deadlineHeader: targetProtocol.deadlineHeader,
-			plans: this.#plans,
-		});
-		return new Relay({
-			clock,
-			picker,
-			reader,
-			desk,
-			workTimes,
-			journal,
-			getRetryBound: () => this.#settings.current.retryBound,
-			getHostCount,
-		});
-	}
-
 	#ask(state: TargetState, onEnd: () => void = () => undefined): void {
 		const {clock, log, targetProtocol} = this.#options;
 		const plan = this.#book.getServicePlan(state.listed.service);
