--- a/packages/gateway/src/knowledge/knowledge-feed.ts
+++ b/packages/gateway/src/knowledge/knowledge-feed.ts
@@ -171,7 +171,6 @@
 			return false;
 		}
 
-		this.#options.metrics.addRead(getKind(reader), 'ok');
 		if (!reader.isStore && result.value.ageMs > oldestPeerAgeMs) {
 			this.#apply(result.value);
 			this.#health.noteStale(reader);
@@ -181,6 +180,7 @@
 			return false;
 		}
 
+		this.#options.metrics.addRead(getKind(reader), 'ok');
 		this.#noteSuccess(reader, startedAtMs);
 		this.#isCaughtUp ||= !this.#isWholeNeeded || !reader.isStore;
 		this.#isWholeNeeded = false;
--- a/packages/gateway/test/knowledge/knowledge-feed.test.ts
+++ b/packages/gateway/test/knowledge/knowledge-feed.test.ts
@@ -28,11 +28,12 @@
 	const {log, lines} = makeTestLog(clock);
 	let knowledge: Knowledge | undefined;
 	let isCaughtUp = false;
+	const metrics = new GatewayMetrics();
 	const feed = new KnowledgeFeed({
 		clock,
 		random: makeSeededRandom(1),
 		log,
-		metrics: new GatewayMetrics(),
+		metrics,
 		decode: decodeTestFact,
 		getReaders: () => readers,
 		getHostCount: () => hostCount,
@@ -46,6 +47,7 @@
 	return {
 		clock,
 		feed,
+		metrics,
 		lines,
 		getTargets: () => [...(knowledge?.targets.keys() ?? [])].join(' '),
 		isCaughtUp: () => isCaughtUp,
@@ -189,6 +191,29 @@
 			fixture.feed.stop();
 		});
 
+		it('counts a read of old knowledge as failed only', async () => {
+			const peer = new ScriptedReader('host 1', false);
+			const old = {...makeChanges(3, [set('a', 3)], true), ageMs: 1e9};
+			peer.script.push(Ok(old));
+			const fixture = makeFixture([peer]);
+			void fixture.feed.run();
+			await settle();
+			fixture.feed.stop();
+			const text = await fixture.metrics.getText();
+			assert.equal(
+				text
+					.split('\n')
+					.filter(
+						(line) =>
+							line.startsWith('bilberryscale_') &&
+							line.includes('source="peer"'),
+					),
+				[
+					'bilberryscale_platform_reads_total{source="peer",outcome="failed"} 1',
+				],
+			);
+		});
+
 		it('says why it leaves a peer that it read from', async () => {
 			const peer = new ScriptedReader('host 1', false);
 			const store = new ScriptedReader('store', true);
