Follow a store that comes back from an older copy, and check every message

Cause: revisions of a restored store go back and are given out again, so a host asked for changes after a revision that the store did not have, got 410, read all items, dropped them as outdated and asked again, without end; a target that had left was listed again. A store item that was JSON but no table (null) threw a TypeError that nobody handled and ended the process; so did such a page, and a host's request with bad parameters got no answer.

--- a/packages/gateway/src/edge/fetch-text.ts
+++ b/packages/gateway/src/edge/fetch-text.ts
@@ -1,6 +1,7 @@
 /** Sends one HTTP request over a given connection and reads the response as text. */
 
 import {Buffer} from 'node:buffer';
+import type {IncomingHttpHeaders} from 'node:http';
 import type {Clock} from '@bilberryscale/core';
 import {TargetRequest, type Connection} from '@bilberryscale/daemon/edge';
 import {Err, Ok, type Result} from 'ts-results-es';
@@ -21,6 +22,7 @@
 /** A complete response. */
 export type TextResponse = {
 	readonly status: number;
+	readonly headers: IncomingHttpHeaders;
 	readonly text: string;
 };
 
@@ -40,9 +42,9 @@
 			targetRequest.cancel(new Error(`no response within ${timeoutMs} ms`));
 		});
 		const targetRequest = new TargetRequest({
-			onAnswer({status, body: responseBody}) {
+			onAnswer({status, headers, body: responseBody}) {
 				if (Buffer.isBuffer(responseBody)) {
-					response = {status, text: responseBody.toString()};
+					response = {status, headers, text: responseBody.toString()};
 					return;
 				}
 
@@ -51,7 +53,7 @@
 					responseBody,
 					(bytes) => {
 						cancelTimer();
-						resolve(Ok({status, text: bytes.toString()}));
+						resolve(Ok({status, headers, text: bytes.toString()}));
 					},
 					() => {
 						targetRequest.cancel(new Error('the response is too large'));
--- a/packages/gateway/src/fleet/fleet.ts
+++ b/packages/gateway/src/fleet/fleet.ts
@@ -73,10 +73,10 @@
 
 	/** Starts the gossip and, if other hosts may connect, the snapshot server. */
 	async start(): Promise<void> {
-		const {settings, getFeed} = this.#options;
+		const {settings, getFeed, log} = this.#options;
 		await this.#gossip.start();
 		if (settings.peers !== undefined) {
-			this.#snapshotServer = new SnapshotServer(getFeed());
+			this.#snapshotServer = new SnapshotServer(getFeed(), log);
 			await this.#snapshotServer.listen(settings.peers);
 		}
 	}
--- a/packages/gateway/src/fleet/peer-reader.ts
+++ b/packages/gateway/src/fleet/peer-reader.ts
@@ -11,8 +11,10 @@
 import type {
 	PublishedChanges,
 	SnapshotSource,
+	StorePosition,
 	ReadError,
 } from '../snapshot/snapshot-source.js';
+import {decodePublishedChanges} from './decode-published-changes.js';
 import {snapshotMethod, type SnapshotQuery} from './snapshot-server.js';
 
 /** The address of the host to read from, and the handler of its responses. */
@@ -52,10 +54,11 @@
 	}
 
 	async readChanges(
-		revision: number,
+		{era, revision}: StorePosition,
 		shouldWait: boolean,
 	): Promise<Result<PublishedChanges, ReadError>> {
-		return this.#read({after: revision, waitMs: shouldWait ? longPollMs : 0});
+		const waitMs = shouldWait ? longPollMs : 0;
+		return this.#read({era, after: revision, waitMs});
 	}
 
 	/** Closes the connection. */
@@ -70,9 +73,17 @@
 			rpcClient.receive(await this.#sendRpc(request as JSONRPCRequest, query));
 		});
 		try {
-			return Ok(
-				(await rpcClient.request(snapshotMethod, query)) as PublishedChanges,
-			);
+			const result: unknown = await rpcClient.request(snapshotMethod, query);
+			const changes = decodePublishedChanges(result);
+			if (changes !== undefined) {
+				return Ok(changes);
+			}
+
+			this.#httpClient.reconnect();
+			return Err({
+				isHistoryGone: false,
+				detail: 'the response holds no valid list of changes',
+			});
 		} catch (error) {
 			this.#httpClient.reconnect();
 			return Err({isHistoryGone: false, detail: (error as Error).message});
--- a/packages/gateway/src/fleet/snapshot-server.ts
+++ b/packages/gateway/src/fleet/snapshot-server.ts
@@ -7,12 +7,19 @@
 	type Server,
 	type ServerResponse,
 } from 'node:http';
-import {JSONRPCServer, type JSONRPCRequest} from 'json-rpc-2.0';
+import {
+	isJSONRPCRequest,
+	JSONRPCServer,
+	type JSONRPCRequest,
+} from 'json-rpc-2.0';
 import type {Endpoint} from '../context/gateway-settings.js';
+import type {EventLog} from '../records/event-log.js';
 import type {SnapshotFeed} from '../snapshot/snapshot-feed.js';
 
 /** The parameters of a read. */
 export type SnapshotQuery = {
+	/** The era of the revision that the reader has. */
+	readonly era?: number;
 	/** The revision that the reader has; absent if it has none. */
 	readonly after?: number;
 	/** How long to wait for a newer revision, in milliseconds. */
@@ -29,19 +36,27 @@
 /** Serves the changes that a host's feed has read. */
 export class SnapshotServer {
 	readonly #httpServer: Server;
-	readonly #rpcServer = new JSONRPCServer();
+	readonly #rpcServer: JSONRPCServer;
 
 	/**
 	 * @param feed - The feed whose changes are served.
+	 * @param log - The log of refused requests.
 	 */
-	constructor(feed: SnapshotFeed) {
-		this.#rpcServer.addMethod(snapshotMethod, async (query: SnapshotQuery) => {
-			const {after, waitMs} = query;
-			if (after !== undefined) {
-				await feed.waitForChange(after, Math.min(waitMs, maxWaitMs));
+	constructor(feed: SnapshotFeed, log: EventLog) {
+		this.#rpcServer = new JSONRPCServer({
+			errorListener(_message, error) {
+				log.write('request of a host refused', {detail: String(error)});
+			},
+		});
+		this.#rpcServer.addMethod(snapshotMethod, async (query: unknown) => {
+			const {after, era = 0, waitMs} = decodeQueryOrThrow(query);
+			if (after === undefined) {
+				return feed.getChangesAfter(undefined);
 			}
 
-			return feed.getChangesAfter(after);
+			const position = {era, revision: after};
+			await feed.waitForChange(position, Math.min(waitMs, maxWaitMs));
+			return feed.getChangesAfter(position);
 		});
 		this.#httpServer = createServer((request, response) => {
 			void this.#handleRequest(request, response);
@@ -83,6 +98,21 @@
 	}
 }
 
+function decodeQueryOrThrow(value: unknown): SnapshotQuery {
+	const {after, era, waitMs} = (value ?? {}) as Record<string, unknown>;
+	const isValid =
+		isOptionalCount(after) && isOptionalCount(era) && Number.isFinite(waitMs);
+	if (!isValid) {
+		throw new TypeError(`not a query: ${JSON.stringify(value)}`);
+	}
+
+	return value as SnapshotQuery;
+}
+
+function isOptionalCount(value: unknown): boolean {
+	return value === undefined || Number.isSafeInteger(value);
+}
+
 async function readRpcRequest(
 	request: IncomingMessage,
 ): Promise<JSONRPCRequest | undefined> {
@@ -98,7 +128,8 @@
 			chunks.push(chunk);
 		}
 
-		return JSON.parse(Buffer.concat(chunks).toString()) as JSONRPCRequest;
+		const value: unknown = JSON.parse(Buffer.concat(chunks).toString());
+		return isJSONRPCRequest(value) ? value : undefined;
 	} catch {
 		// The peer disconnected or sent invalid JSON.
 		return undefined;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -10,6 +10,7 @@
 	PublishedChanges,
 	ItemContent,
 	SnapshotSource,
+	StorePosition,
 	ReadError,
 } from './snapshot/snapshot-source.js';
 export type {
--- a/packages/gateway/src/plan/registered-target.ts
+++ b/packages/gateway/src/plan/registered-target.ts
@@ -20,6 +20,8 @@
 	readonly dataCentre: DataCentreId;
 	/** The maximum number of requests that it runs concurrently. */
 	readonly slots: number;
+	/** Counts the entries that this incarnation has published. */
+	readonly sequence: number;
 	/** Whether it is shutting down and must get no new requests. */
 	readonly isDraining: boolean;
 	/** How much of its warm-up remained at the time of registration, in milliseconds. */
--- a/packages/gateway/src/records/gateway-metrics.ts
+++ b/packages/gateway/src/records/gateway-metrics.ts
@@ -47,6 +47,19 @@
 		registers: [this.#registry],
 	});
 
+	readonly #storeEras = new Counter({
+		name: 'bilberryscale_store_eras_total',
+		help: 'Eras of the store that were seen; it starts one when it comes back from an older copy',
+		registers: [this.#registry],
+	});
+
+	readonly #targetNotices = new Counter({
+		name: 'bilberryscale_target_notices_total',
+		help: 'Targets that said in a response that they leave or pause',
+		labelNames: ['notice'],
+		registers: [this.#registry],
+	});
+
 	/** Gets the content type of the exported text. */
 	get contentType(): string {
 		return this.#registry.contentType;
@@ -91,6 +104,20 @@
 		this.#snapshotReads.inc({source, outcome});
 	}
 
+	/** Records that the store has started a new era. */
+	recordStoreEra(): void {
+		this.#storeEras.inc();
+	}
+
+	/**
+	 * Records that a target has announced that it accepts no more requests.
+	 *
+	 * @param notice - Whether it leaves or pauses.
+	 */
+	recordTargetNotice(notice: string): void {
+		this.#targetNotices.inc({notice});
+	}
+
 	/**
 	 * Exports all metrics.
 	 *
--- a/packages/gateway/src/snapshot/item-replica.ts
+++ b/packages/gateway/src/snapshot/item-replica.ts
@@ -9,6 +9,7 @@
 	PublishedChange,
 	PublishedChanges,
 	ItemContent,
+	StorePosition,
 } from './snapshot-source.js';
 
 type Item = PublishedChange & {
@@ -24,14 +25,22 @@
 
 /** How many of the latest changes are kept for peers. */
 const maxChangeLogLength = 500;
+/** Lower than all revisions of the store. */
+const beforeFirstRevision = -1;
 
-/** Keeps the newest revision of each item; changes of an older revision are ignored. */
+/**
+ * Keeps the newest revision of each item; changes of an older revision are ignored.
+ *
+ * A full read of a newer era replaces all items. What was known to be over stays
+ * so, although the older copy of the store may list it: a removed target, until
+ * it publishes a newer entry, and a former version of the plan.
+ */
 export class ItemReplica {
-	/** All changes up to this revision are in the replica. */
-	revision = 0;
+	/** All changes up to this state of the store are in the replica. */
+	position: StorePosition = {era: 0, revision: 0};
 	readonly #options: ItemReplicaOptions;
 	readonly #items = new Map<string, Item>();
-	/** Removed targets that may register again, by item name, and until when they are kept. */
+	/** Removed items that may be published again, by item name, and until when they are kept. */
 	readonly #retained = new Map<string, number>();
 	/** The latest changes, in ascending order of their revisions. */
 	#changeLog: PublishedChange[] = [];
@@ -50,20 +59,29 @@
 	 * Applies changes.
 	 *
 	 * @param changes - The result of a read.
-	 * @param retainUntilMs - Until when removed targets are kept, on the monotonic clock; undefined removes them at once.
+	 * @param retainUntilMs - Until when removed items are kept, on the monotonic clock; undefined removes them at once.
 	 * @returns The changes that were new to the replica, with the removals that a full read implies.
 	 */
 	apply(
 		changes: PublishedChanges,
 		retainUntilMs: number | undefined,
 	): PublishedChange[] {
-		const isOutdated = changes.isWhole && changes.revision < this.revision;
+		const isNewEra = changes.era > this.position.era;
+		const isOutdated =
+			changes.era < this.position.era ||
+			(isNewEra && !changes.isWhole) ||
+			(!isNewEra && changes.isWhole && changes.revision < this.revision);
 		if (isOutdated) {
 			return [];
 		}
 
-		const newChanges = changes.changes.filter((change) =>
-			this.#isNewer(change),
+		if (isNewEra) {
+			this.#startEra(changes);
+		}
+
+		const newChanges = changes.changes.filter(
+			(change) =>
+				this.#isNewer(change) && !(isNewEra && this.#isFormerTarget(change)),
 		);
 		for (const change of newChanges) {
 			this.#setItem(change, retainUntilMs);
@@ -73,16 +91,24 @@
 			? this.#inferRemovals(changes)
 			: [];
 		for (const change of inferredRemovals) {
-			this.#setItem(change, retainUntilMs);
+			this.#setItem(change, retainUntilMs, isNewEra);
 		}
 
 		this.#appendToChangeLog([...newChanges, ...inferredRemovals], changes);
-		this.revision = Math.max(this.revision, changes.revision);
+		this.position = {
+			era: changes.era,
+			revision: Math.max(this.revision, changes.revision),
+		};
 		return [...newChanges, ...inferredRemovals];
 	}
 
+	/** Gets the newest revision of the current era that was read. */
+	get revision(): number {
+		return this.position.revision;
+	}
+
 	/**
-	 * Removes the retained targets that did not register again in time.
+	 * Removes the retained items that were not published again in time.
 	 *
 	 * @param nowMs - The monotonic time in milliseconds.
 	 * @returns The names of the removed items.
@@ -98,8 +124,8 @@
 		return expired;
 	}
 
-	/** Gets whether the replica retains removed targets. */
-	get hasRetainedTargets(): boolean {
+	/** Gets whether the replica retains removed items. */
+	get hasRetainedItems(): boolean {
 		return this.#retained.size > 0;
 	}
 
@@ -112,15 +138,10 @@
 		const targets = new Map<TargetId, RegisteredTarget>();
 		const drainedDataCentres = new Set<DataCentreId>();
 		for (const [name, {content, text}] of this.#items) {
-			if (
-				content?.kind === 'target' &&
-				(text !== undefined || this.#retained.has(name))
-			) {
+			const isPresent = text !== undefined || this.#retained.has(name);
+			if (content?.kind === 'target' && isPresent) {
 				targets.set(content.target.id, content.target);
-			} else if (
-				content?.kind === 'emptied-data-centre' &&
-				text !== undefined
-			) {
+			} else if (content?.kind === 'emptied-data-centre' && isPresent) {
 				drainedDataCentres.add(content.dataCentre);
 			}
 		}
@@ -131,14 +152,20 @@
 	/**
 	 * Gets the changes that a peer has not seen.
 	 *
-	 * @param revision - The revision of the peer's replica; undefined if it has none.
-	 * @returns The changes after that revision, or all items if the change log does not reach back to it.
+	 * @param position - The state of the peer's replica; undefined if it has none.
+	 * @returns The changes after that state, or all items if it is of another era or the change log does not reach back to it.
 	 */
 	getChangesAfter(
-		revision: number | undefined,
+		position: StorePosition | undefined,
 	): Omit<PublishedChanges, 'ageMs' | 'holdMs'> {
-		if (revision !== undefined && revision >= this.#changeLogStartRevision) {
+		const {era} = this.position;
+		if (
+			position?.era === era &&
+			position.revision >= this.#changeLogStartRevision
+		) {
+			const {revision} = position;
 			return {
+				era,
 				isWhole: false,
 				changes: this.#changeLog.filter((change) => change.revision > revision),
 				revision: this.revision,
@@ -152,11 +179,42 @@
 				text,
 				revision: itemRevision,
 			}));
-		return {isWhole: true, changes, revision: this.revision};
+		return {era, isWhole: true, changes, revision: this.revision};
+	}
+
+	/** Makes all items older than any revision of the new era, whose revisions may be lower. */
+	#startEra({era, revision}: PublishedChanges): void {
+		this.position = {era, revision: 0};
+		for (const item of this.#items.values()) {
+			this.#items.set(item.name, {...item, revision: beforeFirstRevision});
+		}
+
+		this.#changeLog = [];
+		this.#changeLogStartRevision = revision;
+	}
+
+	/** Checks whether the item is an entry of a removed target that it published before its removal. */
+	#isFormerTarget({name, text = ''}: PublishedChange): boolean {
+		const previous = this.#items.get(name);
+		if (
+			previous === undefined ||
+			previous.text !== undefined ||
+			previous.content?.kind !== 'target'
+		) {
+			return false;
+		}
+
+		const {target} = previous.content;
+		const decoded = this.#options.decode(name, text).unwrapOr(undefined);
+		return (
+			decoded?.kind === 'target' &&
+			decoded.target.incarnation === target.incarnation &&
+			decoded.target.sequence <= target.sequence
+		);
 	}
 
 	#isNewer({name, revision}: PublishedChange): boolean {
-		return revision > (this.#items.get(name)?.revision ?? -1);
+		return revision > (this.#items.get(name)?.revision ?? beforeFirstRevision);
 	}
 
 	#inferRemovals({changes, revision}: PublishedChanges): PublishedChange[] {
@@ -171,11 +229,17 @@
 			.map(({name}) => ({name, text: undefined, revision}));
 	}
 
-	#setItem(change: PublishedChange, retainUntilMs: number | undefined): void {
+	/** Sets or removes an item. Operators' items are retained only if they may be missing from an older copy. */
+	#setItem(
+		change: PublishedChange,
+		retainUntilMs: number | undefined,
+		mayBeMissingFromCopy = false,
+	): void {
 		const previous = this.#items.get(change.name);
 		if (change.text === undefined) {
 			const isRetained =
-				retainUntilMs !== undefined && previous?.content?.kind === 'target';
+				retainUntilMs !== undefined &&
+				(previous?.content?.kind === 'target' || mayBeMissingFromCopy);
 			if (isRetained) {
 				this.#retained.set(change.name, retainUntilMs);
 			}
--- a/packages/gateway/src/snapshot/snapshot-feed.ts
+++ b/packages/gateway/src/snapshot/snapshot-feed.ts
@@ -10,6 +10,7 @@
 	PublishedChanges,
 	SnapshotSource,
 	ReadError,
+	StorePosition,
 } from './snapshot-source.js';
 import {SourceHealth} from './source-health.js';
 
@@ -88,9 +89,9 @@
 		});
 	}
 
-	/** Gets the newest revision that was read. */
-	get revision(): number {
-		return this.#replica.revision;
+	/** Gets the newest state of the store that was read. */
+	get position(): StorePosition {
+		return this.#replica.position;
 	}
 
 	/** Gets the time since the store confirmed the snapshot, in milliseconds. */
@@ -115,12 +116,12 @@
 	/**
 	 * Gets the changes that a peer has not seen.
 	 *
-	 * @param revision - The revision that the peer has; undefined if it has none.
-	 * @returns The changes after that revision.
+	 * @param position - The state that the peer has; undefined if it has none.
+	 * @returns The changes after that state.
 	 */
-	getChangesAfter(revision: number | undefined): PublishedChanges {
+	getChangesAfter(position: StorePosition | undefined): PublishedChanges {
 		return {
-			...this.#replica.getChangesAfter(revision),
+			...this.#replica.getChangesAfter(position),
 			ageMs: this.#health.hasRecentStoreFailure
 				? unconfirmedAgeMs
 				: Math.min(this.ageMs, unconfirmedAgeMs),
@@ -132,14 +133,17 @@
 	}
 
 	/**
-	 * Waits for a newer revision. The wait ends early when the store goes down, so
+	 * Waits for a newer state of the store. The wait ends early when the store goes down, so
 	 * that peers learn of it at once.
 	 *
-	 * @param revision - The revision that the caller has.
+	 * @param position - The state that the caller has.
 	 * @param waitMs - The maximum wait, in milliseconds.
 	 */
-	async waitForChange(revision: number, waitMs: number): Promise<void> {
-		if (this.revision > revision) {
+	async waitForChange(
+		{era, revision}: StorePosition,
+		waitMs: number,
+	): Promise<void> {
+		if (this.position.era !== era || this.position.revision > revision) {
 			return;
 		}
 
@@ -156,7 +160,7 @@
 	}
 
 	async #readFromFirstAvailable(): Promise<boolean> {
-		const sources = this.#options.getSources(this.revision > 0);
+		const sources = this.#options.getSources(this.position.revision > 0);
 		for (const source of this.#health.getUsableSources(sources)) {
 			if (await this.#readFrom(source)) {
 				return true;
@@ -171,7 +175,7 @@
 		const result = this.#needsFullRead
 			? await source.readAll(this.#allowsStaleRead)
 			: await source.readChanges(
-					this.revision,
+					this.position,
 					this.#isCaughtUp && this.#currentSourceName === source.name,
 				);
 		if (result.isErr()) {
@@ -179,12 +183,20 @@
 			return false;
 		}
 
+		if (result.value.era < this.position.era) {
+			this.#skipStaleSource(
+				source,
+				`it is in era ${result.value.era} of the store, this host in era ${this.position.era}`,
+			);
+			return false;
+		}
+
 		if (!source.isStore && result.value.ageMs > maxPeerSnapshotAgeMs) {
 			this.#apply(result.value);
-			this.#health.recordStale(source);
-			this.#options.metrics.recordSnapshotRead(getSourceKind(source), 'failed');
-			const detail = `its snapshot is ${Math.round(result.value.ageMs)} ms old`;
-			this.#dropCurrentSource(source, detail);
+			this.#skipStaleSource(
+				source,
+				`its snapshot is ${Math.round(result.value.ageMs)} ms old`,
+			);
 			return false;
 		}
 
@@ -201,6 +213,12 @@
 		return true;
 	}
 
+	#skipStaleSource(source: SnapshotSource, detail: string): void {
+		this.#health.recordStale(source);
+		this.#options.metrics.recordSnapshotRead(getSourceKind(source), 'failed');
+		this.#dropCurrentSource(source, detail);
+	}
+
 	#reportCaughtUp(): void {
 		if (this.#isCaughtUp && !this.#hasReportedCaughtUp) {
 			this.#hasReportedCaughtUp = true;
@@ -211,9 +229,11 @@
 	#apply(changes: PublishedChanges): void {
 		const {clock, log, onSnapshot} = this.#options;
 		const nowMs = clock.monotonicMs();
+		this.#detectNewEra(changes, nowMs);
 		this.#retainUntilMs = Math.max(this.#retainUntilMs, nowMs + changes.holdMs);
 		const retainUntilMs =
 			this.#retainUntilMs > nowMs ? this.#retainUntilMs : undefined;
+		const formerEra = this.position.era;
 		const newChanges = this.#replica.apply(changes, retainUntilMs);
 		const expiredNames = this.#replica.removeExpired(nowMs);
 		for (const {name, text, revision} of newChanges) {
@@ -234,7 +254,8 @@
 			});
 		}
 
-		if (newChanges.length > 0 || expiredNames.length > 0) {
+		const isNewEra = this.position.era !== formerEra;
+		if (newChanges.length > 0 || expiredNames.length > 0 || isNewEra) {
 			onSnapshot(this.#replica.getSnapshot());
 			this.#notifyWaiters();
 		}
@@ -242,6 +263,28 @@
 		this.#scheduleExpiry();
 	}
 
+	/** Keeps what an older copy of the store lacks until it has been published again. */
+	#detectNewEra(
+		{era, revision, isWhole}: PublishedChanges,
+		nowMs: number,
+	): void {
+		const {position} = this;
+		if (era <= position.era || !isWhole) {
+			return;
+		}
+
+		this.#options.metrics.recordStoreEra();
+		if (position.revision > 0) {
+			this.#retainUntilMs = nowMs + reregistrationGraceMs;
+			this.#options.log.writeState('store restored from an older copy', {
+				era,
+				formerEra: position.era,
+				revision,
+				formerRevision: position.revision,
+			});
+		}
+	}
+
 	#notifyWaiters(): void {
 		for (const notify of this.#waiters) {
 			notify();
@@ -249,7 +292,7 @@
 	}
 
 	#scheduleExpiry(): void {
-		if (!this.#replica.hasRetainedTargets) {
+		if (!this.#replica.hasRetainedItems) {
 			return;
 		}
 
@@ -281,7 +324,7 @@
 			this.#allowsStaleRead = false;
 			log.write('change history unavailable', {
 				source: source.name,
-				revision: this.revision,
+				...this.position,
 			});
 			return;
 		}
@@ -322,7 +365,7 @@
 			this.#mayHaveMissedExpiries = false;
 			log.writeState('dependency regained', {
 				dependency: source.name,
-				revision: this.revision,
+				...this.position,
 				tookMs: Math.round(clock.monotonicMs() - startedAtMs),
 			});
 		}
--- a/packages/gateway/src/snapshot/snapshot-source.ts
+++ b/packages/gateway/src/snapshot/snapshot-source.ts
@@ -12,11 +12,19 @@
 	readonly revision: number;
 };
 
+/** A state of the store. */
+export type StorePosition = {
+	/** Rises each time the store comes back from an older copy; revisions of two eras can't be compared. */
+	readonly era: number;
+	readonly revision: number;
+};
+
 /** The result of a read, which peers exchange as JSON under these names. */
 export type PublishedChanges = {
 	/** Whether the changes list all existing items, not only those that changed. */
 	readonly isWhole: boolean;
 	readonly changes: readonly PublishedChange[];
+	readonly era: number;
 	/** All changes up to this revision are covered. */
 	readonly revision: number;
 	/** The time since the store confirmed this state, in milliseconds. */
@@ -46,14 +54,14 @@
 	 */
 	readAll(allowsStale: boolean): Promise<Result<PublishedChanges, ReadError>>;
 	/**
-	 * Reads the changes after a revision.
+	 * Reads the changes after a state of the store.
 	 *
-	 * @param revision - The revision that the caller has.
+	 * @param position - The state that the caller has.
 	 * @param shouldWait - Whether to wait for a change if there is none yet; otherwise the read returns at once.
-	 * @returns The changes, none if the wait times out, or why the read failed.
+	 * @returns The changes, none if the wait times out; all items if the source is in another era; or why the read failed.
 	 */
 	readChanges(
-		revision: number,
+		position: StorePosition,
 		shouldWait: boolean,
 	): Promise<Result<PublishedChanges, ReadError>>;
 };
--- a/packages/gateway/test/fixtures.ts
+++ b/packages/gateway/test/fixtures.ts
@@ -19,6 +19,7 @@
 	PublishedChanges,
 	ItemContent,
 	SnapshotSource,
+	StorePosition,
 	ReadError,
 } from '../src/snapshot/snapshot-source.js';
 
@@ -53,6 +54,7 @@
 		port: 1,
 		dataCentre: east,
 		slots: 4,
+		sequence: 1,
 		isDraining: false,
 		remainingWarmUpMs: 0,
 		...changes,
@@ -87,8 +89,9 @@
 	revision: number,
 	changes: readonly PublishedChange[],
 	isWhole = false,
+	era = 0,
 ): PublishedChanges {
-	return {isWhole, changes, revision, ageMs: 0, holdMs: 0};
+	return {isWhole, changes, era, revision, ageMs: 0, holdMs: 0};
 }
 
 export function makeUpdate(
@@ -139,7 +142,7 @@
 	}
 
 	async readChanges(
-		revision: number,
+		{revision}: StorePosition,
 		shouldWait: boolean,
 	): Promise<ReadResult> {
 		this.reads.push(`after ${revision}${shouldWait ? '' : ', no wait'}`);
--- a/packages/gateway/test/snapshot/item-replica.test.ts
+++ b/packages/gateway/test/snapshot/item-replica.test.ts
@@ -115,7 +115,7 @@
 			const replica = makeReplica();
 			replica.apply(makeChanges(5, [makeUpdate('a', 4)], true), undefined);
 			replica.apply(makeChanges(7, [makeUpdate('b', 7)]), undefined);
-			const {isWhole, changes} = replica.getChangesAfter(5);
+			const {isWhole, changes} = replica.getChangesAfter({era: 0, revision: 5});
 			assert.is(isWhole, false);
 			assert.equal(
 				changes.map(({name}) => name),
@@ -126,7 +126,7 @@
 		it('returns all items if the change log does not reach back', () => {
 			const replica = makeReplica();
 			replica.apply(makeChanges(5, [makeUpdate('a', 4)], true), undefined);
-			assert.is(replica.getChangesAfter(3).isWhole, true);
+			assert.is(replica.getChangesAfter({era: 0, revision: 3}).isWhole, true);
 			assert.is(replica.getChangesAfter(undefined).changes.length, 1);
 		});
 	});
--- a/packages/gateway/test/snapshot/snapshot-feed.test.ts
+++ b/packages/gateway/test/snapshot/snapshot-feed.test.ts
@@ -278,7 +278,9 @@
 			void fixture.feed.run();
 			await fixture.run(300);
 			assert.ok(peer.reads.length > 0);
-			assert.ok(fixture.feed.getChangesAfter(5).ageMs > 10_000);
+			assert.ok(
+				fixture.feed.getChangesAfter({era: 0, revision: 5}).ageMs > 10_000,
+			);
 			fixture.feed.stop();
 		});
 
@@ -294,14 +296,16 @@
 			await fixture.run(100);
 			let hasResumed = false;
 			const wait = async () => {
-				await fixture.feed.waitForChange(5, 10_000);
+				await fixture.feed.waitForChange({era: 0, revision: 5}, 10_000);
 				hasResumed = true;
 			};
 
 			void wait();
 			await fixture.run(300);
 			assert.is(hasResumed, true);
-			assert.ok(fixture.feed.getChangesAfter(5).ageMs > 10_000);
+			assert.ok(
+				fixture.feed.getChangesAfter({era: 0, revision: 5}).ageMs > 10_000,
+			);
 			fixture.feed.stop();
 		});
 	});
