Attribute responses to requests strictly, and believe what targets say of themselves

Cause: a late second copy of a refusal, with another request's id, counted as the refusal of the request that was running on the connection, which then ran again elsewhere; a late health response passed as a 503 of the target; the end of an answer without a length that the host cut looked like its orderly end; the body of a refusal was read without end. Targets that leave or pause by header only got requests on. Change: the id is checked before anything else in a response is believed; a response without one counts on a new connection only, unless it is a refusal; a second send to one target opens a connection. A cut answer without a length resets the caller's connection. Bodies that nobody needs are read up to 64 KB. A target that says that it leaves gets no request in this incarnation, whatever is published later; one that pauses gets none until the pause ends, and if all pause, callers are told when the first returns.

--- a/packages/daemon/src/http/write-answer.ts
+++ b/packages/daemon/src/http/write-answer.ts
@@ -39,7 +39,7 @@
 
 	if (answer.body instanceof Readable) {
 		answer.body.once('error', () => {
-			abortConnection(request);
+			abortConnection(request, answer);
 		});
 		pipeStreams(answer.body, response, () => undefined);
 		return;
@@ -122,11 +122,20 @@
 }
 
 /**
- * Aborts the connection so that the caller detects a truncated body. HTTP/1.0 has
- * no chunked encoding, and an orderly close would look like the end of the body.
+ * Aborts the connection so that the caller detects a truncated body. Where the end
+ * of the connection delimits the body, as always in HTTP/1.0, an orderly close
+ * would look like the end of the body.
  */
-function abortConnection({socket, httpVersion}: IncomingMessage): void {
-	if (httpVersion === '1.0') {
+function abortConnection(
+	{socket, httpVersion}: IncomingMessage,
+	{isCloseDelimited}: Answer,
+): void {
+	if (httpVersion === '1.0' || isCloseDelimited === true) {
+		// Node would first write what is buffered and close the connection in order.
+		socket.destroySoon = () => {
+			socket.destroy();
+		};
+
 		socket.resetAndDestroy();
 	} else {
 		socket.destroy();
--- a/packages/gateway/src/choice/probe-targets.ts
+++ b/packages/gateway/src/choice/probe-targets.ts
@@ -4,7 +4,7 @@
 import type {EventLog} from '../records/event-log.js';
 import type {TargetProtocol} from '../targets/target-protocol.js';
 import type {TargetState} from '../targets/target-state.js';
-import {TargetProbe} from './target-probe.js';
+import {TargetProbe, type TargetProbeOptions} from './target-probe.js';
 
 /** The targets to probe and the dependencies. */
 export type ProbeTargetsOptions = {
@@ -13,6 +13,8 @@
 	readonly protocol: TargetProtocol;
 	readonly clock: Clock;
 	readonly log: EventLog;
+	/** Called with what a response says about its target's availability. */
+	readonly onNotice: TargetProbeOptions['onNotice'];
 };
 
 /** How long to wait for further responses after the first one, in milliseconds. */
--- a/packages/gateway/src/choice/target-picker.ts
+++ b/packages/gateway/src/choice/target-picker.ts
@@ -164,7 +164,18 @@
 		);
 	}
 
-	#acquireConnection(state: TargetState, {isIdempotent}: PickRequest) {
+	/**
+	 * A second send to the same target opens a connection: on the connection of the
+	 * first, a repeated response to it would count as the response to the second.
+	 */
+	#acquireConnection(
+		state: TargetState,
+		{isIdempotent, allowedTargets}: PickRequest,
+	): Connection | undefined {
+		if (allowedTargets !== undefined) {
+			return state.pool.acquireNew();
+		}
+
 		return state.pool.acquire(
 			isIdempotent ? maxIdleMs.idempotent : maxIdleMs.nonIdempotent,
 		);
@@ -240,7 +251,17 @@
 		best: Candidate | undefined,
 		probedCount: number,
 	): Failure {
-		const openCount = this.#options.registry.getOpenTargets(service).length;
+		const {registry} = this.#options;
+		const openCount = registry.getOpenTargets(service).length;
+		const pauseMs = registry.getPauseMs(service);
+		if (openCount === 0 && pauseMs !== undefined) {
+			return notRunFailure(
+				'no-target',
+				`All targets of "${service}" have paused; the first accepts requests in ${Math.ceil(pauseMs)} ms.`,
+				pauseMs,
+			);
+		}
+
 		return best === undefined
 			? notRunFailure(
 					'no-target',
--- a/packages/gateway/src/choice/target-probe.ts
+++ b/packages/gateway/src/choice/target-probe.ts
@@ -8,6 +8,7 @@
 	type TargetAnswer,
 } from '@bilberryscale/daemon/edge';
 import type {EventLog} from '../records/event-log.js';
+import type {AvailabilityNotice} from '../targets/target-availability.js';
 import type {TargetProtocol} from '../targets/target-protocol.js';
 import type {TargetState} from '../targets/target-state.js';
 
@@ -18,6 +19,11 @@
 	readonly protocol: TargetProtocol;
 	readonly clock: Clock;
 	readonly log: EventLog;
+	/** Called with what the response says about the target's availability. */
+	readonly onNotice: (
+		state: TargetState,
+		notice: AvailabilityNotice | undefined,
+	) => void;
 	/** Called once, when a probe that was sent has ended with or without a response. */
 	readonly onEnd: (probe: TargetProbe) => void;
 };
@@ -94,6 +100,10 @@
 		if (health.answeredBy === registration.id) {
 			this.hasAnswered = true;
 			this.state.addHealth(health);
+			this.#options.onNotice(
+				this.state,
+				protocol.readAvailability(status, headers),
+			);
 			return;
 		}
 
--- a/packages/gateway/src/choice/target-prober.ts
+++ b/packages/gateway/src/choice/target-prober.ts
@@ -97,7 +97,16 @@
 		}
 
 		const healthPath = registry.getServicePlan(service)?.healthPath ?? '/';
-		const end = probeTargets({states, healthPath, protocol, clock, log});
+		const end = probeTargets({
+			states,
+			healthPath,
+			protocol,
+			clock,
+			log,
+			onNotice(state, notice) {
+				registry.addAvailability(state, notice);
+			},
+		});
 		this.#rounds.set(key, {startedAtMs: nowMs, end});
 		await end;
 		return states.length;
--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -125,6 +125,8 @@
 		const getHostCount = () => this.#fleet.hostCount;
 		this.#targetRegistry = new TargetRegistry({
 			clock,
+			log,
+			metrics: this.#metrics,
 			localAddress: settings.callers.address,
 			getHostCount,
 		});
@@ -245,6 +247,9 @@
 			protocol: targetProtocol,
 			clock,
 			log,
+			onNotice: (probed, notice) => {
+				this.#targetRegistry.addAvailability(probed, notice);
+			},
 			onEnd,
 		});
 		probe.start();
--- a/packages/gateway/src/context/make-relay.ts
+++ b/packages/gateway/src/context/make-relay.ts
@@ -101,6 +101,9 @@
 				probe,
 				isPaused: isShuttingDown,
 			}),
+			onNotice(state, notice) {
+				targetRegistry.addAvailability(state, notice);
+			},
 			onConnectionBroken: dependencies.onConnectionBroken,
 			onTargetFailure: dependencies.onFailure,
 		}),
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -28,5 +28,6 @@
 } from './plan/routing-plan.js';
 export {EventLog} from './records/event-log.js';
 export {LineWriter} from './records/line-writer.js';
+export type {AvailabilityNotice} from './targets/target-availability.js';
 export type {TargetProtocol} from './targets/target-protocol.js';
 export type {HealthReport, LoadReport} from './targets/load-report.js';
--- a/packages/gateway/src/relay/attempt-dispatcher.ts
+++ b/packages/gateway/src/relay/attempt-dispatcher.ts
@@ -11,6 +11,7 @@
 import type {LastSlotFactor} from '../choice/last-slot-factor.js';
 import type {PickedTarget} from '../choice/target-picker.js';
 import type {RequestRecorder} from '../records/request-recorder.js';
+import type {AvailabilityNotice} from '../targets/target-availability.js';
 import type {TargetProtocol} from '../targets/target-protocol.js';
 import type {TargetState} from '../targets/target-state.js';
 import type {RoutedRequest} from './request-reader.js';
@@ -33,6 +34,11 @@
 	readonly recorder: RequestRecorder;
 	/** Requests that may have crashed targets. */
 	readonly crashSuspects: CrashSuspects;
+	/** Called with what a response says about its target's availability. */
+	readonly onNotice: (
+		state: TargetState,
+		notice: AvailabilityNotice | undefined,
+	) => void;
 	/** Called when a connection broke during a request. */
 	readonly onConnectionBroken: (state: TargetState, signature: Digest) => void;
 	/** Called when a target failed a request. */
@@ -102,6 +108,9 @@
 			protocol,
 			clock,
 			deadlineMs,
+			onNotice: (notice) => {
+				this.#options.onNotice(state, notice);
+			},
 			silenceDetector: route.isIdempotent ? silenceDetector : undefined,
 		}).run();
 		const durationMs = clock.monotonicMs() - startedAtMs;
--- a/packages/gateway/src/relay/request-reader.ts
+++ b/packages/gateway/src/relay/request-reader.ts
@@ -131,7 +131,8 @@
 	}
 
 	/**
-	 * Adds a retry delay that lets the caller retry before its own deadline.
+	 * Adds a retry delay that lets the caller retry before its own deadline, unless
+	 * it is known when a retry can succeed.
 	 *
 	 * @param request - The request.
 	 * @param failure - The reason for the refusal.
@@ -141,6 +142,10 @@
 		{deadlineMs, exchange}: RoutedRequest,
 		failure: Failure,
 	): Failure {
+		if (failure.retryAfterMs !== undefined) {
+			return failure;
+		}
+
 		const {clock} = this.#options;
 		const callerTimeoutMs = this.#getCallerTimeoutMs(exchange);
 		const callerDeadlineMs =
--- a/packages/gateway/src/relay/silence-detector.ts
+++ b/packages/gateway/src/relay/silence-detector.ts
@@ -80,7 +80,9 @@
 		}
 
 		const nowMs = this.#options.clock.monotonicMs();
-		if (nowMs - state.lastContactAtMs >= checkIntervalMs) {
+		const isDue = nowMs - state.lastContactAtMs >= checkIntervalMs;
+		// A target that has paused gets no probes either.
+		if (isDue && state.availability.pausedUntilMs <= nowMs) {
 			this.#options.probe(state);
 		}
 
--- a/packages/gateway/src/relay/target-attempt.ts
+++ b/packages/gateway/src/relay/target-attempt.ts
@@ -10,6 +10,7 @@
 	type IncomingCall,
 	type TargetAnswer,
 } from '@bilberryscale/daemon/edge';
+import type {AvailabilityNotice} from '../targets/target-availability.js';
 import type {TargetProtocol} from '../targets/target-protocol.js';
 import type {TargetState} from '../targets/target-state.js';
 import {collectBody} from './collect-body.js';
@@ -26,6 +27,8 @@
 	readonly clock: Clock;
 	/** When the response must be complete, on the monotonic clock, in milliseconds. */
 	readonly deadlineMs: number;
+	/** Called with what the response says about the target's availability. */
+	readonly onNotice: (notice: AvailabilityNotice | undefined) => void;
 	/** Cancels the attempt if the target stops responding; set only for requests that may run twice. */
 	readonly silenceDetector: SilenceDetector | undefined;
 };
@@ -35,6 +38,8 @@
  * Targets stop work at the deadline themselves and then respond.
  */
 const deadlineResponseGraceMs = 80;
+/** A longer body that nobody needs is not read to its end. */
+const maxDiscardedBytes = 65_536;
 const minSuccessStatus = 200;
 const minRedirectStatus = 300;
 const minServerErrorStatus = 500;
@@ -51,10 +56,13 @@
 	readonly #options: TargetAttemptOptions;
 	readonly #request: TargetRequest;
 	readonly #startedAtMs: number;
+	/** Whether the connection has carried a response before. */
+	readonly #isConnectionReused: boolean;
 	#resolve: (result: AttemptResult) => void = () => undefined;
 	#cancelTimer: () => void = () => undefined;
 	#stopWatching: () => void = () => undefined;
 	#hasEnded = false;
+	#isSettled = false;
 	#isResponseInvalid = false;
 
 	/**
@@ -63,6 +71,7 @@
 	constructor(options: TargetAttemptOptions) {
 		this.#options = options;
 		this.#startedAtMs = options.clock.monotonicMs();
+		this.#isConnectionReused = options.connection.answeredAtMs !== undefined;
 		this.#request = new TargetRequest({
 			onAnswer: (answer) => {
 				this.#onAnswer(answer);
@@ -142,9 +151,16 @@
 	}
 
 	#onAnswer(answer: TargetAnswer): void {
-		const {protocol, state, clock} = this.#options;
+		const {protocol, state, clock, onNotice} = this.#options;
 		const {status, headers, body} = answer;
+		const mixUp = this.#findMixUp(answer);
+		if (mixUp !== undefined) {
+			this.#rejectAnswer(body, mixUp);
+			return;
+		}
+
 		const load = protocol.readLoad(headers, clock.monotonicMs());
+		onNotice(protocol.readAvailability(status, headers));
 		if (load === undefined) {
 			state.addContact(clock.monotonicMs());
 		} else {
@@ -152,16 +168,14 @@
 		}
 
 		if (protocol.isNotRun(status, headers)) {
-			discardBody(body);
 			this.#settle({kind: 'refused', status}, false);
+			this.#discardBody(body);
 			return;
 		}
 
 		const fault = this.#findAnswerFault(answer);
 		if (fault !== undefined) {
-			this.#isResponseInvalid = true;
-			discardBody(body);
-			this.#settle(makeFailedResult('broken', true, fault), true);
+			this.#rejectAnswer(body, fault);
 			return;
 		}
 
@@ -182,14 +196,50 @@
 		);
 	}
 
-	/** Gets the reason why a response is not a complete response to this request; undefined if it is. */
-	#findAnswerFault({status, headers}: TargetAnswer): string | undefined {
+	#rejectAnswer(body: Buffer | Readable, fault: string): void {
+		this.#isResponseInvalid = true;
+		this.#settle(makeFailedResult('broken', true, fault), true);
+		this.#discardBody(body);
+	}
+
+	/** Reads the rest of a response, so that its connection can be reused, but gives up on a long one. */
+	#discardBody(body: Buffer | Readable): void {
+		if (Buffer.isBuffer(body)) {
+			return;
+		}
+
+		let size = 0;
+		body.on('error', () => undefined);
+		body.on('data', (chunk: Buffer) => {
+			size += chunk.length;
+			if (size > maxDiscardedBytes) {
+				body.destroy();
+			}
+		});
+	}
+
+	/**
+	 * Gets the reason why a response belongs to another request: targets may send
+	 * a response again, late, on a connection that is in use again. Targets don't
+	 * always name the request that they refuse.
+	 */
+	#findMixUp({status, headers}: TargetAnswer): string | undefined {
 		const {protocol, incoming} = this.#options;
 		const id = headers[protocol.requestIdHeader];
-		if (id !== undefined && id !== incoming.requestId) {
-			return `the answer belongs to request "${String(id)}"`;
+		if (id !== undefined) {
+			return id === incoming.requestId
+				? undefined
+				: `the answer belongs to request "${String(id)}"`;
 		}
 
+		return this.#isConnectionReused && !protocol.isNotRun(status, headers)
+			? `the answer with status ${status} names no request`
+			: undefined;
+	}
+
+	/** Gets the reason why a response is not a complete success; undefined if there is none. */
+	#findAnswerFault({status, headers}: TargetAnswer): string | undefined {
+		const {protocol} = this.#options;
 		if (headers['content-encoding'] !== undefined) {
 			return 'the answer has an encoding that nobody asked for';
 		}
@@ -251,6 +301,11 @@
 	}
 
 	#settle(result: AttemptResult, hasFailed: boolean): void {
+		if (this.#isSettled) {
+			return;
+		}
+
+		this.#isSettled = true;
 		const {state, clock} = this.#options;
 		if (!(result.kind === 'failed' && result.cause === 'caller-gone')) {
 			state.addOutcome(hasFailed, clock.monotonicMs());
@@ -267,10 +322,3 @@
 ): AttemptResult {
 	return {kind: 'failed', cause, mayHaveRun, detail};
 }
-
-function discardBody(body: Buffer | Readable): void {
-	if (!Buffer.isBuffer(body)) {
-		body.on('error', () => undefined);
-		body.resume();
-	}
-}
--- a/packages/gateway/src/targets/connection-pool.ts
+++ b/packages/gateway/src/targets/connection-pool.ts
@@ -40,12 +40,16 @@
 	 * @returns The connection; undefined if the maximum number of connections is busy.
 	 */
 	acquire(maxIdleMs: number): Connection | undefined {
-		const connection = this.#acquireIdle(maxIdleMs) ?? this.#open();
-		if (connection !== undefined) {
-			this.#busy.add(connection);
-		}
+		return this.#addBusy(this.#acquireIdle(maxIdleMs) ?? this.#open());
+	}
 
-		return connection;
+	/**
+	 * Opens a new connection, also if others are idle.
+	 *
+	 * @returns The connection; undefined if the maximum number of connections is busy.
+	 */
+	acquireNew(): Connection | undefined {
+		return this.#addBusy(this.#open());
 	}
 
 	/**
@@ -80,6 +84,14 @@
 		this.closeIdle();
 	}
 
+	#addBusy(connection: Connection | undefined): Connection | undefined {
+		if (connection !== undefined) {
+			this.#busy.add(connection);
+		}
+
+		return connection;
+	}
+
 	#acquireIdle(maxIdleMs: number): Connection | undefined {
 		const newest = this.#idle.at(-1);
 		const oldestMs = this.#options.clock.monotonicMs() - maxIdleMs;
--- a/packages/gateway/src/targets/target-protocol.ts
+++ b/packages/gateway/src/targets/target-protocol.ts
@@ -3,6 +3,7 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import type {RegisteredTarget} from '../plan/registered-target.js';
 import type {HealthReport, LoadReport} from './load-report.js';
+import type {AvailabilityNotice} from './target-availability.js';
 
 /** Names, builds and parses the headers exchanged with targets. */
 export type TargetProtocol = {
@@ -43,6 +44,17 @@
 		headers: IncomingHttpHeaders,
 		nowMs: number,
 	) => LoadReport | undefined;
+	/**
+	 * Reads whether the target is shutting down or accepts no requests for some time.
+	 *
+	 * @param status - The status of the response.
+	 * @param headers - The headers of the response.
+	 * @returns The notice; undefined if the response does not come from the intended target or says nothing of it.
+	 */
+	readonly readAvailability: (
+		status: number,
+		headers: IncomingHttpHeaders,
+	) => AvailabilityNotice | undefined;
 	/**
 	 * Reads the response to a probe of the health path.
 	 *
--- a/packages/gateway/src/targets/target-registry.ts
+++ b/packages/gateway/src/targets/target-registry.ts
@@ -11,12 +11,21 @@
 	TargetIncarnation,
 } from '../plan/registered-target.js';
 import type {ServicePlan} from '../plan/routing-plan.js';
+import type {EventLog} from '../records/event-log.js';
+import type {GatewayMetrics} from '../records/gateway-metrics.js';
 import {ConnectionPool} from './connection-pool.js';
+import {LeavingTargets} from './leaving-targets.js';
+import {
+	TargetAvailability,
+	type AvailabilityNotice,
+} from './target-availability.js';
 import {TargetState} from './target-state.js';
 
 /** The dependencies of a registry. */
 export type TargetRegistryOptions = {
 	readonly clock: Clock;
+	readonly log: EventLog;
+	readonly metrics: GatewayMetrics;
 	/** The local IP address that connections are opened from. */
 	readonly localAddress: string;
 	/** Gets the number of hosts that share the targets. */
@@ -32,6 +41,7 @@
 export class TargetRegistry {
 	readonly #options: TargetRegistryOptions;
 	readonly #states = new Map<TargetId, TargetState>();
+	readonly #leavingTargets = new LeavingTargets();
 	/** The open targets by service, computed on demand after each snapshot. */
 	#openTargets = new Map<ServiceName, TargetState[]>();
 	#snapshot: RoutingSnapshot = emptySnapshot;
@@ -81,12 +91,81 @@
 	}
 
 	/**
-	 * Gets the targets of a service that may receive new requests.
+	 * Gets the targets of a service that may receive new requests: published as
+	 * ready in a data centre that is in service, and available by their own responses.
 	 *
 	 * @param service - The service.
 	 * @returns The targets.
 	 */
 	getOpenTargets(service: ServiceName): readonly TargetState[] {
+		const nowMs = this.#options.clock.monotonicMs();
+		const published = this.#getPublishedTargets(service);
+		// Copies the array only in the rare case that a target is unavailable.
+		return published.every(({availability}) => availability.isAvailable(nowMs))
+			? published
+			: published.filter(({availability}) => availability.isAvailable(nowMs));
+	}
+
+	/**
+	 * Gets when the first target of a service accepts requests again, if all that
+	 * could serve it have paused.
+	 *
+	 * @param service - The service.
+	 * @returns The time until then in milliseconds; undefined if a target is open or none has paused.
+	 */
+	getPauseMs(service: ServiceName): number | undefined {
+		const nowMs = this.#options.clock.monotonicMs();
+		const paused = this.#getPublishedTargets(service).filter(
+			({availability}) => !availability.isLeaving,
+		);
+		const untilMs = Math.min(
+			...paused.map(({availability}) => availability.pausedUntilMs),
+		);
+		return paused.length > 0 && untilMs > nowMs ? untilMs - nowMs : undefined;
+	}
+
+	/**
+	 * Records what a target's response says about its availability.
+	 *
+	 * @param state - The target.
+	 * @param notice - The notice; undefined if the response has none.
+	 */
+	addAvailability(
+		state: TargetState,
+		notice: AvailabilityNotice | undefined,
+	): void {
+		if (notice === undefined) {
+			return;
+		}
+
+		const {clock, log, metrics} = this.#options;
+		const {id, incarnation} = state.registration;
+		if (notice.unusablePause !== undefined) {
+			log.write('unusable pause of a target', {
+				target: id,
+				value: notice.unusablePause,
+				pauseMs: notice.pauseMs,
+			});
+		}
+
+		const change = state.availability.add(notice, clock.monotonicMs());
+		if (change === undefined) {
+			return;
+		}
+
+		metrics.recordTargetNotice(change);
+		log.write(`target ${change}`, {
+			target: id,
+			life: incarnation,
+			...(change === 'pausing' && {forMs: notice.pauseMs}),
+		});
+		if (change === 'leaving') {
+			this.#leavingTargets.add(incarnation);
+			state.pool.close();
+		}
+	}
+
+	#getPublishedTargets(service: ServiceName): readonly TargetState[] {
 		const cached = this.#openTargets.get(service);
 		if (cached !== undefined) {
 			return cached;
@@ -99,16 +178,6 @@
 		return states;
 	}
 
-	/**
-	 * Checks whether a target may receive new requests.
-	 *
-	 * @param state - The target.
-	 * @returns Whether it may.
-	 */
-	isOpen(state: TargetState): boolean {
-		return this.getOpenTargets(state.registration.service).includes(state);
-	}
-
 	/**
 	 * Counts a failed request that another host reported.
 	 *
@@ -131,9 +200,17 @@
 	}
 
 	#register(registration: RegisteredTarget): void {
+		if (registration.isDraining) {
+			this.#leavingTargets.add(registration.incarnation);
+		}
+
 		const existing = this.#states.get(registration.id);
 		if (existing !== undefined) {
 			existing.registration = registration;
+			if (this.#leavingTargets.has(registration.incarnation)) {
+				existing.availability.setLeaving();
+			}
+
 			return;
 		}
 
@@ -146,7 +223,14 @@
 		const nowMs = this.#options.clock.monotonicMs();
 		this.#states.set(
 			registration.id,
-			new TargetState(registration, pool, nowMs),
+			new TargetState(
+				registration,
+				pool,
+				nowMs,
+				new TargetAvailability(
+					this.#leavingTargets.has(registration.incarnation),
+				),
+			),
 		);
 	}
 
--- a/packages/gateway/src/targets/target-state.ts
+++ b/packages/gateway/src/targets/target-state.ts
@@ -3,6 +3,7 @@
 import type {RegisteredTarget} from '../plan/registered-target.js';
 import type {ConnectionPool} from './connection-pool.js';
 import type {HealthReport, LoadReport} from './load-report.js';
+import {TargetAvailability} from './target-availability.js';
 
 /** Time constant of the decay of outcomes, in milliseconds; they lose two thirds of their weight in this time. */
 const failureDecayMs = 4000;
@@ -15,6 +16,8 @@
 export class TargetState {
 	registration: RegisteredTarget;
 	readonly pool: ConnectionPool;
+	/** Whether it accepts requests, by its own responses. */
+	readonly availability: TargetAvailability;
 	/** The latest load report. */
 	report: LoadReport | undefined;
 	/** The latest response of the health path. */
@@ -41,12 +44,15 @@
 	 * @param registration - The published target.
 	 * @param pool - The connections to the target.
 	 * @param nowMs - The monotonic time in milliseconds.
+	 * @param availability - Whether the target accepts requests.
 	 */
 	constructor(
 		registration: RegisteredTarget,
 		pool: ConnectionPool,
 		nowMs: number,
+		availability = new TargetAvailability(),
 	) {
+		this.availability = availability;
 		this.registration = registration;
 		this.pool = pool;
 		this.coldUntilMs = nowMs + registration.remainingWarmUpMs;
--- a/packages/gateway/test/choice/target-probe.test.ts
+++ b/packages/gateway/test/choice/target-probe.test.ts
@@ -26,6 +26,7 @@
 	isNotRun: () => false,
 	isSealed: () => true,
 	readLoad: () => undefined,
+	readAvailability: () => undefined,
 	readHealth: (_status, _headers, {id, slots}, nowMs) => ({
 		receivedAtMs: nowMs,
 		running: slots,
@@ -70,6 +71,7 @@
 		protocol,
 		clock: systemClock,
 		log: makeTestLog(systemClock).log,
+		onNotice: () => undefined,
 		onEnd: () => undefined,
 	};
 	new TargetProbe(options).start();
