--- a/packages/gateway/src/choice/target-picker.ts
+++ b/packages/gateway/src/choice/target-picker.ts
@@ -20,7 +20,11 @@
 } from './target-cost.js';
 import type {LastSlotFactor} from './last-slot-factor.js';
 import {isEligible, type PickRequest} from './pick-request.js';
-import {subsetSize, probeScopes, type TargetProber} from './target-prober.js';
+import {
+	maxProbeCount,
+	probeScopes,
+	type TargetProber,
+} from './target-prober.js';
 import {WaitQueue} from './wait-queue.js';
 
 /** The dependencies of a picker. */
@@ -88,7 +92,7 @@
 		for (const scope of probeScopes) {
 			probedCount += await this.#options.prober.probe(
 				request,
-				subsetSize,
+				maxProbeCount,
 				scope,
 			);
 			if (this.#hasAcceptableTarget(request)) {
--- a/packages/gateway/src/choice/target-prober.ts
+++ b/packages/gateway/src/choice/target-prober.ts
@@ -41,8 +41,10 @@
 /** The order in which scopes are probed until an acceptable target is found. */
 export const probeScopes: readonly ProbeScope[] = ['subset', 'near', 'far'];
 
-/** The size of a host's subset and the maximum number of targets probed at once. */
-export const subsetSize = 8;
+/** The number of targets of a service that a host probes for each request while one of them is acceptable. */
+const subsetSize = 4;
+/** The maximum number of other targets probed at once. */
+export const maxProbeCount = 8;
 /** Time after its start in which a round of probes also serves other requests, in milliseconds. */
 const roundSharingMs = 3;
 
--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -112,6 +112,7 @@
 			log,
 			metrics: this.#metrics,
 			decode,
+			address: settings.callers.address,
 			getSources: (hasSnapshot) => this.#fleet.getSources(hasSnapshot),
 			getHostCount: () => this.#fleet.hostCount,
 			onSnapshot: (snapshot) => {
--- a/packages/gateway/src/fleet/decode-published-changes.ts
+++ b/packages/gateway/src/fleet/decode-published-changes.ts
@@ -10,7 +10,7 @@
 /**
  * Decodes and checks a host's response to a read.
  *
- * @param value - The result in the response. Hosts of an earlier version send no era.
+ * @param value - The result in the response. Hosts of an earlier version send neither an era nor the hosts on the way.
  * @returns The changes; undefined if a field is missing or has the wrong type.
  */
 export function decodePublishedChanges(
@@ -20,17 +20,18 @@
 		return undefined;
 	}
 
-	const {isWhole, changes, era = 0, revision, ageMs, holdMs} = value;
+	const {isWhole, changes, era = 0, revision, ageMs, holdMs, via = []} = value;
 	const areFieldsValid =
 		typeof isWhole === 'boolean' &&
 		isCount(era) &&
 		isCount(revision) &&
 		isDuration(ageMs) &&
-		isDuration(holdMs);
+		isDuration(holdMs) &&
+		isStringArray(via);
 	return areFieldsValid &&
 		Array.isArray(changes) &&
 		changes.every((change) => isChange(change))
-		? {isWhole, changes, era, revision, ageMs, holdMs}
+		? {isWhole, changes, era, revision, ageMs, holdMs, via}
 		: undefined;
 }
 
@@ -44,6 +45,12 @@
 	);
 }
 
+function isStringArray(value: unknown): value is string[] {
+	return (
+		Array.isArray(value) && value.every((entry) => typeof entry === 'string')
+	);
+}
+
 function isTable(value: unknown): value is RawFields {
 	return typeof value === 'object' && value !== null && !Array.isArray(value);
 }
--- a/packages/gateway/src/fleet/fleet.ts
+++ b/packages/gateway/src/fleet/fleet.ts
@@ -56,6 +56,7 @@
 			...options,
 			membership: this.#membership,
 			address,
+			dataCentre: settings.dataCentre,
 			port: settings.talkPort,
 			getSeeds: () => options.getSeeds().map((seed) => seed.address),
 		});
--- a/packages/gateway/src/fleet/gossip.ts
+++ b/packages/gateway/src/fleet/gossip.ts
@@ -1,7 +1,7 @@
 /** Gossip between hosts over UDP: membership, crashes of targets and failed requests. */
 
 import {createSocket, type Socket} from 'node:dgram';
-import type {Clock, RandomSource} from '@bilberryscale/core';
+import type {Clock, DataCentreId, RandomSource} from '@bilberryscale/core';
 import type {EventLog} from '../records/event-log.js';
 import type {TargetIncarnation} from '../plan/registered-target.js';
 import {
@@ -20,6 +20,7 @@
 	readonly membership: Membership;
 	/** The IP address of this host. */
 	readonly address: string;
+	readonly dataCentre: DataCentreId;
 	/** The UDP port, the same on all hosts. */
 	readonly port: number;
 	/** Gets the IP addresses of the seed hosts; some of them may no longer exist. */
@@ -30,8 +31,8 @@
 
 /** Mean interval between exchanges of members with another host, in milliseconds. */
 const exchangeIntervalMs = 1500;
-/** Maximum number of members in a datagram, so that it fits into one packet. */
-const maxMembersPerMessage = 8;
+/** Number of random members in a datagram, which fits into one packet with the first hosts of all data centres. */
+const randomMembersPerMessage = 8;
 /** Share of the exchanges that stay within the data centre. */
 const sameDataCentreShare = 0.9;
 /** Share of the exchanges that go to a seed. */
@@ -107,9 +108,7 @@
 	 */
 	sendFailure(incarnation: TargetIncarnation): void {
 		const {membership} = this.#options;
-		for (const {address} of membership
-			.sampleRecords(maxFailureRecipients + 1)
-			.slice(1)) {
+		for (const {address} of membership.samplePeers(maxFailureRecipients)) {
 			this.#send(address, {method: 'failure', incarnation});
 		}
 	}
@@ -133,15 +132,14 @@
 	}
 
 	#choosePartner(): string | undefined {
-		const {membership, random, getSeeds, address} = this.#options;
+		const {membership, random, getSeeds, address, dataCentre} = this.#options;
 		const peers = membership.getLivePeers();
-		const self = membership.sampleRecords(1)[0]!;
 		if (peers.length === 0 || random() < seedShare) {
 			return this.#pickRandom(getSeeds().filter((seed) => seed !== address));
 		}
 
 		const sameDataCentrePeers = peers.filter(
-			({dataCentre}) => dataCentre === self.dataCentre,
+			(peer) => peer.dataCentre === dataCentre,
 		);
 		const candidates =
 			sameDataCentrePeers.length > 0 && random() < sameDataCentreShare
@@ -155,8 +153,9 @@
 	}
 
 	#sendMembers(address: string, wantsReply: boolean): void {
-		const members =
-			this.#options.membership.sampleRecords(maxMembersPerMessage);
+		const members = this.#options.membership.sampleRecords(
+			randomMembersPerMessage,
+		);
 		this.#send(address, {method: 'members', members, wantsReply});
 	}
 
--- a/packages/gateway/src/fleet/membership.ts
+++ b/packages/gateway/src/fleet/membership.ts
@@ -88,16 +88,31 @@
 	/**
 	 * Gets records to send to another host.
 	 *
-	 * @param maxCount - The maximum number of records.
-	 * @returns The record of this host, followed by a random sample of the live peers.
+	 * @param maxCount - The maximum number of random peers among the records.
+	 * @returns The record of this host, those of the first live host of each data
+	 * centre, from which the others read, and a random sample of the live peers.
 	 */
 	sampleRecords(maxCount: number): MemberRecord[] {
+		const records = this.#getLiveRecords();
 		return [
-			this.#self,
-			...this.#shuffle(this.#getLiveRecords()).slice(0, maxCount - 1),
+			...new Set([
+				this.#self,
+				...getFirstHosts(records),
+				...this.#shuffle(records).slice(0, maxCount),
+			]),
 		];
 	}
 
+	/**
+	 * Gets random live peers.
+	 *
+	 * @param maxCount - The maximum number of peers.
+	 * @returns Their records.
+	 */
+	samplePeers(maxCount: number): MemberRecord[] {
+		return this.#shuffle(this.#getLiveRecords()).slice(0, maxCount);
+	}
+
 	/**
 	 * Gets the other hosts that are considered up.
 	 *
@@ -171,6 +186,18 @@
 	}
 }
 
+function getFirstHosts(records: readonly MemberRecord[]): MemberRecord[] {
+	const firstHosts = new Map<DataCentreId, MemberRecord>();
+	for (const record of records) {
+		const first = firstHosts.get(record.dataCentre);
+		if (first === undefined || compareAddresses(record, first) < 0) {
+			firstHosts.set(record.dataCentre, record);
+		}
+	}
+
+	return [...firstHosts.values()];
+}
+
 function isNewer(a: MemberRecord, b: MemberRecord): boolean {
 	return a.incarnation === b.incarnation
 		? a.heartbeat > b.heartbeat
--- a/packages/gateway/src/fleet/order-sources.ts
+++ b/packages/gateway/src/fleet/order-sources.ts
@@ -29,9 +29,10 @@
  *
  * @remarks The first host of the first data centre, by sort order, reads the
  * store. The first host of each other data centre reads from that host, and all
- * other hosts read from the first host of their data centre. There is no
- * election: hosts that disagree on the order only cause an extra read of the
- * store.
+ * other hosts read from the first host of their data centre. A host whose source
+ * fails tries two more hosts before the store, which would otherwise be read by
+ * all hosts of a data centre at once. There is no election: hosts that disagree
+ * on the order only cause an extra read of the store.
  * @param options - This host, the membership and the possible sources.
  * @param hasSnapshot - Whether this host has read a snapshot; without one it
  * reads the store first.
@@ -57,7 +58,6 @@
 	const isFirstDataCentre = otherDataCentres.every(
 		(other) => dataCentre < other,
 	);
-	const [firstLocalPeer, ...otherLocalPeers] = localPeers;
 	const [firstRemotePeer, ...otherRemotePeers] = remotePeers;
 	if (!hasSnapshot || (isFirstInDataCentre && isFirstDataCentre)) {
 		return [store, ...remotePeers, ...localPeers];
@@ -67,7 +67,10 @@
 		return [firstRemotePeer, store, ...otherRemotePeers, ...localPeers];
 	}
 
-	return firstLocalPeer === undefined
-		? [store, ...remotePeers]
-		: [firstLocalPeer, store, ...remotePeers, ...otherLocalPeers];
+	return [
+		...localPeers,
+		...(firstRemotePeer === undefined ? [] : [firstRemotePeer]),
+		store,
+		...otherRemotePeers,
+	];
 }
--- a/packages/gateway/src/snapshot/item-replica.ts
+++ b/packages/gateway/src/snapshot/item-replica.ts
@@ -157,7 +157,7 @@
 	 */
 	getChangesAfter(
 		position: StorePosition | undefined,
-	): Omit<PublishedChanges, 'ageMs' | 'holdMs'> {
+	): Omit<PublishedChanges, 'ageMs' | 'holdMs' | 'via'> {
 		const {era} = this.position;
 		if (
 			position?.era === era &&
--- a/packages/gateway/src/snapshot/snapshot-feed.ts
+++ b/packages/gateway/src/snapshot/snapshot-feed.ts
@@ -21,6 +21,8 @@
 	readonly log: EventLog;
 	readonly metrics: GatewayMetrics;
 	readonly decode: ItemDecoder;
+	/** The address of this host. */
+	readonly address: string;
 	/**
 	 * Gets the sources in the order in which they are to be tried.
 	 *
@@ -57,7 +59,9 @@
 	readonly #replica: ItemReplica;
 	readonly #health: SourceHealth;
 	readonly #waiters = new Set<() => void>();
-	#currentSourceName: string | undefined;
+	#currentSource: SnapshotSource | undefined;
+	/** The hosts through which the snapshot was last read, the nearest first. */
+	#via: readonly string[] = [];
 	/** Whether the next read must return all items, not only changes. */
 	#needsFullRead = true;
 	/** Whether the next full read may return stale items. */
@@ -99,6 +103,12 @@
 		return this.#options.clock.monotonicMs() - this.confirmedAtMs;
 	}
 
+	/** Gets whether the store has failed this host and no peer has taken its place. */
+	get #isCutOff(): boolean {
+		const hasPeer = this.#currentSource?.isStore === false;
+		return this.#health.hasRecentStoreFailure && !hasPeer;
+	}
+
 	/** Reads changes until the feed is stopped. */
 	async run(): Promise<void> {
 		while (!this.#isStopped) {
@@ -122,9 +132,10 @@
 	getChangesAfter(position: StorePosition | undefined): PublishedChanges {
 		return {
 			...this.#replica.getChangesAfter(position),
-			ageMs: this.#health.hasRecentStoreFailure
+			ageMs: this.#isCutOff
 				? unconfirmedAgeMs
 				: Math.min(this.ageMs, unconfirmedAgeMs),
+			via: [this.#options.address, ...this.#via],
 			holdMs: Math.max(
 				0,
 				this.#retainUntilMs - this.#options.clock.monotonicMs(),
@@ -176,7 +187,7 @@
 			? await source.readAll(this.#allowsStaleRead)
 			: await source.readChanges(
 					this.position,
-					this.#isCaughtUp && this.#currentSourceName === source.name,
+					this.#isCaughtUp && this.#currentSource?.name === source.name,
 				);
 		if (result.isErr()) {
 			this.#handleReadError(source, result.error);
@@ -191,6 +202,11 @@
 			return false;
 		}
 
+		if (result.value.via.includes(this.#options.address)) {
+			this.#skipStaleSource(source, 'its snapshot comes from this host');
+			return false;
+		}
+
 		if (!source.isStore && result.value.ageMs > maxPeerSnapshotAgeMs) {
 			this.#apply(result.value);
 			this.#skipStaleSource(
@@ -201,6 +217,7 @@
 		}
 
 		this.#options.metrics.recordSnapshotRead(getSourceKind(source), 'ok');
+		this.#via = result.value.via;
 		this.#handleReadSuccess(source, startedAtMs);
 		this.#isCaughtUp ||= !this.#needsFullRead || !source.isStore;
 		this.#needsFullRead = false;
@@ -233,14 +250,25 @@
 		this.#retainUntilMs = Math.max(this.#retainUntilMs, nowMs + changes.holdMs);
 		const retainUntilMs =
 			this.#retainUntilMs > nowMs ? this.#retainUntilMs : undefined;
-		const formerEra = this.position.era;
+		const formerPosition = this.position;
 		const newChanges = this.#replica.apply(changes, retainUntilMs);
 		const expiredNames = this.#replica.removeExpired(nowMs);
-		for (const {name, text, revision} of newChanges) {
+		if (formerPosition.revision === 0) {
+			log.writeState('knowledge read for the first time', {
+				...this.position,
+				items: newChanges.length,
+				source: this.#currentSource?.name,
+				ageMs: Math.round(changes.ageMs),
+			});
+		}
+
+		for (const {name, text, revision} of formerPosition.revision === 0
+			? []
+			: newChanges) {
 			log.write('knowledge changed', {
 				item: name,
 				revision,
-				source: this.#currentSourceName,
+				source: this.#currentSource?.name,
 				ageMs: Math.round(changes.ageMs),
 				outcome: text === undefined ? 'removed' : 'set',
 				isHeld: text === undefined && retainUntilMs !== undefined,
@@ -254,7 +282,7 @@
 			});
 		}
 
-		const isNewEra = this.position.era !== formerEra;
+		const isNewEra = this.position.era !== formerPosition.era;
 		if (newChanges.length > 0 || expiredNames.length > 0 || isNewEra) {
 			onSnapshot(this.#replica.getSnapshot());
 			this.#notifyWaiters();
@@ -339,11 +367,11 @@
 	}
 
 	#dropCurrentSource({name, isStore}: SnapshotSource, detail: string): void {
-		if (this.#currentSourceName !== name) {
+		if (this.#currentSource?.name !== name) {
 			return;
 		}
 
-		this.#currentSourceName = undefined;
+		this.#currentSource = undefined;
 		if (!isStore) {
 			this.#options.log.write('knowledge source lost', {source: name, detail});
 		}
@@ -370,8 +398,8 @@
 			});
 		}
 
-		if (this.#currentSourceName !== source.name) {
-			this.#currentSourceName = source.name;
+		if (this.#currentSource?.name !== source.name) {
+			this.#currentSource = source;
 			log.writeState('knowledge source chosen', {source: source.name});
 		}
 	}
--- a/packages/gateway/src/snapshot/snapshot-source.ts
+++ b/packages/gateway/src/snapshot/snapshot-source.ts
@@ -31,6 +31,8 @@
 	readonly ageMs: number;
 	/** For how long removed targets must still be kept, in milliseconds, as they may register again. */
 	readonly holdMs: number;
+	/** The hosts that have passed the changes on, the nearest first; none if they come from the store. */
+	readonly via: readonly string[];
 };
 
 /** Why a read failed. */
--- a/packages/gateway/src/snapshot/source-health.ts
+++ b/packages/gateway/src/snapshot/source-health.ts
@@ -47,10 +47,7 @@
 		this.#options = options;
 	}
 
-	/**
-	 * Gets whether a read of the store failed recently. Peers must not rely on this
-	 * host as a source then, because its snapshot may come from them.
-	 */
+	/** Gets whether a read of the store failed recently. */
 	get hasRecentStoreFailure(): boolean {
 		const elapsedMs = this.#options.clock.monotonicMs() - this.#storeFailedAtMs;
 		return this.#isStoreDown && elapsedMs < storeFailureWindowMs;
