Share the probe budget by all targets of a service, not by the few that a host asks

Cause: the refill of a host's probe budget was counted over the targets of the scope that it asks. With 312 hosts and a subset of 4 that is half a probe a second: after three requests each one was compared on a single target, and then on 8 others. Change: the refill is the host's share of the probes that all targets of the service may get.

--- a/packages/gateway/src/choice/target-prober.ts
+++ b/packages/gateway/src/choice/target-prober.ts
@@ -120,7 +120,7 @@
 		scope: ProbeScope,
 	): TargetState[] {
 		const {service} = request;
-		const {clock, random} = this.#options;
+		const {clock, random, registry} = this.#options;
 		const nowMs = clock.monotonicMs();
 		const open = this.#getTargetsInScope(service, scope).filter(
 			({registration}) => isEligible(request, registration.id),
@@ -129,7 +129,8 @@
 		const candidates = preferred.length > 0 ? preferred : open;
 		const allowed = this.#getBudget(service).take(
 			Math.min(maxCount, candidates.length),
-			open.length,
+			// The share of this host is that of all targets: it spends on few what others spend on the rest.
+			registry.getOpenTargets(service).length,
 			nowMs,
 		);
 		return candidates
--- a/packages/gateway/test/choice/target-probe.test.ts
+++ b/packages/gateway/test/choice/target-probe.test.ts
@@ -11,34 +11,13 @@
 import * as assert from 'uvu/assert';
 import {TargetProbe} from '../../src/choice/target-probe.js';
 import {ConnectionPool} from '../../src/targets/connection-pool.js';
-import type {TargetProtocol} from '../../src/targets/target-protocol.js';
 import {TargetState} from '../../src/targets/target-state.js';
-import {makeRegisteredTarget, makeTestLog} from '../fixtures.js';
+import {makeRegisteredTarget, makeTestLog, testProtocol} from '../fixtures.js';
 
 const ok = 'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n';
 /** Longer than the probe timeout of a used connection, shorter than that of a new one. */
 const waitMs = 300;
 
-const protocol: TargetProtocol = {
-	requestIdHeader: 'id',
-	deadlineHeader: 'deadline',
-	getExpectationHeader: () => ['expect', 'a'],
-	isNotRun: () => false,
-	isSealed: () => true,
-	readLoad: () => undefined,
-	readAvailability: () => undefined,
-	readHealth: (_status, _headers, {id, slots}, nowMs) => ({
-		receivedAtMs: nowMs,
-		running: slots,
-		waiting: 0,
-		slots,
-		slowdownFactor: 1,
-		isHealthy: true,
-		remainingWarmUpMs: 0,
-		answeredBy: id,
-	}),
-};
-
 /** Probes a target twice that stops responding after a number of requests. */
 async function probeTwice(
 	responseCount: number,
@@ -68,7 +47,7 @@
 	const options = {
 		state,
 		healthPath: '/',
-		protocol,
+		protocol: testProtocol,
 		clock: systemClock,
 		log: makeTestLog(systemClock).log,
 		onNotice: () => undefined,
--- a/packages/gateway/test/fixtures.ts
+++ b/packages/gateway/test/fixtures.ts
@@ -13,6 +13,7 @@
 	TargetIncarnation,
 } from '../src/plan/registered-target.js';
 import type {PlanVersion, Route, RouteName} from '../src/plan/routing-plan.js';
+import type {TargetProtocol} from '../src/targets/target-protocol.js';
 import {EventLog} from '../src/records/event-log.js';
 import type {
 	PublishedChange,
@@ -106,6 +107,27 @@
 	return {name, text: undefined, revision};
 }
 
+/** A protocol in which each response to a probe comes from a full and healthy target. */
+export const testProtocol: TargetProtocol = {
+	requestIdHeader: 'id',
+	deadlineHeader: 'deadline',
+	getExpectationHeader: () => ['expect', 'a'],
+	isNotRun: () => false,
+	isSealed: () => true,
+	readLoad: () => undefined,
+	readAvailability: () => undefined,
+	readHealth: (_status, _headers, {id, slots}, nowMs) => ({
+		receivedAtMs: nowMs,
+		running: slots,
+		waiting: 0,
+		slots,
+		slowdownFactor: 1,
+		isHealthy: true,
+		remainingWarmUpMs: 0,
+		answeredBy: id,
+	}),
+};
+
 /** Makes a log that collects its lines. */
 export function makeTestLog(clock: Clock): {
 	readonly log: EventLog;
