Send an idempotent request elsewhere when its target has stalled

Cause: a target that drops what it cannot queue answers probes, so it never looks silent; a request there waited until its deadline.

--- a/packages/gateway/src/context/make-relay.ts
+++ b/packages/gateway/src/context/make-relay.ts
@@ -109,6 +109,7 @@
 		}),
 		serviceTimes,
 		recorder,
+		isShuttingDown,
 		getRetryBudgetLimit: () => settings.current.retryBound,
 		getHostCount,
 	});
--- a/packages/gateway/src/limits/retry-budget.ts
+++ b/packages/gateway/src/limits/retry-budget.ts
@@ -52,18 +52,29 @@
 	 * @returns Whether the retry is allowed.
 	 */
 	take(nowMs: number, reservedShare = 0): boolean {
+		if (!this.canTake(nowMs, reservedShare)) {
+			return false;
+		}
+
+		this.#retries[this.#bucket % bucketCount]!++;
+		return true;
+	}
+
+	/**
+	 * Checks whether a retry is allowed.
+	 *
+	 * @param nowMs - The monotonic time in milliseconds.
+	 * @param reservedShare - The share of the budget that must stay free for other requests, from 0 to 1.
+	 * @returns Whether {@link take} would allow it now.
+	 */
+	canTake(nowMs: number, reservedShare = 0): boolean {
 		this.#advance(nowMs);
 		const {ratio, slack} = this.#getLimit();
 		const allowed =
 			(1 - reservedShare) *
 			(1 - unusedShare) *
 			(ratio * sum(this.#requests) + slack / this.#getHostCount());
-		if (sum(this.#retries) + 1 > allowed) {
-			return false;
-		}
-
-		this.#retries[this.#bucket % bucketCount]!++;
-		return true;
+		return sum(this.#retries) + 1 <= allowed;
 	}
 
 	#advance(nowMs: number): void {
--- a/packages/gateway/src/relay/attempt-dispatcher.ts
+++ b/packages/gateway/src/relay/attempt-dispatcher.ts
@@ -20,6 +20,7 @@
 	minServerErrorStatus,
 	type AttemptResult,
 } from './attempt-result.js';
+import {getStallTimeoutMs} from './get-stall-timeout-ms.js';
 import type {SilenceDetector} from './silence-detector.js';
 import {TargetAttempt} from './target-attempt.js';
 import type {ServiceTimes} from './service-times.js';
@@ -87,14 +88,17 @@
 	 * @param request - The request.
 	 * @param pick - The target, a connection to it and figures for the log.
 	 * @param attempt - The number of the attempt, from 1 for each request.
+	 * @param canRetry - Whether the request may be sent to another target.
 	 * @returns The result of the attempt.
 	 */
 	async send(
 		request: RoutedRequest,
 		{state, connection, expectedMs, probedCount, waitedMs}: PickedTarget,
 		attempt: number,
+		canRetry: () => boolean,
 	): Promise<AttemptResult> {
-		const {clock, protocol, silenceDetector, recorder} = this.#options;
+		const {clock, protocol, silenceDetector, recorder, serviceTimes} =
+			this.#options;
 		const {exchange, route, body, deadlineMs} = request;
 		const {report} = state;
 		const startedAtMs = clock.monotonicMs();
@@ -112,6 +116,17 @@
 				this.#options.onNotice(state, notice);
 			},
 			silenceDetector: route.isIdempotent ? silenceDetector : undefined,
+			stallTimeoutMs: route.isIdempotent
+				? getStallTimeoutMs({
+						expectedMs,
+						serviceTimeMs: serviceTimes.getMs(
+							route.name,
+							route.targetLatencyMs,
+						),
+						remainingMs: deadlineMs - startedAtMs,
+					})
+				: undefined,
+			canRetry,
 		}).run();
 		const durationMs = clock.monotonicMs() - startedAtMs;
 		if (
--- a/packages/gateway/src/relay/attempt-result.ts
+++ b/packages/gateway/src/relay/attempt-result.ts
@@ -10,6 +10,8 @@
 	| 'broken'
 	/** The target responds neither to requests nor to probes. */
 	| 'silent'
+	/** The target does not respond to the request in a time that it rarely takes. */
+	| 'stalled'
 	/** The deadline of the request has passed. */
 	| 'overdue'
 	/** The caller has disconnected. */
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -34,6 +34,7 @@
 	readonly getRetryBudgetLimit: () => RetryBudgetLimit;
 	readonly getHostCount: () => number;
 	readonly recorder: RequestRecorder;
+	readonly isShuttingDown: () => boolean;
 };
 
 /** Share of the retry budget that is reserved for returning callers. */
@@ -119,6 +120,7 @@
 				request,
 				picked.value,
 				attempts,
+				() => this.#canLeaveStalledTarget(request, executions),
 			);
 			this.#options.picker.wakeFirstWaiting(request.service);
 			if (result.kind === 'refused' && result.status !== misdirectedStatus) {
@@ -148,6 +150,22 @@
 		);
 	}
 
+	/**
+	 * Checks whether an attempt that has stalled may be cancelled for another one.
+	 * While the host shuts down, the other one might not complete in time.
+	 */
+	#canLeaveStalledTarget(
+		{service, route}: RoutedRequest,
+		previousExecutions: number,
+	): boolean {
+		const {clock, isShuttingDown} = this.#options;
+		return (
+			!isShuttingDown() &&
+			previousExecutions + 1 < route.maxAttempts &&
+			this.#getRetryBudget(service).canTake(clock.monotonicMs())
+		);
+	}
+
 	async #pick(
 		request: RoutedRequest,
 		triedTargets: ReadonlySet<TargetId>,
--- a/packages/gateway/src/relay/target-attempt.ts
+++ b/packages/gateway/src/relay/target-attempt.ts
@@ -31,6 +31,10 @@
 	readonly onNotice: (notice: AvailabilityNotice | undefined) => void;
 	/** Cancels the attempt if the target stops responding; set only for requests that may run twice. */
 	readonly silenceDetector: SilenceDetector | undefined;
+	/** After which time without a response the attempt is cancelled, in milliseconds; undefined for never. */
+	readonly stallTimeoutMs: number | undefined;
+	/** Whether the request may be sent to another target, so that a stalled attempt may be cancelled. */
+	readonly canRetry: () => boolean;
 };
 
 /**
@@ -60,6 +64,7 @@
 	readonly #isConnectionReused: boolean;
 	#resolve: (result: AttemptResult) => void = () => undefined;
 	#cancelTimer: () => void = () => undefined;
+	#cancelStallTimer: () => void = () => undefined;
 	#stopWatching: () => void = () => undefined;
 	#hasEnded = false;
 	#isSettled = false;
@@ -116,6 +121,7 @@
 			silenceDetector?.watch(state, () => {
 				this.#cancel('silent');
 			}) ?? this.#stopWatching;
+		this.#startStallTimer();
 		state.addSend(this.#startedAtMs);
 		connection.dispatch(
 			{
@@ -129,6 +135,19 @@
 		);
 	}
 
+	#startStallTimer(): void {
+		const {clock, stallTimeoutMs, canRetry} = this.#options;
+		if (stallTimeoutMs === undefined) {
+			return;
+		}
+
+		this.#cancelStallTimer = clock.schedule(stallTimeoutMs, () => {
+			if (canRetry()) {
+				this.#cancel('stalled');
+			}
+		});
+	}
+
 	readonly #onCallerAbort = (): void => {
 		this.#cancel('caller-gone');
 	};
@@ -153,6 +172,7 @@
 	#onAnswer(answer: TargetAnswer): void {
 		const {protocol, state, clock, onNotice} = this.#options;
 		const {status, headers, body} = answer;
+		this.#cancelStallTimer();
 		const mixUp = this.#findMixUp(answer);
 		if (mixUp !== undefined) {
 			this.#rejectAnswer(body, mixUp);
@@ -272,6 +292,7 @@
 
 		this.#hasEnded = true;
 		this.#cancelTimer();
+		this.#cancelStallTimer();
 		this.#stopWatching();
 		const {incoming, state, connection} = this.#options;
 		incoming.signal.removeEventListener('abort', this.#onCallerAbort);
@@ -288,7 +309,8 @@
 		const mayHaveRun = this.#request.isWritten;
 		if (error instanceof AttemptCancelledError) {
 			const {reason} = error;
-			const isTargetFault = reason === 'silent' || reason === 'overdue';
+			const isTargetFault =
+				reason === 'silent' || reason === 'stalled' || reason === 'overdue';
 			this.#settle(
 				makeFailedResult(reason, mayHaveRun, error.message),
 				isTargetFault,
