--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -116,11 +116,12 @@
 			const {registration} = picked.value.state;
 			triedTargets.add(registration.id);
 			attempts++;
+			const previousExecutions = executions;
 			const result = await this.#options.dispatcher.send(
 				request,
 				picked.value,
 				attempts,
-				() => this.#canLeaveStalledTarget(request, executions),
+				() => this.#canLeaveStalledTarget(request, previousExecutions),
 			);
 			this.#options.picker.wakeFirstWaiting(request.service);
 			if (result.kind === 'refused' && result.status !== misdirectedStatus) {
