--- a/packages/gateway/test/snapshot/item-replica.test.ts
+++ b/packages/gateway/test/snapshot/item-replica.test.ts
@@ -85,6 +85,94 @@
 		});
 	});
 
+	describe('apply, after the store has come back from an older copy', () => {
+		function doTest(
+			name: string,
+			input: readonly PublishedChanges[],
+			expected: {readonly targets: string; readonly revision: number},
+		): void {
+			it(name, () => {
+				const replica = makeReplica();
+				for (const changes of input) {
+					replica.apply(changes, undefined);
+				}
+
+				assert.is(getTargets(replica), expected.targets);
+				assert.is(replica.revision, expected.revision);
+			});
+		}
+
+		const isWhole = true;
+		const before = makeChanges(
+			90,
+			[makeUpdate('a', 4), makeUpdate('b', 90)],
+			isWhole,
+			1,
+		);
+		const restored = makeChanges(50, [makeUpdate('c', 20)], isWhole, 2);
+		doTest(
+			'replaces all items, although revisions went back',
+			[before, restored],
+			{
+				targets: 'c',
+				revision: 50,
+			},
+		);
+		doTest(
+			'ignores changes of the new era without a full read',
+			[before, makeChanges(91, [makeUpdate('c', 91)], false, 2)],
+			{targets: 'a b', revision: 90},
+		);
+		doTest(
+			'ignores a late full read and late changes of the former era',
+			[
+				before,
+				restored,
+				before,
+				makeChanges(95, [makeUpdate('d', 95)], false, 1),
+			],
+			{targets: 'c', revision: 50},
+		);
+		doTest(
+			'tells eras apart whose revisions are equal by accident',
+			[before, makeChanges(90, [makeUpdate('a', 4)], isWhole, 2)],
+			{targets: 'a', revision: 90},
+		);
+		doTest(
+			'follows an era that has risen twice',
+			[before, makeChanges(7, [makeUpdate('b', 7)], isWhole, 3)],
+			{targets: 'b', revision: 7},
+		);
+		doTest(
+			'applies a revision that is given out again',
+			[before, restored, makeChanges(90, [makeUpdate('b', 90)], false, 2)],
+			{targets: 'b c', revision: 90},
+		);
+
+		it('sends all items to a host of another era', () => {
+			const replica = makeReplica();
+			replica.apply(before, undefined);
+			replica.apply(restored, undefined);
+			replica.apply(
+				makeChanges(51, [makeUpdate('d', 51)], false, 2),
+				undefined,
+			);
+			const changes = replica.getChangesAfter({era: 1, revision: 90});
+			assert.is(changes.isWhole, true);
+			assert.is(changes.era, 2);
+			assert.equal(
+				changes.changes.map(({name}) => name),
+				['c', 'd'],
+			);
+			const newer = replica.getChangesAfter({era: 2, revision: 50});
+			assert.is(newer.isWhole, false);
+			assert.equal(
+				newer.changes.map(({name}) => name),
+				['d'],
+			);
+		});
+	});
+
 	describe('removed targets that may register again', () => {
 		it('are kept until the retention ends', () => {
 			const replica = makeReplica();
--- a/packages/gateway/test/snapshot/snapshot-feed.test.ts
+++ b/packages/gateway/test/snapshot/snapshot-feed.test.ts
@@ -23,7 +23,10 @@
 	}
 }
 
-function makeFixture(sources: readonly ScriptedSource[], hostCount = 3) {
+function makeFixture(
+	sources: readonly ScriptedSource[] | (() => readonly ScriptedSource[]),
+	hostCount = 3,
+) {
 	const clock = new ManualClock();
 	const {log, lines} = makeTestLog(clock);
 	let snapshot: RoutingSnapshot | undefined;
@@ -36,7 +39,7 @@
 		metrics,
 		decode: decodeTestItem,
 		address: 'self',
-		getSources: () => sources,
+		getSources: () => (typeof sources === 'function' ? sources() : sources),
 		getHostCount: () => hostCount,
 		onSnapshot(next) {
 			snapshot = next;
@@ -313,6 +316,35 @@
 			);
 		});
 
+		it('does not go back to a peer of a former era of the store', async () => {
+			const peer = new ScriptedSource('host 1', false);
+			const store = new ScriptedSource('store', true);
+			const isWhole = true;
+			peer.scriptedResults.push(
+				Ok(makeChanges(90, [makeUpdate('a', 4)], isWhole, 1)),
+				Ok(makeChanges(91, [makeUpdate('b', 91)], false, 1)),
+			);
+			store.scriptedResults.push(
+				Ok(makeChanges(50, [makeUpdate('c', 20)], isWhole, 2)),
+			);
+			let sources = [peer];
+			const fixture = makeFixture(() => sources);
+			void fixture.feed.run();
+			await fixture.run(100);
+			sources = [store];
+			await fixture.run(200);
+			sources = [peer];
+			await fixture.run(200);
+			fixture.feed.stop();
+			assert.equal(fixture.feed.position, {era: 2, revision: 50});
+			assert.ok(!fixture.getTargets().includes('b'));
+			assert.ok(
+				fixture.lines.some(
+					({message}) => message === 'store restored from an older copy',
+				),
+			);
+		});
+
 		it('notifies waiting peers at once when the store goes down', async () => {
 			const store = new ScriptedSource('store', true);
 			store.scriptedResults.push(
