Send changes, not all items, to a host of an earlier version

Cause: a host that names no era was taken to be in era 0; in a later era each of its polls got all items at once. Change: without an era the current one is assumed.

--- a/packages/gateway/src/fleet/snapshot-server.ts
+++ b/packages/gateway/src/fleet/snapshot-server.ts
@@ -18,7 +18,7 @@
 
 /** The parameters of a read. */
 export type SnapshotQuery = {
-	/** The era of the revision that the reader has. */
+	/** The era of that revision; hosts of an earlier version send none, and the current one is assumed. */
 	readonly era?: number;
 	/** The revision that the reader has; absent if it has none. */
 	readonly after?: number;
@@ -49,7 +49,11 @@
 			},
 		});
 		this.#rpcServer.addMethod(snapshotMethod, async (query: unknown) => {
-			const {after, era = 0, waitMs} = decodeQueryOrThrow(query);
+			const {
+				after,
+				era = feed.position.era,
+				waitMs,
+			} = decodeQueryOrThrow(query);
 			if (after === undefined) {
 				return feed.getChangesAfter(undefined);
 			}
