Log and count the limits that targets name

Cause: no line told whether a host had been told a limit, so the hypotheses on LIMIT fit the logs equally well. Health checks of a target left no line either.

Change: the platform's header is decoded, the limit of an incarnation is kept with the kinds of responses that named it, and a change is one line and one count. Sends carry the limit, probes of a limited target have a line. No decision uses any of it yet.

--- a/packages/gateway/src/choice/target-probe.ts
+++ b/packages/gateway/src/choice/target-probe.ts
@@ -76,6 +76,14 @@
 			return;
 		}
 
+		const {registration, availability} = this.state;
+		if (availability.limit.perSecond !== undefined) {
+			this.#options.log.write('limited target probed', {
+				target: registration.id,
+				perSecond: availability.limit.perSecond,
+			});
+		}
+
 		const isNew = this.#connection.answeredAtMs === undefined;
 		const timeoutMs = isNew ? newConnectionTimeoutMs : probeTimeoutMs;
 		this.#cancelTimer = this.#options.clock.schedule(timeoutMs, () => {
--- a/packages/gateway/src/choice/target-prober.ts
+++ b/packages/gateway/src/choice/target-prober.ts
@@ -106,7 +106,7 @@
 			clock,
 			log,
 			onNotice(state, notice) {
-				registry.addAvailability(state, notice);
+				registry.addAvailability(state, notice, 'probe');
 			},
 		});
 		this.#rounds.set(key, {startedAtMs: nowMs, end});
--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -249,7 +249,7 @@
 			clock,
 			log,
 			onNotice: (probed, notice) => {
-				this.#targetRegistry.addAvailability(probed, notice);
+				this.#targetRegistry.addAvailability(probed, notice, 'probe');
 			},
 			onEnd,
 		});
--- a/packages/gateway/src/context/make-relay.ts
+++ b/packages/gateway/src/context/make-relay.ts
@@ -101,8 +101,12 @@
 				probe,
 				isPaused: isShuttingDown,
 			}),
-			onNotice(state, notice) {
-				targetRegistry.addAvailability(state, notice);
+			onNotice(state, notice, namesRequest) {
+				targetRegistry.addAvailability(
+					state,
+					notice,
+					namesRequest ? 'attempt' : undefined,
+				);
 			},
 			onConnectionBroken: dependencies.onConnectionBroken,
 			onTargetFailure: dependencies.onFailure,
--- a/packages/gateway/src/records/request-recorder.ts
+++ b/packages/gateway/src/records/request-recorder.ts
@@ -16,6 +16,8 @@
 	readonly slots: number;
 	/** The target's slowdown factor. */
 	readonly slowness: number;
+	/** The limit that the target had named, in requests per second; undefined without one. */
+	readonly limitPerSecond: number | undefined;
 	/** Age of the target's load report when the attempt started, in milliseconds. */
 	readonly reportAgeMs: number;
 	/** How many targets were probed. */
--- a/packages/gateway/src/relay/attempt-dispatcher.ts
+++ b/packages/gateway/src/relay/attempt-dispatcher.ts
@@ -35,10 +35,11 @@
 	readonly recorder: RequestRecorder;
 	/** Requests that may have crashed targets. */
 	readonly crashSuspects: CrashSuspects;
-	/** Called with what a response says about its target's availability. */
+	/** Called with what a response says about its target's availability, and whether it names the request. */
 	readonly onNotice: (
 		state: TargetState,
 		notice: AvailabilityNotice | undefined,
+		namesRequest: boolean,
 	) => void;
 	/** Called when a connection broke during a request. */
 	readonly onConnectionBroken: (state: TargetState, signature: Digest) => void;
@@ -104,6 +105,7 @@
 		const startedAtMs = clock.monotonicMs();
 		const {load} = state;
 		const slowdownFactor = report?.slowdownFactor ?? 1;
+		const limitPerSecond = state.availability.limit.perSecond;
 		const result = await new TargetAttempt({
 			incoming: exchange.incoming,
 			body,
@@ -112,8 +114,8 @@
 			protocol,
 			clock,
 			deadlineMs,
-			onNotice: (notice) => {
-				this.#options.onNotice(state, notice);
+			onNotice: (notice, namesRequest) => {
+				this.#options.onNotice(state, notice, namesRequest);
 			},
 			silenceDetector: route.isIdempotent ? silenceDetector : undefined,
 			stallTimeoutMs: route.isIdempotent
@@ -151,6 +153,7 @@
 			load,
 			slots: state.slots,
 			slowness: slowdownFactor,
+			limitPerSecond,
 			reportAgeMs: startedAtMs - (report?.receivedAtMs ?? startedAtMs),
 			askedCount: probedCount,
 			waitedMs,
--- a/packages/gateway/src/relay/target-attempt.ts
+++ b/packages/gateway/src/relay/target-attempt.ts
@@ -27,8 +27,11 @@
 	readonly clock: Clock;
 	/** When the response must be complete, on the monotonic clock, in milliseconds. */
 	readonly deadlineMs: number;
-	/** Called with what the response says about the target's availability. */
-	readonly onNotice: (notice: AvailabilityNotice | undefined) => void;
+	/** Called with what the response says about the target's availability, and whether it names the request. */
+	readonly onNotice: (
+		notice: AvailabilityNotice | undefined,
+		namesRequest: boolean,
+	) => void;
 	/** Cancels the attempt if the target stops responding; set only for requests that may run twice. */
 	readonly silenceDetector: SilenceDetector | undefined;
 	/** After which time without a response the attempt is cancelled, in milliseconds; undefined for never. */
@@ -170,7 +173,7 @@
 	}
 
 	#onAnswer(answer: TargetAnswer): void {
-		const {protocol, state, clock, onNotice} = this.#options;
+		const {protocol, state, clock, incoming, onNotice} = this.#options;
 		const {status, headers, body} = answer;
 		this.#cancelStallTimer();
 		const mixUp = this.#findMixUp(answer);
@@ -180,7 +183,10 @@
 		}
 
 		const load = protocol.readLoad(headers, clock.monotonicMs());
-		onNotice(protocol.readAvailability(status, headers));
+		onNotice(
+			protocol.readAvailability(status, headers),
+			headers[protocol.requestIdHeader] === incoming.requestId,
+		);
 		if (load === undefined) {
 			state.addContact(clock.monotonicMs());
 		} else {
--- a/packages/gateway/src/targets/target-availability.ts
+++ b/packages/gateway/src/targets/target-availability.ts
@@ -1,5 +1,7 @@
 /** Whether a target accepts requests, by what it says in its own responses. */
 
+import {TargetLimit} from './target-limit.js';
+
 /** What a response says about the target's willingness to accept requests. */
 export type AvailabilityNotice = {
 	/** Whether the target is shutting down. */
@@ -8,6 +10,10 @@
 	readonly pauseMs: number | undefined;
 	/** A pause that cannot be used as sent; it is ignored or shortened. */
 	readonly unusablePause?: string | undefined;
+	/** How many requests a second the target accepts from all hosts together; undefined if it names no limit. */
+	readonly limitPerSecond?: number | undefined;
+	/** A limit that cannot be read; the limit that was known before stays in force. */
+	readonly unusableLimit?: string | undefined;
 };
 
 /** A change that a notice has brought. */
@@ -18,6 +24,8 @@
  * target that starts again is another incarnation.
  */
 export class TargetAvailability {
+	/** How many requests a second it accepts. */
+	readonly limit = new TargetLimit();
 	#isLeaving: boolean;
 	#pausedUntilMs = Number.NEGATIVE_INFINITY;
 
--- a/packages/gateway/src/targets/target-registry.ts
+++ b/packages/gateway/src/targets/target-registry.ts
@@ -19,6 +19,7 @@
 	TargetAvailability,
 	type AvailabilityNotice,
 } from './target-availability.js';
+import type {LimitSource} from './target-limit.js';
 import {TargetState} from './target-state.js';
 
 /** The dependencies of a registry. */
@@ -129,15 +130,18 @@
 	 *
 	 * @param state - The target.
 	 * @param notice - The notice; undefined if the response has none.
+	 * @param source - The kind of response; undefined if it cannot be attributed to a request.
 	 */
 	addAvailability(
 		state: TargetState,
 		notice: AvailabilityNotice | undefined,
+		source: LimitSource | undefined,
 	): void {
 		if (notice === undefined) {
 			return;
 		}
 
+		this.#addLimit(state, notice, source);
 		const {clock, log, metrics} = this.#options;
 		const {id, incarnation} = state.registration;
 		if (notice.unusablePause !== undefined) {
@@ -165,6 +169,37 @@
 		}
 	}
 
+	#addLimit(
+		{registration, availability}: TargetState,
+		{limitPerSecond, unusableLimit}: AvailabilityNotice,
+		source: LimitSource | undefined,
+	): void {
+		const {log, metrics} = this.#options;
+		const {id, incarnation} = registration;
+		if (unusableLimit !== undefined) {
+			log.write('unusable limit of a target', {
+				target: id,
+				value: unusableLimit,
+			});
+			return;
+		}
+
+		if (source === undefined) {
+			return;
+		}
+
+		const change = availability.limit.add(limitPerSecond, source);
+		if (change !== undefined) {
+			metrics.recordTargetNotice(change);
+			log.write(`target ${change}`, {
+				target: id,
+				life: incarnation,
+				source,
+				perSecond: limitPerSecond,
+			});
+		}
+	}
+
 	#getPublishedTargets(service: ServiceName): readonly TargetState[] {
 		const cached = this.#openTargets.get(service);
 		if (cached !== undefined) {
