Keep the limits that targets name, over all hosts together

What callers saw: nothing yet; a target in need got 14 requests in 4 s with a limit of 1.4 a second (13 allowed) and would have gone down with what it runs.

Cause: no host read the limit (H1), and health checks, which count against it, were sent before each request and every 150 ms during one (H4). H2 and H3 fall away: nothing was ever held back. Class: a bound on the sum over all hosts that each host would have to keep without knowing what the others send.

Evidence: the figures by server list 9 and 7 requests in windows for which the record counts 14.

Change: few hosts hold parts of a limit, by rendezvous hashing, so that the sum holds by construction even if all of them have saved up a request. A target with a limit gets no probes but rare checks; requests go there without one. The first host that is told tells the others, also of the limit's end. Requests that no part is left for are refused at once.

--- a/packages/gateway/src/choice/target-picker.ts
+++ b/packages/gateway/src/choice/target-picker.ts
@@ -59,6 +59,8 @@
 const reprobeCount = 3;
 /** Maximum age of a load report that a pick may rely on, in milliseconds. */
 const maxReportAgeMs = 15;
+/** Maximum age of the load report of a target with a limit, in milliseconds; it counts as idle without one, as it gets few requests. */
+const maxLimitedReportAgeMs = 1000;
 /** Maximum wait for a load report before targets are probed again, in milliseconds. */
 const reprobeIntervalMs = 45;
 /** Minimum time between two requests of this host to a cold target, in milliseconds. */
@@ -106,6 +108,7 @@
 			if (decision === 'take' && best !== undefined) {
 				const connection = this.#acquireConnection(best.state, request);
 				if (connection !== undefined) {
+					best.state.availability.limit.addSend(clock.monotonicMs());
 					const waitedMs = clock.monotonicMs() - startedAtMs;
 					const {state, expectedMs} = best;
 					return Ok({state, connection, expectedMs, probedCount, waitedMs});
@@ -159,12 +162,27 @@
 		});
 	}
 
-	/** Checks whether the caller has disconnected or no open target is eligible. */
+	/**
+	 * Checks whether the caller has disconnected or no open target is eligible.
+	 * A target with a limit is not if its next request would be late.
+	 */
 	#isUnservable(request: PickRequest): boolean {
-		const open = this.#options.registry.getOpenTargets(request.service);
+		const {registry, clock} = this.#options;
+		const {service, receivedAtMs, targetLatencyMs, serviceTimeMs} = request;
+		const nowMs = clock.monotonicMs();
+		const maxWaitMs = Math.max(
+			0,
+			receivedAtMs + targetLatencyMs - serviceTimeMs - nowMs,
+		);
 		return (
 			request.signal.aborted ||
-			open.every(({registration}) => !isEligible(request, registration.id))
+			registry
+				.getOpenTargets(service)
+				.every(
+					({registration, availability}) =>
+						!isEligible(request, registration.id) ||
+						availability.limit.getWaitMs(nowMs) > maxWaitMs,
+				)
 		);
 	}
 
@@ -211,14 +229,15 @@
 
 	/**
 	 * Checks whether a target is eligible, has a recent load report and is not avoided.
+	 * A target with a limit needs no report, as it gets no probes, but a part of the limit.
 	 * A cold target must also be idle and gets requests only at intervals.
 	 */
 	#isUsable(state: TargetState, request: PickRequest, nowMs: number): boolean {
-		const reportedAtMs = state.report?.receivedAtMs ?? Number.NEGATIVE_INFINITY;
-		if (
-			!isEligible(request, state.registration.id) ||
-			nowMs - reportedAtMs > maxReportAgeMs
-		) {
+		const {limit} = state.availability;
+		const isReady = limit.isInForce
+			? limit.canSend(nowMs)
+			: getReportAgeMs(state, nowMs) <= maxReportAgeMs;
+		if (!isReady || !isEligible(request, state.registration.id)) {
 			return false;
 		}
 
@@ -231,8 +250,11 @@
 	}
 
 	#getCondition(state: TargetState, nowMs: number): TargetCondition {
+		const hasCurrentLoad =
+			!state.availability.limit.isInForce ||
+			getReportAgeMs(state, nowMs) <= maxLimitedReportAgeMs;
 		return {
-			load: state.load,
+			load: hasCurrentLoad ? state.load : 0,
 			slots: state.slots,
 			slowdownFactor: state.report?.slowdownFactor ?? 1,
 			isHealthy: state.health?.isHealthy ?? true,
@@ -266,6 +288,15 @@
 			);
 		}
 
+		const limitWaitMs = registry.getLimitWaitMs(service);
+		if (limitWaitMs !== undefined) {
+			return notRunFailure(
+				'over-capacity',
+				`All ${openCount} open targets of "${service}" have named limits, which this host has used up.`,
+				limitWaitMs,
+			);
+		}
+
 		return best === undefined
 			? notRunFailure(
 					'no-target',
@@ -277,3 +308,7 @@
 				);
 	}
 }
+
+function getReportAgeMs({report}: TargetState, nowMs: number): number {
+	return nowMs - (report?.receivedAtMs ?? Number.NEGATIVE_INFINITY);
+}
--- a/packages/gateway/src/choice/target-probe.ts
+++ b/packages/gateway/src/choice/target-probe.ts
@@ -77,7 +77,8 @@
 		}
 
 		const {registration, availability} = this.state;
-		if (availability.limit.perSecond !== undefined) {
+		if (availability.limit.isInForce) {
+			availability.limit.addProbe(this.#options.clock.monotonicMs());
 			this.#options.log.write('limited target probed', {
 				target: registration.id,
 				perSecond: availability.limit.perSecond,
--- a/packages/gateway/src/choice/target-prober.ts
+++ b/packages/gateway/src/choice/target-prober.ts
@@ -123,7 +123,9 @@
 		const {clock, random, registry} = this.#options;
 		const nowMs = clock.monotonicMs();
 		const open = this.#getTargetsInScope(service, scope).filter(
-			({registration}) => isEligible(request, registration.id),
+			({registration, availability}) =>
+				isEligible(request, registration.id) &&
+				availability.limit.canProbe(nowMs),
 		);
 		const preferred = open.filter(({avoidUntilMs}) => avoidUntilMs <= nowMs);
 		const candidates = preferred.length > 0 ? preferred : open;
--- a/packages/gateway/src/choice/target-subset.ts
+++ b/packages/gateway/src/choice/target-subset.ts
@@ -1,7 +1,7 @@
 /** Chooses the subset of targets that a host normally uses, to limit its connections. */
 
-import {createHash} from 'node:crypto';
 import type {HostId} from '@bilberryscale/core';
+import {getRendezvousRank} from '../targets/get-rendezvous-rank.js';
 import type {TargetState} from '../targets/target-state.js';
 
 /**
@@ -25,13 +25,9 @@
 	return states
 		.map((state) => ({
 			state,
-			rank: getHash(`${host} ${state.registration.id}`),
+			rank: getRendezvousRank(host, state.registration.id),
 		}))
 		.toSorted((a, b) => a.rank - b.rank)
 		.slice(0, maxCount)
 		.map(({state}) => state);
 }
-
-function getHash(text: string): number {
-	return createHash('sha256').update(text).digest().readUInt32BE(0);
-}
--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -11,6 +11,7 @@
 import type {CallerServer} from '../edge/caller-server.js';
 import {TextServer} from '../edge/text-server.js';
 import {Fleet} from '../fleet/fleet.js';
+import {LimitShares} from '../limits/limit-shares.js';
 import {SnapshotFeed} from '../snapshot/snapshot-feed.js';
 import type {ItemDecoder, SnapshotSource} from '../snapshot/snapshot-source.js';
 import type {RoutingSnapshot} from '../plan/routing-snapshot.js';
@@ -105,6 +106,9 @@
 			onFailure: (incarnation) => {
 				this.#targetRegistry.addRemoteFailure(incarnation);
 			},
+			onLimit: (notice) => {
+				this.#targetRegistry.addRemoteLimit(notice);
+			},
 		});
 		this.#feed = new SnapshotFeed({
 			clock,
@@ -124,12 +128,28 @@
 			},
 		});
 		const getHostCount = () => this.#fleet.hostCount;
+		const limitShares = new LimitShares({
+			clock,
+			random,
+			self: {
+				address: settings.callers.address,
+				dataCentre: settings.dataCentre,
+			},
+			getPeers: () => this.#fleet.knownPeers,
+		});
 		this.#targetRegistry = new TargetRegistry({
 			clock,
 			log,
 			metrics: this.#metrics,
 			localAddress: settings.callers.address,
 			getHostCount,
+			makeLimitPolicy: (target) => ({
+				getShare: (perSecond) => limitShares.getShare(target, perSecond),
+				getCheckDelayMs: () => limitShares.getCheckDelayMs(),
+			}),
+			onLimitChange: (notice) => {
+				this.#fleet.broadcastLimit(notice);
+			},
 		});
 		const relay = makeRelay({
 			clock,
--- a/packages/gateway/src/fleet/fleet.ts
+++ b/packages/gateway/src/fleet/fleet.ts
@@ -6,6 +6,8 @@
 import type {SnapshotSource} from '../snapshot/snapshot-source.js';
 import type {TargetIncarnation} from '../plan/registered-target.js';
 import type {EventLog} from '../records/event-log.js';
+import type {HostPlace} from '../limits/get-rate-share.js';
+import type {LimitNotice} from '../targets/limit-notice.js';
 import {Gossip} from './gossip.js';
 import type {CrashNotice} from './gossip-message.js';
 import {Membership, type MemberRecord} from './membership.js';
@@ -26,6 +28,7 @@
 	readonly getFeed: () => SnapshotFeed;
 	readonly onCrash: (notice: CrashNotice) => void;
 	readonly onFailure: (incarnation: TargetIncarnation) => void;
+	readonly onLimit: (notice: LimitNotice) => void;
 };
 
 /** Lower bound on the assumed number of hosts, as some may not be discovered yet. */
@@ -67,6 +70,11 @@
 		return Math.max(minHostCount, this.#membership.memberCount);
 	}
 
+	/** Gets the hosts seen within the last minute, without this one; the same array until one is added or removed. */
+	get knownPeers(): readonly HostPlace[] {
+		return this.#membership.knownPeers;
+	}
+
 	/** Gets the data centre of this host. */
 	get dataCentre(): DataCentreId {
 		return this.#options.settings.dataCentre;
@@ -129,6 +137,15 @@
 		this.#gossip.sendFailure(incarnation);
 	}
 
+	/**
+	 * Notifies all live hosts that a target has named a limit or has lifted it.
+	 *
+	 * @param notice - The incarnation of the target and its limit.
+	 */
+	broadcastLimit(notice: LimitNotice): void {
+		this.#gossip.broadcastLimit(notice);
+	}
+
 	#getPeer({address}: MemberRecord): PeerReader {
 		const existing = this.#peers.get(address);
 		if (existing !== undefined) {
--- a/packages/gateway/src/fleet/gossip-message.ts
+++ b/packages/gateway/src/fleet/gossip-message.ts
@@ -3,6 +3,7 @@
 import {Buffer} from 'node:buffer';
 import {makeId, type DataCentreId, type Digest} from '@bilberryscale/core';
 import type {TargetIncarnation} from '../plan/registered-target.js';
+import type {LimitNotice} from '../targets/limit-notice.js';
 import type {MemberRecord} from './membership.js';
 
 /** Reports that a target crashed while it ran a request. */
@@ -21,7 +22,8 @@
 			readonly wantsReply: boolean;
 	  }
 	| {readonly method: 'crash'; readonly notice: CrashNotice}
-	| {readonly method: 'failure'; readonly incarnation: TargetIncarnation};
+	| {readonly method: 'failure'; readonly incarnation: TargetIncarnation}
+	| {readonly method: 'limit'; readonly notice: LimitNotice};
 
 type JsonRpcNotification = {
 	readonly jsonrpc: '2.0';
@@ -63,14 +65,12 @@
 		return undefined;
 	}
 
-	const [first, second] = params as unknown[];
-	return decodeParameters(String(method), first, second);
+	return decodeParameters(String(method), params as unknown[]);
 }
 
 function decodeParameters(
 	method: string,
-	first: unknown,
-	second: unknown,
+	[first, second, third]: readonly unknown[],
 ): GossipMessage | undefined {
 	switch (method) {
 		case 'members': {
@@ -95,12 +95,37 @@
 				: undefined;
 		}
 
+		case 'limit': {
+			const notice = decodeLimitNotice(first, second, third);
+			return notice && {method, notice};
+		}
+
 		default: {
 			return undefined;
 		}
 	}
 }
 
+function decodeLimitNotice(
+	incarnation: unknown,
+	perSecond: unknown,
+	source: unknown,
+): LimitNotice | undefined {
+	const isLimit =
+		perSecond === null || (typeof perSecond === 'number' && perSecond >= 0);
+	const isValid =
+		typeof incarnation === 'string' &&
+		isLimit &&
+		(source === 'probe' || source === 'attempt');
+	return isValid
+		? {
+				incarnation: makeId<TargetIncarnation>(incarnation),
+				perSecond: perSecond ?? undefined,
+				source,
+			}
+		: undefined;
+}
+
 function encodeParameters(message: GossipMessage): readonly unknown[] {
 	switch (message.method) {
 		case 'members': {
@@ -122,6 +147,11 @@
 		case 'failure': {
 			return [message.incarnation];
 		}
+
+		case 'limit': {
+			const {incarnation, perSecond, source} = message.notice;
+			return [incarnation, perSecond ?? null, source];
+		}
 	}
 }
 
--- a/packages/gateway/src/fleet/gossip.ts
+++ b/packages/gateway/src/fleet/gossip.ts
@@ -1,9 +1,10 @@
-/** Gossip between hosts over UDP: membership, crashes of targets and failed requests. */
+/** Gossip between hosts over UDP: membership, crashes and limits of targets, and failed requests. */
 
 import {createSocket, type Socket} from 'node:dgram';
 import type {Clock, DataCentreId, RandomSource} from '@bilberryscale/core';
 import type {EventLog} from '../records/event-log.js';
 import type {TargetIncarnation} from '../plan/registered-target.js';
+import type {LimitNotice} from '../targets/limit-notice.js';
 import {
 	decodeMessage,
 	encodeMessage,
@@ -27,6 +28,7 @@
 	readonly getSeeds: () => readonly string[];
 	readonly onCrash: (notice: CrashNotice) => void;
 	readonly onFailure: (incarnation: TargetIncarnation) => void;
+	readonly onLimit: (notice: LimitNotice) => void;
 };
 
 /** Mean interval between exchanges of members with another host, in milliseconds. */
@@ -39,8 +41,8 @@
 const seedShare = 0.03;
 /** Maximum number of hosts that get a failure notice; it is limited because traffic between data centres is costly. */
 const maxFailureRecipients = 8;
-/** Crash notices are sent a second time after this delay, in milliseconds, since datagrams can be lost. */
-const crashRepeatDelayMs = 150;
+/** Notices to all hosts are sent a second time after this delay, in milliseconds, since datagrams can be lost. */
+const broadcastRepeatDelayMs = 150;
 
 /** Exchanges members with other hosts and sends and receives notices. */
 export class Gossip {
@@ -90,15 +92,16 @@
 	 * @param notice - The signature of the request and the incarnation of the target.
 	 */
 	broadcastCrash(notice: CrashNotice): void {
-		const message: GossipMessage = {method: 'crash', notice};
-		const send = () => {
-			for (const {address} of this.#options.membership.getLivePeers()) {
-				this.#send(address, message);
-			}
-		};
+		this.#broadcast({method: 'crash', notice});
+	}
 
-		send();
-		this.#options.clock.schedule(crashRepeatDelayMs, send);
+	/**
+	 * Notifies all live hosts that a target has named a limit or has lifted it.
+	 *
+	 * @param notice - The incarnation of the target and its limit.
+	 */
+	broadcastLimit(notice: LimitNotice): void {
+		this.#broadcast({method: 'limit', notice});
 	}
 
 	/**
@@ -113,6 +116,17 @@
 		}
 	}
 
+	#broadcast(message: GossipMessage): void {
+		const send = () => {
+			for (const {address} of this.#options.membership.getLivePeers()) {
+				this.#send(address, message);
+			}
+		};
+
+		send();
+		this.#options.clock.schedule(broadcastRepeatDelayMs, send);
+	}
+
 	#scheduleExchange(): void {
 		const {clock, random} = this.#options;
 		const delayMs = exchangeIntervalMs * (0.8 + 0.4 * random());
@@ -160,7 +174,7 @@
 	}
 
 	#receive(datagram: Uint8Array, sender: string): void {
-		const {membership, onCrash, onFailure, log} = this.#options;
+		const {membership, onCrash, onFailure, onLimit, log} = this.#options;
 		const message = decodeMessage(datagram);
 		switch (message?.method) {
 			case 'members': {
@@ -182,6 +196,11 @@
 				break;
 			}
 
+			case 'limit': {
+				onLimit(message.notice);
+				break;
+			}
+
 			case undefined: {
 				log.write('invalid datagram received', {sender});
 			}
--- a/packages/gateway/src/fleet/membership.ts
+++ b/packages/gateway/src/fleet/membership.ts
@@ -36,6 +36,8 @@
 export class Membership {
 	readonly #options: MembershipOptions;
 	readonly #members = new Map<string, MemberEntry>();
+	/** Computed on demand after each change of the set of members. */
+	#knownPeers: readonly MemberRecord[] | undefined;
 	#self: MemberRecord;
 
 	/**
@@ -52,6 +54,12 @@
 		return this.#members.size + 1;
 	}
 
+	/** Gets the other hosts seen within the last minute; the same array until one is added or removed. */
+	get knownPeers(): readonly MemberRecord[] {
+		this.#knownPeers ??= [...this.#members.values()].map(({record}) => record);
+		return this.#knownPeers;
+	}
+
 	/** Increments the heartbeat of this host and removes hosts that have timed out. */
 	advanceHeartbeat(): void {
 		this.#self = {...this.#self, heartbeat: this.#self.heartbeat + 1};
@@ -59,6 +67,7 @@
 		for (const [address, {lastSeenAtMs}] of this.#members) {
 			if (lastSeenAtMs < cutoffMs) {
 				this.#members.delete(address);
+				this.#knownPeers = undefined;
 			}
 		}
 	}
@@ -157,6 +166,10 @@
 
 		const lastSeenAtMs = this.#options.clock.monotonicMs();
 		this.#members.set(record.address, {record, lastSeenAtMs});
+		if (existing === undefined) {
+			this.#knownPeers = undefined;
+		}
+
 		return existing === undefined;
 	}
 
--- a/packages/gateway/src/relay/silence-detector.ts
+++ b/packages/gateway/src/relay/silence-detector.ts
@@ -81,8 +81,9 @@
 
 		const nowMs = this.#options.clock.monotonicMs();
 		const isDue = nowMs - state.lastContactAtMs >= checkIntervalMs;
-		// A target that has paused gets no probes either.
-		if (isDue && state.availability.pausedUntilMs <= nowMs) {
+		const {pausedUntilMs, limit} = state.availability;
+		// A target that has paused gets no probes either, and one with a limit few.
+		if (isDue && pausedUntilMs <= nowMs && limit.canProbe(nowMs)) {
 			this.#options.probe(state);
 		}
 
--- a/packages/gateway/src/targets/target-availability.ts
+++ b/packages/gateway/src/targets/target-availability.ts
@@ -25,15 +25,17 @@
  */
 export class TargetAvailability {
 	/** How many requests a second it accepts. */
-	readonly limit = new TargetLimit();
+	readonly limit: TargetLimit;
 	#isLeaving: boolean;
 	#pausedUntilMs = Number.NEGATIVE_INFINITY;
 
 	/**
 	 * @param isLeaving - Whether the incarnation is known to be shutting down.
+	 * @param limit - The limit that the incarnation is known to have named.
 	 */
-	constructor(isLeaving = false) {
+	constructor(isLeaving = false, limit = new TargetLimit()) {
 		this.#isLeaving = isLeaving;
+		this.limit = limit;
 	}
 
 	/** Gets whether the target is shutting down. */
--- a/packages/gateway/src/targets/target-registry.ts
+++ b/packages/gateway/src/targets/target-registry.ts
@@ -13,13 +13,18 @@
 import type {ServicePlan} from '../plan/routing-plan.js';
 import type {EventLog} from '../records/event-log.js';
 import type {GatewayMetrics} from '../records/gateway-metrics.js';
+import type {LimitNotice} from './limit-notice.js';
 import {ConnectionPool} from './connection-pool.js';
 import {LeavingTargets} from './leaving-targets.js';
 import {
 	TargetAvailability,
 	type AvailabilityNotice,
 } from './target-availability.js';
-import type {LimitSource} from './target-limit.js';
+import {
+	TargetLimit,
+	type LimitPolicy,
+	type LimitSource,
+} from './target-limit.js';
 import {TargetState} from './target-state.js';
 
 /** The dependencies of a registry. */
@@ -31,18 +36,27 @@
 	readonly localAddress: string;
 	/** Gets the number of hosts that share the targets. */
 	readonly getHostCount: () => number;
+	/** Makes the policy by which this host takes part in a target's limit. */
+	readonly makeLimitPolicy: (target: RegisteredTarget) => LimitPolicy;
+	/** Called when a target has named its first limit to this host or has lifted it. */
+	readonly onLimitChange: (notice: LimitNotice) => void;
 };
 
 /** Share of a target's connections that all hosts together leave unused. */
 const connectionReserveShare = 0.2;
 const maxPoolSize = 64;
 const minPoolSize = 2;
+/** The oldest limits beyond this number are forgotten; it exceeds the targets of a large deployment twice. */
+const maxRememberedLimits = 10_000;
+const msPerSecond = 1000;
 
 /** Owns the states of all published targets. */
 export class TargetRegistry {
 	readonly #options: TargetRegistryOptions;
 	readonly #states = new Map<TargetId, TargetState>();
 	readonly #leavingTargets = new LeavingTargets();
+	/** The limits in force; they outlive published entries, which may lapse while the store is away. */
+	readonly #limits = new Map<TargetIncarnation, TargetLimit>();
 	/** The open targets by service, computed on demand after each snapshot. */
 	#openTargets = new Map<ServiceName, TargetState[]>();
 	#snapshot: RoutingSnapshot = emptySnapshot;
@@ -174,7 +188,7 @@
 		{limitPerSecond, unusableLimit}: AvailabilityNotice,
 		source: LimitSource | undefined,
 	): void {
-		const {log, metrics} = this.#options;
+		const {log, metrics, onLimitChange} = this.#options;
 		const {id, incarnation} = registration;
 		if (unusableLimit !== undefined) {
 			log.write('unusable limit of a target', {
@@ -188,15 +202,85 @@
 			return;
 		}
 
-		const change = availability.limit.add(limitPerSecond, source);
-		if (change !== undefined) {
-			metrics.recordTargetNotice(change);
-			log.write(`target ${change}`, {
-				target: id,
-				life: incarnation,
-				source,
-				perSecond: limitPerSecond,
-			});
+		const nowMs = this.#options.clock.monotonicMs();
+		const change = availability.limit.add(limitPerSecond, source, nowMs);
+		if (change === undefined) {
+			return;
+		}
+
+		metrics.recordTargetNotice(change);
+		log.write(`target ${change}`, {
+			target: id,
+			life: incarnation,
+			source,
+			perSecond: limitPerSecond,
+		});
+		this.#rememberLimit(incarnation, availability.limit);
+		onLimitChange({incarnation, perSecond: limitPerSecond, source});
+	}
+
+	/**
+	 * Records the limit of a target that another host reported, or that it was lifted.
+	 *
+	 * @param notice - The limit.
+	 */
+	addRemoteLimit({incarnation, perSecond, source}: LimitNotice): void {
+		const nowMs = this.#options.clock.monotonicMs();
+		for (const {registration, availability} of this.#states.values()) {
+			if (registration.incarnation !== incarnation) {
+				continue;
+			}
+
+			const {limit} = availability;
+			const change =
+				perSecond === undefined
+					? limit.lift()
+					: limit.add(perSecond, source, nowMs);
+			this.#rememberLimit(incarnation, limit);
+			if (change !== undefined) {
+				this.#options.log.write(`target ${change}`, {
+					target: registration.id,
+					life: incarnation,
+					source: 'host',
+					perSecond,
+				});
+			}
+		}
+	}
+
+	/**
+	 * Gets when any host may send the next request to a service, if all its open
+	 * targets have named limits that this host has used up.
+	 *
+	 * @param service - The service.
+	 * @returns The time until then in milliseconds; undefined if a target may get a request now.
+	 */
+	getLimitWaitMs(service: ServiceName): number | undefined {
+		const nowMs = this.#options.clock.monotonicMs();
+		const limits = this.getOpenTargets(service).map(
+			({availability}) => availability.limit,
+		);
+		if (limits.length === 0 || limits.some((limit) => limit.canSend(nowMs))) {
+			return undefined;
+		}
+
+		const perSecond = limits.reduce(
+			(sum, limit) => sum + (limit.perSecond ?? 0),
+			0,
+		);
+		return perSecond > 0 ? msPerSecond / perSecond : undefined;
+	}
+
+	#rememberLimit(incarnation: TargetIncarnation, limit: TargetLimit): void {
+		this.#limits.delete(incarnation);
+		if (!limit.isInForce) {
+			return;
+		}
+
+		this.#limits.set(incarnation, limit);
+		if (this.#limits.size > maxRememberedLimits) {
+			const [oldest] = this.#limits.keys();
+			this.#limits.delete(oldest!);
 		}
 	}
 
@@ -264,6 +348,8 @@
 				nowMs,
 				new TargetAvailability(
 					this.#leavingTargets.has(registration.incarnation),
+					this.#limits.get(registration.incarnation) ??
+						new TargetLimit(this.#options.makeLimitPolicy(registration)),
 				),
 			),
 		);
--- a/packages/gateway/test/choice/target-prober.test.ts
+++ b/packages/gateway/test/choice/target-prober.test.ts
@@ -36,6 +36,11 @@
 		metrics: new GatewayMetrics(),
 		localAddress: '127.0.0.1',
 		getHostCount: () => hostCount,
+		makeLimitPolicy: () => ({
+			getShare: (perSecond) => perSecond,
+			getCheckDelayMs: () => 1000,
+		}),
+		onLimitChange: () => undefined,
 	});
 	const targets = Array.from({length: targetCount}, (_, index) =>
 		makeRegisteredTarget(`i-${index}`),
--- a/packages/gateway/test/fleet/gossip-message.test.ts
+++ b/packages/gateway/test/fleet/gossip-message.test.ts
@@ -30,6 +30,14 @@
 			notice: {signature: makeId<Digest>('abc'), incarnation},
 		});
 		doTest('round-trip a failure notice', {method: 'failure', incarnation});
+		doTest('round-trip a limit', {
+			method: 'limit',
+			notice: {incarnation, perSecond: 1.4, source: 'probe'},
+		});
+		doTest('round-trip a lifted limit', {
+			method: 'limit',
+			notice: {incarnation, perSecond: undefined, source: 'attempt'},
+		});
 	});
 
 	describe('decodeMessage', () => {
@@ -52,5 +60,17 @@
 			'rejects invalid parameters',
 			'{"jsonrpc":"2.0","method":"crash","params":[1]}',
 		);
+		for (const parameters of [
+			'["a",-1,"probe"]',
+			'["a","1","probe"]',
+			'["a",1,"x"]',
+			'[1,1,"probe"]',
+			'["a"]',
+		]) {
+			doTest(
+				`rejects the limit ${parameters}`,
+				`{"jsonrpc":"2.0","method":"limit","params":${parameters}}`,
+			);
+		}
 	});
 });
