Log when a host loses its path to all targets

Change: a monitor compares the targets that have failed to respond with the last response of any target; a change is one line. A request that no target may take says when any target last responded. No decision uses it yet. The state of a target takes its parts by name.

Result: the tests of the gateway's targets and choice pass.

--- a/packages/gateway/src/choice/target-picker.ts
+++ b/packages/gateway/src/choice/target-picker.ts
@@ -277,7 +277,7 @@
 		best: Candidate | undefined,
 		probedCount: number,
 	): Failure {
-		const {registry} = this.#options;
+		const {registry, clock} = this.#options;
 		const openCount = registry.getOpenTargets(service).length;
 		const pauseMs = registry.getPauseMs(service);
 		if (openCount === 0 && pauseMs !== undefined) {
@@ -300,7 +300,7 @@
 		return best === undefined
 			? notRunFailure(
 					'no-target',
-					`None of ${openCount} open targets of "${service}" may take the request; ${probedCount} were asked.`,
+					`None of ${openCount} open targets of "${service}" may take the request; ${probedCount} were asked, and the last response of any target came ${Math.round(clock.monotonicMs() - registry.pathMonitor.lastContactAtMs)} ms ago.`,
 				)
 			: notRunFailure(
 					'over-capacity',
--- a/packages/gateway/src/choice/target-probe.ts
+++ b/packages/gateway/src/choice/target-probe.ts
@@ -135,7 +135,7 @@
 		}
 
 		if (error !== undefined && !(error instanceof ProbeTimeoutError)) {
-			this.state.unreachableAtMs = this.#options.clock.monotonicMs();
+			this.state.addUnreachable(this.#options.clock.monotonicMs());
 			this.#avoid(error.message, unreachableAvoidMs);
 		}
 
@@ -159,7 +159,7 @@
 	}
 
 	#onTimeout(): void {
-		this.state.unansweredCount++;
+		this.state.addUnanswered();
 		this.#avoid('silent', timeoutAvoidMs);
 		this.state.pool.closeIdle();
 		this.#request.cancel(new ProbeTimeoutError());
--- a/packages/gateway/src/targets/target-registry.ts
+++ b/packages/gateway/src/targets/target-registry.ts
@@ -16,6 +16,7 @@
 import type {LimitNotice} from './limit-notice.js';
 import {ConnectionPool} from './connection-pool.js';
 import {LeavingTargets} from './leaving-targets.js';
+import {PathMonitor} from './path-monitor.js';
 import {
 	TargetAvailability,
 	type AvailabilityNotice,
@@ -52,6 +53,8 @@
 
 /** Owns the states of all published targets. */
 export class TargetRegistry {
+	/** Whether this host reaches any target. */
+	readonly pathMonitor: PathMonitor;
 	readonly #options: TargetRegistryOptions;
 	readonly #states = new Map<TargetId, TargetState>();
 	readonly #leavingTargets = new LeavingTargets();
@@ -67,6 +70,10 @@
 	 */
 	constructor(options: TargetRegistryOptions) {
 		this.#options = options;
+		this.pathMonitor = new PathMonitor({
+			...options,
+			getTargetCount: () => this.#states.size,
+		});
 	}
 
 	/**
@@ -339,19 +346,19 @@
 			localAddress: this.#options.localAddress,
 			getMaxSize: () => this.#getMaxPoolSize(registration.service),
 		});
-		const nowMs = this.#options.clock.monotonicMs();
 		this.#states.set(
 			registration.id,
-			new TargetState(
+			new TargetState({
 				registration,
 				pool,
-				nowMs,
-				new TargetAvailability(
+				nowMs: this.#options.clock.monotonicMs(),
+				availability: new TargetAvailability(
 					this.#leavingTargets.has(registration.incarnation),
 					this.#limits.get(registration.incarnation) ??
 						new TargetLimit(this.#options.makeLimitPolicy(registration)),
 				),
-			),
+				pathMonitor: this.pathMonitor,
+			}),
 		);
 	}
 
--- a/packages/gateway/src/targets/target-state.ts
+++ b/packages/gateway/src/targets/target-state.ts
@@ -3,8 +3,23 @@
 import type {RegisteredTarget} from '../plan/registered-target.js';
 import type {ConnectionPool} from './connection-pool.js';
 import type {HealthReport, LoadReport} from './load-report.js';
+import type {PathMonitor} from './path-monitor.js';
 import {TargetAvailability} from './target-availability.js';
 
+/** The target of a state, and what it is kept with. */
+export type TargetStateOptions = {
+	/** The published target. */
+	readonly registration: RegisteredTarget;
+	/** The connections to the target. */
+	readonly pool: ConnectionPool;
+	/** The monotonic time in milliseconds. */
+	readonly nowMs: number;
+	/** Whether the target accepts requests. */
+	readonly availability?: TargetAvailability;
+	/** Told of each response and each failure to respond. */
+	readonly pathMonitor?: PathMonitor;
+};
+
 /** Time constant of the decay of outcomes, in milliseconds; they lose two thirds of their weight in this time. */
 const failureDecayMs = 4000;
 /** Successes assumed before any request, so that a first failure weighs less. */
@@ -34,6 +49,7 @@
 	coldUntilMs: number;
 	/** When this host last sent it a request while it was cold, on the monotonic clock, in milliseconds. */
 	lastColdSendAtMs = Number.NEGATIVE_INFINITY;
+	readonly #pathMonitor: PathMonitor | undefined;
 	#failures = 0;
 	#successes = 0;
 	#decayedAtMs: number;
@@ -41,20 +57,19 @@
 	#unreportedSends = 0;
 
 	/**
-	 * @param registration - The published target.
-	 * @param pool - The connections to the target.
-	 * @param nowMs - The monotonic time in milliseconds.
-	 * @param availability - Whether the target accepts requests.
+	 * @param options - The target.
 	 */
-	constructor(
-		registration: RegisteredTarget,
-		pool: ConnectionPool,
-		nowMs: number,
+	constructor({
+		registration,
+		pool,
+		nowMs,
 		availability = new TargetAvailability(),
-	) {
+		pathMonitor,
+	}: TargetStateOptions) {
 		this.availability = availability;
 		this.registration = registration;
 		this.pool = pool;
+		this.#pathMonitor = pathMonitor;
 		this.coldUntilMs = nowMs + registration.remainingWarmUpMs;
 		this.#decayedAtMs = nowMs;
 	}
@@ -103,6 +118,23 @@
 	addContact(nowMs: number): void {
 		this.lastContactAtMs = nowMs;
 		this.unansweredCount = 0;
+		this.#pathMonitor?.addContact();
+	}
+
+	/** Records that the target has not responded to a probe in time. */
+	addUnanswered(): void {
+		this.unansweredCount++;
+		this.#pathMonitor?.addMiss(this.registration.id);
+	}
+
+	/**
+	 * Records that the connection for a probe has failed.
+	 *
+	 * @param nowMs - The monotonic time in milliseconds.
+	 */
+	addUnreachable(nowMs: number): void {
+		this.unreachableAtMs = nowMs;
+		this.#pathMonitor?.addMiss(this.registration.id);
 	}
 
 	/**
--- a/packages/gateway/test/choice/target-probe.test.ts
+++ b/packages/gateway/test/choice/target-probe.test.ts
@@ -43,7 +43,11 @@
 		localAddress: '127.0.0.1',
 		getMaxSize: () => 4,
 	});
-	const state = new TargetState(makeRegisteredTarget('a'), pool, 0);
+	const state = new TargetState({
+		registration: makeRegisteredTarget('a'),
+		pool,
+		nowMs: 0,
+	});
 	const options = {
 		state,
 		healthPath: '/',
--- a/packages/gateway/test/choice/target-subset.test.ts
+++ b/packages/gateway/test/choice/target-subset.test.ts
@@ -17,7 +17,12 @@
 	});
 	return Array.from(
 		{length: count},
-		(_, index) => new TargetState(makeRegisteredTarget(`i-${index}`), pool, 0),
+		(_, index) =>
+			new TargetState({
+				registration: makeRegisteredTarget(`i-${index}`),
+				pool,
+				nowMs: 0,
+			}),
 	);
 }
 
--- a/packages/gateway/test/context/crash-detector.test.ts
+++ b/packages/gateway/test/context/crash-detector.test.ts
@@ -25,7 +25,11 @@
 					localAddress: '127.0.0.1',
 					getMaxSize: () => 2,
 				});
-				const state = new TargetState(makeRegisteredTarget('a'), pool, 0);
+				const state = new TargetState({
+					registration: makeRegisteredTarget('a'),
+					pool,
+					nowMs: 0,
+				});
 				const sentNotices: CrashNotice[] = [];
 				const detector = new CrashDetector({
 					clock,
--- a/packages/gateway/test/relay/silence-detector.test.ts
+++ b/packages/gateway/test/relay/silence-detector.test.ts
@@ -13,7 +13,11 @@
 		localAddress: '127.0.0.1',
 		getMaxSize: () => 2,
 	});
-	return new TargetState(makeRegisteredTarget('a'), pool, 0);
+	return new TargetState({
+		registration: makeRegisteredTarget('a'),
+		pool,
+		nowMs: 0,
+	});
 }
 
 describe('SilenceDetector', () => {
--- a/packages/gateway/test/targets/target-state.test.ts
+++ b/packages/gateway/test/targets/target-state.test.ts
@@ -12,11 +12,11 @@
 		localAddress: '127.0.0.1',
 		getMaxSize: () => 2,
 	});
-	return new TargetState(
-		makeRegisteredTarget('a', {remainingWarmUpMs}),
+	return new TargetState({
+		registration: makeRegisteredTarget('a', {remainingWarmUpMs}),
 		pool,
-		0,
-	);
+		nowMs: 0,
+	});
 }
 
 function makeReport(receivedAtMs: number, running: number) {
