Send requests through other hosts while this one reaches no target

What callers saw: 503 no-target after 0.2 to 1.1 s at hosts that had lost their links to all targets, 1 of 71 first tries served, while the other hosts served 59 of 59.

It stayed ready, waited for a target until an answer would have been late, and refused. Being not ready would not help: the balancer uses all hosts of a data centre again once half of them are out, and open connections stay. Class: a single path without another way round.

Evidence: no-target at each of the ten hosts and nowhere else, connect ECONNREFUSED for all targets; the test of six hosts served 0 calls at hosts that were cut off, all at the others.

Change: a host that has lost its path forwards a request to one that has not, with the attempts left; a forwarded request is never forwarded again. Random targets are probed until one responds.

--- a/packages/gateway/src/choice/pick-request.ts
+++ b/packages/gateway/src/choice/pick-request.ts
@@ -12,6 +12,8 @@
 	readonly triedTargets: ReadonlySet<TargetId>;
 	/** The only targets that it may be sent to; undefined allows all that were not tried. */
 	readonly allowedTargets: ReadonlySet<TargetId> | undefined;
+	/** Whether picking ends without a target as soon as this host turns out to reach none, as another host may. */
+	readonly endsOutOfReach: boolean;
 	/** When the request arrived, on the monotonic clock, in milliseconds. */
 	readonly receivedAtMs: number;
 	/** The latency target of the route, in milliseconds. */
--- a/packages/gateway/src/choice/target-picker.ts
+++ b/packages/gateway/src/choice/target-picker.ts
@@ -97,7 +97,10 @@
 				maxProbeCount,
 				scope,
 			);
-			if (this.#hasAcceptableTarget(request)) {
+			if (
+				this.#hasAcceptableTarget(request) ||
+				(request.endsOutOfReach && this.#options.registry.pathMonitor.isLost)
+			) {
 				break;
 			}
 		}
@@ -115,7 +118,15 @@
 				}
 			}
 
-			if (decision === 'refuse' || this.#isUnservable(request)) {
+			const isOutOfReach =
+				request.endsOutOfReach &&
+				best === undefined &&
+				this.#options.registry.isOutOfReach(request.service);
+			if (
+				decision === 'refuse' ||
+				isOutOfReach ||
+				this.#isUnservable(request)
+			) {
 				return Err(this.#describeRefusal(request, best, probedCount));
 			}
 
--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -5,12 +5,17 @@
 	makeCallerListener,
 	waitForPendingIo,
 	type CallerProtocol,
+	type Exchange,
+	type FilterResult,
 } from '@bilberryscale/daemon/edge';
 import {CrashSuspects} from '@bilberryscale/decisions';
 import {TargetProbe} from '../choice/target-probe.js';
 import type {CallerServer} from '../edge/caller-server.js';
 import {TextServer} from '../edge/text-server.js';
 import {Fleet} from '../fleet/fleet.js';
+import {Forwarder} from '../forwarding/forwarder.js';
+import {ForwardingServer} from '../forwarding/forwarding-server.js';
+import {PathRecovery} from '../forwarding/path-recovery.js';
 import {LimitShares} from '../limits/limit-shares.js';
 import {SnapshotFeed} from '../snapshot/snapshot-feed.js';
 import type {ItemDecoder, SnapshotSource} from '../snapshot/snapshot-source.js';
@@ -22,6 +27,7 @@
 import {TargetRegistry} from '../targets/target-registry.js';
 import type {TargetProtocol} from '../targets/target-protocol.js';
 import type {TargetState} from '../targets/target-state.js';
+import type {Relay} from '../relay/relay.js';
 import {CrashDetector} from './crash-detector.js';
 import type {GatewaySettings} from './gateway-settings.js';
 import {LiveSettings, type SettingsChange} from './live-settings.js';
@@ -64,6 +70,10 @@
 	readonly #feed: SnapshotFeed;
 	readonly #targetRegistry;
 	readonly #plans: PlanHolder;
+	readonly #pathRecovery: PathRecovery;
+	readonly #forwarder: Forwarder;
+	readonly #forwardingServer: ForwardingServer;
+	readonly #relay: Relay;
 	readonly #readinessServer;
 	readonly #metricsServer;
 	#targetCount = 0;
@@ -150,8 +160,29 @@
 			onLimitChange: (notice) => {
 				this.#fleet.broadcastLimit(notice);
 			},
+			onPathLost: () => {
+				this.#pathRecovery.start();
+			},
+		});
+		this.#pathRecovery = new PathRecovery({
+			clock,
+			random,
+			getPathMonitor: () => this.#targetRegistry.pathMonitor,
+			getTargets: () => this.#targetRegistry.getProbeableTargets(),
+			probe: (state) => {
+				this.#probe(state);
+			},
+		});
+		const isShuttingDown = () => this.#isShuttingDown;
+		this.#forwarder = new Forwarder({
+			...options,
+			metrics: this.#metrics,
+			localAddress: settings.callers.address,
+			port: settings.forwardingPort,
+			getPeers: () => this.#fleet.getShuffledPeers(),
+			isShuttingDown,
 		});
-		const relay = makeRelay({
+		this.#relay = makeRelay({
 			clock,
 			random,
 			log,
@@ -159,10 +190,11 @@
 			settings: this.#settings,
 			protocol: options.targetProtocol,
 			targetRegistry: this.#targetRegistry,
+			forwarder: this.#forwarder,
 			plans: this.#plans,
 			crashSuspects: this.#crashSuspects,
 			getHostCount,
-			isShuttingDown: () => this.#isShuttingDown,
+			isShuttingDown,
 			probe: (state) => {
 				this.#probe(state);
 			},
@@ -175,14 +207,7 @@
 		});
 		options.callerServer.setListener(
 			makeCallerListener({
-				pipeline: async (exchange) => {
-					this.#openRequestCount++;
-					try {
-						return await relay.run(exchange);
-					} finally {
-						this.#openRequestCount--;
-					}
-				},
+				pipeline: async (exchange) => this.#run(exchange),
 				clock,
 				log: {
 					error(message: string, fields: Record<string, unknown>) {
@@ -195,6 +220,15 @@
 				protocol: options.callerProtocol,
 			}),
 		);
+		this.#forwardingServer = new ForwardingServer({
+			...options,
+			address: settings.callers.address,
+			isAvailable: () =>
+				this.#isReady && !this.#targetRegistry.pathMonitor.isLost,
+			isShuttingDown,
+			getOpenRequestCount: () => this.#openRequestCount,
+			run: async (exchange, attemptsLeft) => this.#run(exchange, attemptsLeft),
+		});
 		this.#readinessServer = new TextServer(() => ({
 			status: this.#isReady ? okStatus : unavailableStatus,
 			contentType: 'text/plain',
@@ -215,6 +249,10 @@
 		await this.#readinessServer.listen(settings.readiness);
 		await this.#metricsServer.listen(settings.metrics);
 		await this.#fleet.start();
+		await this.#forwardingServer.listen({
+			address: settings.callers.address,
+			port: settings.forwardingPort,
+		});
 	}
 
 	/**
@@ -242,21 +280,37 @@
 		await this.#sleep(Math.min(loadBalancerDetectionMs, availableMs));
 		await waitForPendingIo();
 		this.#options.callerServer.close();
+		this.#forwardingServer.close();
 		while (this.#openRequestCount > 0 && clock.monotonicMs() < deadlineMs) {
 			await this.#sleep(pollIntervalMs);
 			await waitForPendingIo();
 			this.#options.callerServer.closeIdleConnections();
+			this.#forwardingServer.closeIdleConnections();
 		}
 
 		await this.#sleep(pollIntervalMs);
 		log.writeState('process stopped', {openCalls: this.#openRequestCount});
 		this.#feed.stop();
 		this.#fleet.stop();
+		this.#pathRecovery.stop();
+		this.#forwarder.close();
 		this.#targetRegistry.close();
 		this.#readinessServer.close();
 		this.#metricsServer.close();
 	}
 
+	async #run(
+		exchange: Exchange,
+		forwardedAttempts?: number,
+	): Promise<FilterResult> {
+		this.#openRequestCount++;
+		try {
+			return await this.#relay.run(exchange, forwardedAttempts);
+		} finally {
+			this.#openRequestCount--;
+		}
+	}
+
 	#probe(state: TargetState, onEnd: () => void = () => undefined): void {
 		const {clock, log, targetProtocol} = this.#options;
 		const plan = this.#targetRegistry.getServicePlan(
--- a/packages/gateway/src/context/gateway-settings.ts
+++ b/packages/gateway/src/context/gateway-settings.ts
@@ -21,6 +21,8 @@
 	readonly peers: Endpoint | undefined;
 	/** The UDP port for gossip, the same on all hosts. */
 	readonly talkPort: number;
+	/** The TCP port on which hosts accept requests from each other, the same on all hosts. */
+	readonly forwardingPort: number;
 	/** The server of the Prometheus metrics. */
 	readonly metrics: Endpoint;
 	/** Hosts through which the others are discovered; some may no longer exist. */
--- a/packages/gateway/src/context/make-relay.ts
+++ b/packages/gateway/src/context/make-relay.ts
@@ -5,6 +5,7 @@
 import {LastSlotFactor} from '../choice/last-slot-factor.js';
 import {TargetProber} from '../choice/target-prober.js';
 import {TargetPicker} from '../choice/target-picker.js';
+import type {Forwarder} from '../forwarding/forwarder.js';
 import type {PlanHolder} from '../plan/plan-holder.js';
 import {TrafficSplitter} from '../plan/traffic-splitter.js';
 import {RequestRecorder} from '../records/request-recorder.js';
@@ -30,6 +31,7 @@
 	readonly settings: LiveSettings;
 	readonly protocol: TargetProtocol;
 	readonly targetRegistry: TargetRegistry;
+	readonly forwarder: Forwarder;
 	readonly plans: PlanHolder;
 	/** The requests that may have crashed targets. */
 	readonly crashSuspects: CrashSuspects;
@@ -111,6 +113,8 @@
 			onConnectionBroken: dependencies.onConnectionBroken,
 			onTargetFailure: dependencies.onFailure,
 		}),
+		forwarder: dependencies.forwarder,
+		registry: targetRegistry,
 		serviceTimes,
 		recorder,
 		isShuttingDown,
--- a/packages/gateway/src/fleet/fleet.ts
+++ b/packages/gateway/src/fleet/fleet.ts
@@ -75,6 +75,15 @@
 		return this.#membership.knownPeers;
 	}
 
+	/**
+	 * Gets the other hosts that are considered up.
+	 *
+	 * @returns The hosts in random order.
+	 */
+	getShuffledPeers(): readonly HostPlace[] {
+		return this.#membership.samplePeers(Number.POSITIVE_INFINITY);
+	}
+
 	/** Gets the data centre of this host. */
 	get dataCentre(): DataCentreId {
 		return this.#options.settings.dataCentre;
--- /dev/null
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -0,0 +1,301 @@
+/** Sends requests through other hosts while this one reaches no target. */
+
+import {
+	makeId,
+	type Clock,
+	type ServiceName,
+	type TargetId,
+} from '@bilberryscale/core';
+import type {CallerProtocol} from '@bilberryscale/daemon/edge';
+import {probeTargets} from '../choice/probe-targets.js';
+import {TargetProbe} from '../choice/target-probe.js';
+import type {HostPlace} from '../limits/get-rate-share.js';
+import type {TargetIncarnation} from '../plan/registered-target.js';
+import type {EventLog} from '../records/event-log.js';
+import type {GatewayMetrics} from '../records/gateway-metrics.js';
+import type {AttemptResult} from '../relay/attempt-result.js';
+import type {RoutedRequest} from '../relay/request-reader.js';
+import {SilenceDetector} from '../relay/silence-detector.js';
+import {TargetAttempt} from '../relay/target-attempt.js';
+import {ConnectionPool} from '../targets/connection-pool.js';
+import type {TargetProtocol} from '../targets/target-protocol.js';
+import {TargetState} from '../targets/target-state.js';
+import {
+	forwardingHealthPath,
+	makeForwardingProtocol,
+} from './forwarding-protocol.js';
+
+/** This host, the others and the protocols. */
+export type ForwarderOptions = {
+	readonly clock: Clock;
+	readonly log: EventLog;
+	readonly metrics: GatewayMetrics;
+	/** The IP address of this host. */
+	readonly localAddress: string;
+	/** The port on which hosts accept forwarded requests. */
+	readonly port: number;
+	/**
+	 * Gets the other hosts that are considered up.
+	 *
+	 * @returns The hosts in random order.
+	 */
+	readonly getPeers: () => readonly HostPlace[];
+	readonly callerProtocol: CallerProtocol;
+	readonly targetProtocol: TargetProtocol;
+	readonly isShuttingDown: () => boolean;
+};
+
+/** How many hosts are asked at once whether they take a request. */
+const probedHostCount = 4;
+/** How often hosts are asked for one request. */
+const maxProbeRounds = 3;
+/** How many hosts a request is sent to if they refuse it at once. */
+const maxHostsPerRequest = 3;
+/** A refusal within this time, in milliseconds, says that the host can't take any request, not that targets are busy. */
+const immediateRefusalMs = 100;
+/** How long a host that takes no requests is not asked again, in milliseconds. */
+const unavailableAvoidMs = 500;
+/** Maximum age of a host's word that it takes requests, in milliseconds; short for requests that cannot be repeated if the host is gone. */
+const maxHealthAgeMs = {idempotent: 1000, nonIdempotent: 50};
+/** Maximum idle time of a reused connection, in milliseconds. */
+const maxIdleMs = {idempotent: 5000, nonIdempotent: 150};
+const maxConnectionsPerHost = 32;
+/** Requests are spread by how many a host works on; this number has no other effect. */
+const assumedSlots = 64;
+
+/** Finds hosts that reach the targets and sends requests to them. */
+export class Forwarder {
+	readonly #options: ForwarderOptions;
+	readonly #states = new Map<string, TargetState>();
+	readonly #probeProtocol: TargetProtocol;
+	readonly #silenceDetector: SilenceDetector;
+
+	/**
+	 * @param options - This host, the others and the protocols.
+	 */
+	constructor(options: ForwarderOptions) {
+		this.#options = options;
+		const {clock, log, isShuttingDown} = options;
+		this.#probeProtocol = this.#makeProtocol(1);
+		this.#silenceDetector = new SilenceDetector({
+			clock,
+			probe: (state) => {
+				new TargetProbe({
+					state,
+					healthPath: forwardingHealthPath,
+					protocol: this.#probeProtocol,
+					clock,
+					log,
+					onNotice: () => undefined,
+					onEnd: () => undefined,
+				}).start();
+			},
+			isPaused: isShuttingDown,
+		});
+	}
+
+	/**
+	 * Sends a request through another host. Another one is tried if a host
+	 * certainly did not send it to a target.
+	 *
+	 * @param request - The request.
+	 * @param attemptsLeft - How many targets it may still be sent to.
+	 * @returns The result of the last host; undefined if no host takes requests.
+	 */
+	async forward(
+		request: RoutedRequest,
+		attemptsLeft: number,
+	): Promise<AttemptResult | undefined> {
+		const {clock} = this.#options;
+		const tried = new Set<TargetState>();
+		let result: AttemptResult | undefined;
+		while (tried.size < maxHostsPerRequest) {
+			const state = await this.#findHost(request.route.isIdempotent, tried);
+			if (state === undefined || request.exchange.incoming.signal.aborted) {
+				return result;
+			}
+
+			tried.add(state);
+			const startedAtMs = clock.monotonicMs();
+			result = await this.#send(request, state, attemptsLeft);
+			if (!isNextWorthTrying(result, clock.monotonicMs() - startedAtMs)) {
+				return result;
+			}
+
+			state.avoidUntilMs = clock.monotonicMs() + unavailableAvoidMs;
+		}
+
+		return result;
+	}
+
+	/** Closes all connections. */
+	close(): void {
+		for (const {pool} of this.#states.values()) {
+			pool.close();
+		}
+	}
+
+	async #send(
+		request: RoutedRequest,
+		state: TargetState,
+		attemptsLeft: number,
+	): Promise<AttemptResult | undefined> {
+		const {clock, log, metrics} = this.#options;
+		const {exchange, route, body, deadlineMs} = request;
+		const connection = state.pool.acquire(
+			route.isIdempotent ? maxIdleMs.idempotent : maxIdleMs.nonIdempotent,
+		);
+		if (connection === undefined) {
+			return undefined;
+		}
+
+		const startedAtMs = clock.monotonicMs();
+		const result = await new TargetAttempt({
+			incoming: exchange.incoming,
+			body,
+			state,
+			connection,
+			protocol: this.#makeProtocol(attemptsLeft),
+			clock,
+			deadlineMs,
+			onNotice: () => undefined,
+			silenceDetector: route.isIdempotent ? this.#silenceDetector : undefined,
+			stallTimeoutMs: undefined,
+			canRetry: () => false,
+		}).run();
+		metrics.recordForward(result.kind);
+		log.write('request forwarded', {
+			requestId: exchange.incoming.requestId,
+			to: state.registration.address,
+			durationMs: Math.round(clock.monotonicMs() - startedAtMs),
+			outcome: result.kind,
+			...(result.kind === 'failed' && {
+				cause: result.cause,
+				mayHaveRun: result.mayHaveRun,
+			}),
+		});
+		return result;
+	}
+
+	/** Finds a host that takes requests, asking some if none is known. */
+	async #findHost(
+		isIdempotent: boolean,
+		tried: ReadonlySet<TargetState>,
+	): Promise<TargetState | undefined> {
+		const {clock, log} = this.#options;
+		const maxAgeMs = isIdempotent
+			? maxHealthAgeMs.idempotent
+			: maxHealthAgeMs.nonIdempotent;
+		for (let round = 0; round < maxProbeRounds; round++) {
+			const known = this.#getAvailableHost(maxAgeMs, tried);
+			if (known !== undefined) {
+				return known;
+			}
+
+			const states = this.#sampleHosts(tried);
+			if (states.length === 0) {
+				return undefined;
+			}
+
+			await probeTargets({
+				states,
+				healthPath: forwardingHealthPath,
+				protocol: this.#probeProtocol,
+				clock,
+				log,
+				onNotice: () => undefined,
+			});
+			for (const state of states) {
+				if (state.health?.isHealthy === false) {
+					state.avoidUntilMs = clock.monotonicMs() + unavailableAvoidMs;
+				}
+			}
+		}
+
+		return this.#getAvailableHost(maxAgeMs, tried);
+	}
+
+	/** Gets the host with the fewest requests of those that lately said that they take requests. */
+	#getAvailableHost(
+		maxAgeMs: number,
+		tried: ReadonlySet<TargetState>,
+	): TargetState | undefined {
+		const nowMs = this.#options.clock.monotonicMs();
+		return [...this.#states.values()]
+			.filter(
+				(state) =>
+					state.health?.isHealthy === true &&
+					nowMs - state.health.receivedAtMs <= maxAgeMs &&
+					state.avoidUntilMs <= nowMs &&
+					!tried.has(state),
+			)
+			.toSorted((a, b) => a.load - b.load)[0];
+	}
+
+	/** Chooses hosts to ask, first those that lately took requests. */
+	#sampleHosts(tried: ReadonlySet<TargetState>): TargetState[] {
+		const {clock, getPeers} = this.#options;
+		const nowMs = clock.monotonicMs();
+		return getPeers()
+			.map((peer) => this.#getState(peer))
+			.filter((state) => state.avoidUntilMs <= nowMs && !tried.has(state))
+			.toSorted((a, b) => getHealthRank(a) - getHealthRank(b))
+			.slice(0, probedHostCount);
+	}
+
+	#getState({address, dataCentre}: HostPlace): TargetState {
+		const existing = this.#states.get(address);
+		if (existing !== undefined) {
+			return existing;
+		}
+
+		const {clock, localAddress, port} = this.#options;
+		const state = new TargetState({
+			registration: {
+				id: makeId<TargetId>(address),
+				incarnation: makeId<TargetIncarnation>(address),
+				service: makeId<ServiceName>('hosts'),
+				address,
+				port,
+				dataCentre,
+				slots: assumedSlots,
+				sequence: 0,
+				isDraining: false,
+				remainingWarmUpMs: 0,
+			},
+			pool: new ConnectionPool({
+				clock,
+				origin: `http://${address}:${port}`,
+				localAddress,
+				getMaxSize: () => maxConnectionsPerHost,
+			}),
+			nowMs: clock.monotonicMs(),
+		});
+		this.#states.set(address, state);
+		return state;
+	}
+
+	#makeProtocol(attemptsLeft: number): TargetProtocol {
+		const {targetProtocol, callerProtocol} = this.#options;
+		return makeForwardingProtocol(
+			targetProtocol,
+			callerProtocol.runStateHeader,
+			attemptsLeft,
+		);
+	}
+}
+
+function getHealthRank({health}: TargetState): number {
+	return health?.isHealthy === true ? 0 : 1;
+}
+
+function isNextWorthTrying(
+	result: AttemptResult | undefined,
+	durationMs: number,
+): boolean {
+	return (
+		result === undefined ||
+		(result.kind === 'refused' && durationMs < immediateRefusalMs) ||
+		(result.kind === 'failed' && !result.mayHaveRun)
+	);
+}
--- /dev/null
+++ b/packages/gateway/src/forwarding/forwarding-server.ts
@@ -0,0 +1,119 @@
+/** Accepts requests that other hosts forward because they reach no target. */
+
+import {Buffer} from 'node:buffer';
+import {notRunFailure, type Clock} from '@bilberryscale/core';
+import {
+	makeCallerListener,
+	type CallerProtocol,
+	type Exchange,
+	type FilterResult,
+} from '@bilberryscale/daemon/edge';
+import {Err, Ok} from 'ts-results-es';
+import type {Endpoint} from '../context/gateway-settings.js';
+import {CallerServer} from '../edge/caller-server.js';
+import type {EventLog} from '../records/event-log.js';
+import {
+	attemptsLeftHeader,
+	forwardingHealthPath,
+	hostHeader,
+	openRequestsHeader,
+} from './forwarding-protocol.js';
+
+/** This host and how it handles requests. */
+export type ForwardingServerOptions = {
+	readonly clock: Clock;
+	readonly log: EventLog;
+	readonly callerProtocol: CallerProtocol;
+	/** The IP address of this host. */
+	readonly address: string;
+	/** Whether this host takes requests from others now. */
+	readonly isAvailable: () => boolean;
+	readonly isShuttingDown: () => boolean;
+	readonly getOpenRequestCount: () => number;
+	/** Relays a request to at most as many targets as given. */
+	readonly run: (
+		exchange: Exchange,
+		attemptsLeft: number,
+	) => Promise<FilterResult>;
+};
+
+const okStatus = 200;
+const unavailableStatus = 503;
+
+/** The server for requests from other hosts. */
+export class ForwardingServer {
+	readonly #options: ForwardingServerOptions;
+	readonly #server = new CallerServer();
+
+	/**
+	 * @param options - This host and how it handles requests.
+	 */
+	constructor(options: ForwardingServerOptions) {
+		this.#options = options;
+		const {clock, log, callerProtocol, isShuttingDown} = options;
+		this.#server.setListener(
+			makeCallerListener({
+				pipeline: async (exchange) => this.#handle(exchange),
+				clock,
+				log: {
+					error(message: string, fields: Record<string, unknown>) {
+						log.warn(message, fields);
+					},
+				},
+				getUnavailableFailure: () => undefined,
+				isClosingConnections: isShuttingDown,
+				protocol: callerProtocol,
+			}),
+		);
+	}
+
+	/**
+	 * Starts listening.
+	 *
+	 * @param endpoint - The address and port.
+	 */
+	async listen(endpoint: Endpoint): Promise<void> {
+		await this.#server.listen(endpoint);
+	}
+
+	/** Stops accepting connections and closes idle ones. */
+	close(): void {
+		this.#server.close();
+	}
+
+	/** Closes all connections that are currently idle. */
+	closeIdleConnections(): void {
+		this.#server.closeIdleConnections();
+	}
+
+	async #handle(exchange: Exchange): Promise<FilterResult> {
+		const {headers, url} = exchange.incoming;
+		const text = headers[attemptsLeftHeader];
+		if (text === undefined && url === forwardingHealthPath) {
+			return this.#describeHealth();
+		}
+
+		const attemptsLeft = Number(text);
+		return Number.isSafeInteger(attemptsLeft) && attemptsLeft > 0
+			? this.#options.run(exchange, attemptsLeft)
+			: Err(
+					notRunFailure(
+						'bad-request',
+						`The forwarded request allows "${String(text)}" attempts.`,
+					),
+				);
+	}
+
+	#describeHealth(): FilterResult {
+		const {address, isAvailable, getOpenRequestCount} = this.#options;
+		return Ok({
+			status: isAvailable() ? okStatus : unavailableStatus,
+			headers: {
+				[hostHeader]: address,
+				[openRequestsHeader]: String(getOpenRequestCount()),
+				'content-length': '0',
+			},
+			body: Buffer.alloc(0),
+		});
+	}
+}
--- a/packages/gateway/src/records/gateway-metrics.ts
+++ b/packages/gateway/src/records/gateway-metrics.ts
@@ -60,6 +60,13 @@
 		registers: [this.#registry],
 	});
 
+	readonly #forwards = new Counter({
+		name: 'bilberryscale_forwards_total',
+		help: 'Requests sent through another host by result',
+		labelNames: ['result'],
+		registers: [this.#registry],
+	});
+
 	/** Gets the content type of the exported text. */
 	get contentType(): string {
 		return this.#registry.contentType;
@@ -118,6 +125,15 @@
 		this.#targetNotices.inc({notice});
 	}
 
+	/**
+	 * Records a request that was sent through another host.
+	 *
+	 * @param result - How it ended.
+	 */
+	recordForward(result: string): void {
+		this.#forwards.inc({result});
+	}
+
 	/**
 	 * Exports all metrics.
 	 *
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -10,9 +10,11 @@
 import type {Exchange, FilterResult} from '@bilberryscale/daemon/edge';
 import {Err, Ok, type Result} from 'ts-results-es';
 import type {PickedTarget, TargetPicker} from '../choice/target-picker.js';
+import type {Forwarder} from '../forwarding/forwarder.js';
 import {RetryBudget, type RetryBudgetLimit} from '../limits/retry-budget.js';
 import type {Route} from '../plan/routing-plan.js';
 import type {RequestRecorder} from '../records/request-recorder.js';
+import type {TargetRegistry} from '../targets/target-registry.js';
 import type {RequestReader, RoutedRequest} from './request-reader.js';
 import type {AttemptDispatcher} from './attempt-dispatcher.js';
 import {
@@ -31,12 +33,25 @@
 	readonly reader: RequestReader;
 	readonly serviceTimes: ServiceTimes;
 	readonly dispatcher: AttemptDispatcher;
+	readonly forwarder: Forwarder;
+	readonly registry: TargetRegistry;
 	readonly getRetryBudgetLimit: () => RetryBudgetLimit;
 	readonly getHostCount: () => number;
 	readonly recorder: RequestRecorder;
 	readonly isShuttingDown: () => boolean;
 };
 
+/** What has become of a request so far. */
+type Progress = {
+	readonly triedTargets: Set<TargetId>;
+	/** The targets that have refused the request without running it. */
+	readonly refusingTargets: Set<TargetId>;
+	attempts: number;
+	/** The number of attempts in which a target may have run the request. */
+	executions: number;
+	best: AttemptResult | undefined;
+};
+
 /** Share of the retry budget that is reserved for returning callers. */
 const returningCallerShare = 0.6;
 /** Retry delay for callers whose request was refused by targets with free capacity, in milliseconds. */
@@ -62,78 +77,163 @@
 	 * Relays a request.
 	 *
 	 * @param exchange - The request.
+	 * @param forwardedAttempts - To how many targets it may be sent if another host has forwarded it; undefined for a caller's own request.
 	 * @returns The response, or the reason for the failure.
 	 */
-	async run(exchange: Exchange): Promise<FilterResult> {
+	async run(
+		exchange: Exchange,
+		forwardedAttempts?: number,
+	): Promise<FilterResult> {
 		const result = await this.#options.reader.read(exchange);
 		if (result.isErr()) {
 			this.#options.recorder.recordRefusal(exchange, result.error);
 			return result;
 		}
 
-		const request = result.value;
+		const request = limitAttempts(result.value, forwardedAttempts);
 		const blockedFailure = this.#options.dispatcher.getBlockedFailure(request);
 		const outcome =
 			blockedFailure === undefined
-				? await this.#sendWithRetries(request)
+				? await this.#sendWithRetries(request, forwardedAttempts === undefined)
 				: Err(blockedFailure);
 		this.#options.recorder.recordCompletion(exchange, request.route, outcome);
 		return outcome;
 	}
 
-	async #sendWithRetries(request: RoutedRequest): Promise<FilterResult> {
-		const {clock} = this.#options;
+	async #sendWithRetries(
+		request: RoutedRequest,
+		canForward: boolean,
+	): Promise<FilterResult> {
+		const {clock, reader} = this.#options;
 		this.#getRetryBudget(request.service).addRequest(clock.monotonicMs());
-		const triedTargets = new Set<TargetId>();
-		const refusingTargets = new Set<TargetId>();
-		let attempts = 0;
-		let best: AttemptResult | undefined;
-		/** The number of attempts in which the target may have run the request. */
-		let executions = 0;
+		const progress: Progress = {
+			triedTargets: new Set(),
+			refusingTargets: new Set(),
+			attempts: 0,
+			executions: 0,
+			best: undefined,
+		};
 		for (;;) {
+			const {best} = progress;
 			if (best !== undefined && !this.#takeRetry(request, best)) {
 				return this.#buildResult(
 					request,
 					best,
-					executions,
+					progress.executions,
 					'the retry allowance is used up',
 				);
 			}
 
-			const isTargetLimitReached =
-				triedTargets.size >= request.route.maxAttempts;
-			const picked = await this.#pick(
-				request,
-				triedTargets,
-				isTargetLimitReached ? refusingTargets : undefined,
-			);
-			if (picked.isErr()) {
+			const attempt = await this.#attempt(request, progress, canForward);
+			if (attempt.isErr()) {
 				return best === undefined
-					? Err(this.#options.reader.addRetryAfter(request, picked.error))
-					: this.#buildResult(request, best, executions, picked.error.detail);
+					? Err(reader.addRetryAfter(request, attempt.error))
+					: this.#buildResult(
+							request,
+							best,
+							progress.executions,
+							attempt.error.detail,
+						);
 			}
 
-			const {registration} = picked.value.state;
-			triedTargets.add(registration.id);
-			attempts++;
-			const previousExecutions = executions;
-			const result = await this.#options.dispatcher.send(
-				request,
-				picked.value,
-				attempts,
-				() => this.#canLeaveStalledTarget(request, previousExecutions),
-			);
-			this.#options.picker.wakeFirstWaiting(request.service);
-			if (result.kind === 'refused' && result.status !== misdirectedStatus) {
-				refusingTargets.add(registration.id);
+			const result = attempt.value;
+			progress.attempts++;
+			progress.executions += mayHaveRun(result) ? 1 : 0;
+			progress.best = pickBetterResult(best, result);
+			if (!this.#canRetry(request, result, progress)) {
+				return this.#buildResult(
+					request,
+					progress.best,
+					progress.executions,
+					undefined,
+				);
 			}
+		}
+	}
 
-			best = pickBetterResult(best, result);
-			executions += mayHaveRun(result) ? 1 : 0;
-			if (!this.#canRetry(request, result, executions, attempts)) {
-				return this.#buildResult(request, best, executions, undefined);
+	/** Sends a request to a target, or through another host if this one reaches no target. */
+	async #attempt(
+		request: RoutedRequest,
+		progress: Progress,
+		canForward: boolean,
+	): Promise<Result<AttemptResult, Failure>> {
+		const {registry} = this.#options;
+		const wasLost = registry.pathMonitor.isLost;
+		if (wasLost) {
+			const forwarded = await this.#forward(request, progress, canForward);
+			if (forwarded !== undefined) {
+				return forwarded;
 			}
 		}
+
+		const picked = await this.#pick(request, progress, !wasLost);
+		if (picked.isOk()) {
+			return Ok(await this.#send(request, picked.value, progress));
+		}
+
+		if (wasLost || !registry.isOutOfReach(request.service)) {
+			return picked;
+		}
+
+		const forwarded = await this.#forward(request, progress, canForward);
+		if (forwarded !== undefined) {
+			return forwarded;
+		}
+
+		const pickedAfterAll = await this.#pick(request, progress, false);
+		return pickedAfterAll.isErr()
+			? pickedAfterAll
+			: Ok(await this.#send(request, pickedAfterAll.value, progress));
+	}
+
+	async #send(
+		request: RoutedRequest,
+		picked: PickedTarget,
+		{triedTargets, refusingTargets, attempts, executions}: Progress,
+	): Promise<AttemptResult> {
+		const {dispatcher, picker} = this.#options;
+		const {id} = picked.state.registration;
+		triedTargets.add(id);
+		const result = await dispatcher.send(request, picked, attempts + 1, () =>
+			this.#canLeaveStalledTarget(request, executions),
+		);
+		picker.wakeFirstWaiting(request.service);
+		if (result.kind === 'refused' && result.status !== misdirectedStatus) {
+			refusingTargets.add(id);
+		}
+
+		return result;
+	}
+
+	/**
+	 * Sends a request through another host. A request that another host has
+	 * forwarded is refused instead, so that no two hosts send it to each other.
+	 *
+	 * @returns The result or a refusal; undefined if no host takes requests.
+	 */
+	async #forward(
+		request: RoutedRequest,
+		{executions}: Progress,
+		canForward: boolean,
+	): Promise<Result<AttemptResult, Failure> | undefined> {
+		if (!canForward) {
+			return Err(notRunFailure('no-target', 'This host reaches no target.'));
+		}
+
+		const result = await this.#options.forwarder.forward(
+			request,
+			request.route.maxAttempts - executions,
+		);
+		if (result?.kind !== 'refused') {
+			return result && Ok(result);
+		}
+
+		return Err(
+			notRunFailure(
+				'over-capacity',
+				`This host reaches no target, and another one refused the request with status ${result.status}.`,
+			),
+		);
 	}
 
 	/**
@@ -169,17 +269,19 @@
 
 	async #pick(
 		request: RoutedRequest,
-		triedTargets: ReadonlySet<TargetId>,
-		allowedTargets: ReadonlySet<TargetId> | undefined,
+		{triedTargets, refusingTargets}: Progress,
+		endsOutOfReach: boolean,
 	): Promise<Result<PickedTarget, Failure>> {
 		const {picker} = this.#options;
 		const {route, service, deadlineMs} = request;
+		const isTargetLimitReached = triedTargets.size >= route.maxAttempts;
 		return picker.pick({
 			service,
 			isIdempotent: route.isIdempotent,
 			serviceTimeMs: this.#getServiceTimeMs(route),
 			triedTargets,
-			allowedTargets,
+			allowedTargets: isTargetLimitReached ? refusingTargets : undefined,
+			endsOutOfReach,
 			deadlineMs,
 			receivedAtMs: request.exchange.incoming.receivedAtMs,
 			signal: request.exchange.incoming.signal,
@@ -194,8 +296,7 @@
 	#canRetry(
 		{route, exchange, deadlineMs}: RoutedRequest,
 		result: AttemptResult,
-		executions: number,
-		attempts: number,
+		{executions, attempts}: Progress,
 	): boolean {
 		const isFinal =
 			isConclusive(result) ||
@@ -249,3 +350,13 @@
 		return budget;
 	}
 }
+
+function limitAttempts(
+	request: RoutedRequest,
+	attempts: number | undefined,
+): RoutedRequest {
+	const {route} = request;
+	return attempts === undefined || attempts >= route.maxAttempts
+		? request
+		: {...request, route: {...route, maxAttempts: attempts}};
+}
--- a/packages/gateway/src/targets/target-registry.ts
+++ b/packages/gateway/src/targets/target-registry.ts
@@ -41,6 +41,8 @@
 	readonly makeLimitPolicy: (target: RegisteredTarget) => LimitPolicy;
 	/** Called when a target has named its first limit to this host or has lifted it. */
 	readonly onLimitChange: (notice: LimitNotice) => void;
+	/** Called when this host reaches no target any more. */
+	readonly onPathLost: () => void;
 };
 
 /** Share of a target's connections that all hosts together leave unused. */
@@ -49,6 +51,8 @@
 const minPoolSize = 2;
 /** The oldest limits beyond this number are forgotten; it exceeds the targets of a large deployment twice. */
 const maxRememberedLimits = 10_000;
+/** Share of a service's open targets that must be out of reach before the links of this host are the likely cause. */
+const minOutOfReachShare = 0.75;
 const msPerSecond = 1000;
 
 /** Owns the states of all published targets. */
@@ -73,6 +77,7 @@
 		this.pathMonitor = new PathMonitor({
 			...options,
 			getTargetCount: () => this.#states.size,
+			onLost: options.onPathLost,
 		});
 	}
 
@@ -128,6 +133,35 @@
 			: published.filter(({availability}) => availability.isAvailable(nowMs));
 	}
 
+	/**
+	 * Gets the targets of all services that may be probed now.
+	 *
+	 * @returns The targets.
+	 */
+	getProbeableTargets(): TargetState[] {
+		const nowMs = this.#options.clock.monotonicMs();
+		return [...this.#states.values()].filter(
+			({availability}) =>
+				availability.isAvailable(nowMs) && availability.limit.canProbe(nowMs),
+		);
+	}
+
+	/**
+	 * Checks whether this host reaches too few targets of a service, or none of any service.
+	 *
+	 * @param service - The service.
+	 * @returns Whether most of its open targets have last failed to respond.
+	 */
+	isOutOfReach(service: ServiceName): boolean {
+		if (this.pathMonitor.isLost) {
+			return true;
+		}
+
+		const states = this.getOpenTargets(service);
+		const count = states.filter(({isOutOfReach}) => isOutOfReach).length;
+		return states.length > 1 && count >= states.length * minOutOfReachShare;
+	}
+
 	/**
 	 * Gets when the first target of a service accepts requests again, if all that
 	 * could serve it have paused.
--- a/packages/gateway/src/targets/target-state.ts
+++ b/packages/gateway/src/targets/target-state.ts
@@ -74,6 +74,13 @@
 		this.#decayedAtMs = nowMs;
 	}
 
+	/** Whether it has failed to respond or to accept a connection since it last responded. */
+	get isOutOfReach(): boolean {
+		return (
+			this.unansweredCount > 0 || this.unreachableAtMs > this.lastContactAtMs
+		);
+	}
+
 	/** The estimated number of requests it runs or queues. */
 	get load(): number {
 		const {running = 0, waiting = 0} = this.report ?? {};
--- a/packages/gateway/test/choice/target-prober.test.ts
+++ b/packages/gateway/test/choice/target-prober.test.ts
@@ -41,6 +41,7 @@
 			getCheckDelayMs: () => 1000,
 		}),
 		onLimitChange: () => undefined,
+		onPathLost: () => undefined,
 	});
 	const targets = Array.from({length: targetCount}, (_, index) =>
 		makeRegisteredTarget(`i-${index}`),
@@ -78,6 +79,7 @@
 					serviceTimeMs: 200,
 					triedTargets: new Set(),
 					allowedTargets: undefined,
+					endsOutOfReach: true,
 					receivedAtMs: nowMs,
 					targetLatencyMs: 600,
 					deadlineMs: nowMs + 2500,
--- a/packages/gateway/test/context/live-settings.test.ts
+++ b/packages/gateway/test/context/live-settings.test.ts
@@ -15,6 +15,7 @@
 	readiness: endpoint,
 	peers: endpoint,
 	talkPort: 2,
+	forwardingPort: 7,
 	metrics: endpoint,
 	seeds: [endpoint],
 	retryBound: {ratio: 0.2, slack: 60, windowMs: 10_000},
