Tell crashed targets from lost links before requests are blocked

What callers saw: nothing in the record, as no request was blocked. It could have been: hosts that lost their links reported ten targets that lived as crashed, and the same request comes often there. Two such reports block it in the whole fleet for five minutes, and two broken connections block it at the host itself.

Cause: a target whose connection broke and that accepts no new one was taken for crashed; a host whose links are cut sees the same at all targets. Class: a fault of one's own links taken for a fault of the other side.

Change: two other targets are probed, and one must respond before the crash is believed here or reported. Why it works: a cut host reaches neither.

--- a/packages/gateway/src/context/crash-detector.ts
+++ b/packages/gateway/src/context/crash-detector.ts
@@ -14,6 +14,8 @@
 	readonly suspects: CrashSuspects;
 	/** Probes a target and calls `onEnd` when it has responded or failed to. */
 	readonly probe: (state: TargetState, onEnd: () => void) => void;
+	/** Gets random other targets, whose responses tell that this host has its links. */
+	readonly getOtherTargets: (state: TargetState) => readonly TargetState[];
 	/** Sends a notice to all other hosts. */
 	readonly broadcast: (notice: CrashNotice) => void;
 };
@@ -34,27 +36,63 @@
 
 	/**
 	 * Probes a target whose connection broke during a request. If it accepts no
-	 * new connection, it has crashed and the other hosts are notified.
+	 * new connection while another target responds, it has crashed and the other
+	 * hosts are notified. Otherwise the links of this host may be cut.
 	 *
 	 * @param state - The target.
 	 * @param signature - The signature of the request that it ran.
+	 * @param onConfirmed - Called if the target has crashed.
 	 */
-	confirmCrash(state: TargetState, signature: Digest): void {
+	confirmCrash(
+		state: TargetState,
+		signature: Digest,
+		onConfirmed: () => void,
+	): void {
 		const {clock, log, probe, broadcast} = this.#options;
 		clock.schedule(confirmDelayMs, () => {
 			probe(state, () => {
-				if (state.unreachableAtMs > state.lastContactAtMs) {
+				if (state.unreachableAtMs <= state.lastContactAtMs) {
+					return;
+				}
+
+				this.#confirmLinks(state, () => {
 					const {incarnation} = state.registration;
 					log.write('target ended under a request', {
 						life: incarnation,
 						signature,
 					});
+					onConfirmed();
 					broadcast({incarnation, signature});
-				}
+				});
 			});
 		});
 	}
 
+	/** Probes other targets and calls back once if one responds, or if there is none. */
+	#confirmLinks(state: TargetState, onConfirmed: () => void): void {
+		const {clock, probe, getOtherTargets} = this.#options;
+		const others = getOtherTargets(state);
+		if (others.length === 0) {
+			onConfirmed();
+			return;
+		}
+
+		const startedAtMs = clock.monotonicMs();
+		let isConfirmed = false;
+		const confirmIfReached = ({lastContactAtMs}: TargetState) => {
+			if (!isConfirmed && lastContactAtMs >= startedAtMs) {
+				isConfirmed = true;
+				onConfirmed();
+			}
+		};
+
+		for (const other of others) {
+			probe(other, () => {
+				confirmIfReached(other);
+			});
+		}
+	}
+
 	/**
 	 * Records a crash that another host reported.
 	 *
--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -55,6 +55,8 @@
 const loadBalancerDetectionMs = 2600;
 /** Time left of the shutdown when the last requests are cut off, in milliseconds. */
 const shutdownReserveMs = 800;
+/** Targets that are probed to tell a crashed target from lost links. */
+const linkCheckTargets = 2;
 const pollIntervalMs = 50;
 const okStatus = 200;
 const unavailableStatus = 503;
@@ -98,6 +100,14 @@
 			probe: (state, onEnd) => {
 				this.#probe(state, onEnd);
 			},
+			getOtherTargets: (state) =>
+				this.#targetRegistry
+					.getProbeableTargets()
+					.filter((other) => other !== state)
+					.map((other) => ({other, rank: random()}))
+					.toSorted((a, b) => a.rank - b.rank)
+					.slice(0, linkCheckTargets)
+					.map(({other}) => other),
 			broadcast: (notice) => {
 				this.#fleet.broadcastCrash(notice);
 			},
@@ -198,8 +208,8 @@
 			probe: (state) => {
 				this.#probe(state);
 			},
-			onConnectionBroken: (state, signature) => {
-				this.#crashDetector.confirmCrash(state, signature);
+			onConnectionBroken: (state, signature, onCrashConfirmed) => {
+				this.#crashDetector.confirmCrash(state, signature, onCrashConfirmed);
 			},
 			onFailure: (state) => {
 				this.#fleet.sendFailure(state.registration.incarnation);
--- a/packages/gateway/src/context/make-relay.ts
+++ b/packages/gateway/src/context/make-relay.ts
@@ -39,8 +39,12 @@
 	readonly isShuttingDown: () => boolean;
 	/** Probes a target. */
 	readonly probe: (state: TargetState) => void;
-	/** Called when a connection broke while it carried a request. */
-	readonly onConnectionBroken: (state: TargetState, signature: Digest) => void;
+	/** Called when a connection broke while it carried a request; calls back if the target has crashed. */
+	readonly onConnectionBroken: (
+		state: TargetState,
+		signature: Digest,
+		onCrashConfirmed: () => void,
+	) => void;
 	/** Called when a target failed a request. */
 	readonly onFailure: (state: TargetState) => void;
 };
--- a/packages/gateway/src/relay/attempt-dispatcher.ts
+++ b/packages/gateway/src/relay/attempt-dispatcher.ts
@@ -41,8 +41,12 @@
 		notice: AvailabilityNotice | undefined,
 		namesRequest: boolean,
 	) => void;
-	/** Called when a connection broke during a request. */
-	readonly onConnectionBroken: (state: TargetState, signature: Digest) => void;
+	/** Called when a connection broke during a request; calls back if the target has crashed. */
+	readonly onConnectionBroken: (
+		state: TargetState,
+		signature: Digest,
+		onCrashConfirmed: () => void,
+	) => void;
 	/** Called when a target failed a request. */
 	readonly onTargetFailure: (state: TargetState) => void;
 };
@@ -198,13 +202,14 @@
 		if (result.kind === 'failed' && result.cause === 'broken') {
 			const brokenAtMs = clock.monotonicMs();
 			const signature = getRequestSignature(exchange);
-			this.#options.onConnectionBroken(state, signature);
+			let hasCrashed = false;
+			this.#options.onConnectionBroken(state, signature, () => {
+				hasCrashed = true;
+			});
 			crashSuspects.addIncident(signature, {
 				incarnation: state.registration.incarnation,
 				atMs: brokenAtMs,
-				isConfirmed: () =>
-					state.unreachableAtMs > brokenAtMs &&
-					state.lastContactAtMs < brokenAtMs,
+				isConfirmed: () => hasCrashed && state.lastContactAtMs < brokenAtMs,
 			});
 		}
 	}
--- a/packages/gateway/test/context/crash-detector.test.ts
+++ b/packages/gateway/test/context/crash-detector.test.ts
@@ -9,58 +9,99 @@
 import {makeRegisteredTarget, makeTestLog} from '../fixtures.js';
 
 const signature = makeId<Digest>('s');
+const brokenAtMs = 500;
+
+type Outcome = 'responds' | 'unreachable';
+
+function makeState(id: string, clock: ManualClock): TargetState {
+	const pool = new ConnectionPool({
+		clock,
+		origin: 'http://127.0.0.1:9',
+		localAddress: '127.0.0.1',
+		getMaxSize: () => 2,
+	});
+	const registration = makeRegisteredTarget(id);
+	return new TargetState({registration, pool, nowMs: 0});
+}
 
 describe('CrashDetector', () => {
 	describe('confirmCrash', () => {
+		/** The outcomes are those of the probes of the target and of the other targets. */
 		function doTest(
 			name: string,
-			respond: (state: TargetState, nowMs: number) => void,
+			input: {readonly target: Outcome; readonly others: readonly Outcome[]},
 			expected: readonly CrashNotice[],
 		): void {
 			it(name, () => {
 				const clock = new ManualClock();
-				const pool = new ConnectionPool({
-					clock,
-					origin: 'http://127.0.0.1:9',
-					localAddress: '127.0.0.1',
-					getMaxSize: () => 2,
-				});
-				const state = new TargetState({
-					registration: makeRegisteredTarget('a'),
-					pool,
-					nowMs: 0,
-				});
+				clock.advance(brokenAtMs);
+				const state = makeState('a', clock);
+				const others = input.others.map((_, index) =>
+					makeState(`other-${index}`, clock),
+				);
+				const outcomes = new Map([
+					[state, input.target],
+					...input.others.map(
+						(outcome, index) => [others[index]!, outcome] as const,
+					),
+				]);
 				const sentNotices: CrashNotice[] = [];
+				let confirmedCount = 0;
 				const detector = new CrashDetector({
 					clock,
 					log: makeTestLog(clock).log,
 					suspects: new CrashSuspects(),
-					probe(probedState, onEnd) {
-						respond(probedState, clock.monotonicMs());
+					probe(probed, onEnd) {
+						if (outcomes.get(probed) === 'responds') {
+							probed.addContact(clock.monotonicMs());
+						} else {
+							probed.addUnreachable(clock.monotonicMs());
+						}
+
 						onEnd();
 					},
+					getOtherTargets: () => others,
 					broadcast(notice) {
 						sentNotices.push(notice);
 					},
 				});
-				detector.confirmCrash(state, signature);
+				detector.confirmCrash(state, signature, () => {
+					confirmedCount++;
+				});
 				clock.advance(1000);
 				assert.equal(sentNotices, expected);
+				assert.is(confirmedCount, expected.length);
 			});
 		}
 
+		const notice = {
+			incarnation: makeRegisteredTarget('a').incarnation,
+			signature,
+		};
 		doTest(
-			'broadcasts the crash of a target that accepts no connection',
-			(state, nowMs) => {
-				state.unreachableAtMs = nowMs;
-			},
-			[{incarnation: makeRegisteredTarget('a').incarnation, signature}],
+			'broadcasts the crash of a target that accepts no connection while others respond',
+			{target: 'unreachable', others: ['responds', 'responds']},
+			[notice],
+		);
+		doTest(
+			'broadcasts the crash if one of the others has crashed too',
+			{target: 'unreachable', others: ['unreachable', 'responds']},
+			[notice],
+		);
+		doTest(
+			'broadcasts the crash of the only target',
+			{target: 'unreachable', others: []},
+			[notice],
 		);
 		doTest(
 			'broadcasts nothing if the target responds',
-			(state, nowMs) => {
-				state.lastContactAtMs = nowMs;
-			},
+			{target: 'responds', others: ['responds', 'responds']},
+			[],
+		);
+		// Guards against a host without links that has the fleet block requests which crashed no target.
+		doTest(
+			'broadcasts nothing if no target can be reached',
+			{target: 'unreachable', others: ['unreachable', 'unreachable']},
 			[],
 		);
 	});
