Forward only what no target of this host can take, and fall back to waiting

Cause: the first version forwarded when three quarters of a service's targets were out of reach and no other had just been asked.

Change: all targets of the service must be out of reach. If the other hosts refuse at once, the targets are the cause, and the request waits here as before. Targets get a forwarded request without the header between hosts.

--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -95,12 +95,12 @@
 	}
 
 	/**
-	 * Sends a request through another host. Another one is tried if a host
-	 * certainly did not send it to a target.
+	 * Sends a request through another host. The next one is tried if a host
+	 * refuses it at once or can't be reached.
 	 *
 	 * @param request - The request.
 	 * @param attemptsLeft - How many targets it may still be sent to.
-	 * @returns The result of the last host; undefined if no host takes requests.
+	 * @returns The result of the first host that has tried to serve it; undefined if none has.
 	 */
 	async forward(
 		request: RoutedRequest,
@@ -108,16 +108,15 @@
 	): Promise<AttemptResult | undefined> {
 		const {clock} = this.#options;
 		const tried = new Set<TargetState>();
-		let result: AttemptResult | undefined;
 		while (tried.size < maxHostsPerRequest) {
 			const state = await this.#findHost(request.route.isIdempotent, tried);
-			if (state === undefined || request.exchange.incoming.signal.aborted) {
-				return result;
+			if (state === undefined) {
+				return undefined;
 			}
 
 			tried.add(state);
 			const startedAtMs = clock.monotonicMs();
-			result = await this.#send(request, state, attemptsLeft);
+			const result = await this.#send(request, state, attemptsLeft);
 			if (!isNextWorthTrying(result, clock.monotonicMs() - startedAtMs)) {
 				return result;
 			}
@@ -125,7 +124,7 @@
 			state.avoidUntilMs = clock.monotonicMs() + unavailableAvoidMs;
 		}
 
-		return result;
+		return undefined;
 	}
 
 	/** Closes all connections. */
@@ -135,6 +134,7 @@
 		}
 	}
 
+	/** Returns undefined if all connections to the host are busy. */
 	async #send(
 		request: RoutedRequest,
 		state: TargetState,
@@ -296,6 +296,6 @@
 	return (
 		result === undefined ||
 		(result.kind === 'refused' && durationMs < immediateRefusalMs) ||
-		(result.kind === 'failed' && !result.mayHaveRun)
+		(result.kind === 'failed' && result.cause === 'unreachable')
 	);
 }
--- a/packages/gateway/src/forwarding/forwarding-server.ts
+++ b/packages/gateway/src/forwarding/forwarding-server.ts
@@ -93,6 +93,8 @@
 			return this.#describeHealth();
 		}
 
+		// Targets get the request as the caller sent it.
+		Reflect.deleteProperty(headers, attemptsLeftHeader);
 		const attemptsLeft = Number(text);
 		return Number.isSafeInteger(attemptsLeft) && attemptsLeft > 0
 			? this.#options.run(exchange, attemptsLeft)
--- a/packages/gateway/src/targets/target-registry.ts
+++ b/packages/gateway/src/targets/target-registry.ts
@@ -51,8 +51,6 @@
 const minPoolSize = 2;
 /** The oldest limits beyond this number are forgotten; it exceeds the targets of a large deployment twice. */
 const maxRememberedLimits = 10_000;
-/** Share of a service's open targets that must be out of reach before the links of this host are the likely cause. */
-const minOutOfReachShare = 0.75;
 const msPerSecond = 1000;
 
 /** Owns the states of all published targets. */
@@ -147,10 +145,10 @@
 	}
 
 	/**
-	 * Checks whether this host reaches too few targets of a service, or none of any service.
+	 * Checks whether this host reaches no target of a service, or none of any service.
 	 *
 	 * @param service - The service.
-	 * @returns Whether most of its open targets have last failed to respond.
+	 * @returns Whether all its open targets have last failed to respond.
 	 */
 	isOutOfReach(service: ServiceName): boolean {
 		if (this.pathMonitor.isLost) {
@@ -158,8 +156,7 @@
 		}
 
 		const states = this.getOpenTargets(service);
-		const count = states.filter(({isOutOfReach}) => isOutOfReach).length;
-		return states.length > 1 && count >= states.length * minOutOfReachShare;
+		return states.length > 0 && states.every(({isOutOfReach}) => isOutOfReach);
 	}
 
 	/**
