Keep limits apart from the registry, and believe refusals without an id

Cause: the registry of targets had grown by all of the limits' bookkeeping. And a refusal that names no request was ignored altogether, also if it named a limit: a target in need whose refusals have no id would be told of as unlimited by them.

Change: TargetLimits holds what is in force by incarnation and who is told. A response that can't be attributed may name a limit, but not lift one.

--- a/packages/gateway/src/targets/target-registry.ts
+++ b/packages/gateway/src/targets/target-registry.ts
@@ -21,26 +21,16 @@
 	TargetAvailability,
 	type AvailabilityNotice,
 } from './target-availability.js';
-import {
-	TargetLimit,
-	type LimitPolicy,
-	type LimitSource,
-} from './target-limit.js';
+import type {LimitSource} from './target-limit.js';
+import {TargetLimits, type TargetLimitsOptions} from './target-limits.js';
 import {TargetState} from './target-state.js';
 
 /** The dependencies of a registry. */
-export type TargetRegistryOptions = {
-	readonly clock: Clock;
-	readonly log: EventLog;
-	readonly metrics: GatewayMetrics;
+export type TargetRegistryOptions = TargetLimitsOptions & {
 	/** The local IP address that connections are opened from. */
 	readonly localAddress: string;
 	/** Gets the number of hosts that share the targets. */
 	readonly getHostCount: () => number;
-	/** Makes the policy by which this host takes part in a target's limit. */
-	readonly makeLimitPolicy: (target: RegisteredTarget) => LimitPolicy;
-	/** Called when a target has named its first limit to this host or has lifted it. */
-	readonly onLimitChange: (notice: LimitNotice) => void;
 	/** Called when this host reaches no target any more. */
 	readonly onPathLost: () => void;
 };
@@ -49,8 +39,6 @@
 const connectionReserveShare = 0.2;
 const maxPoolSize = 64;
 const minPoolSize = 2;
-/** The oldest limits beyond this number are forgotten; it exceeds the targets of a large deployment twice. */
-const maxRememberedLimits = 10_000;
 const msPerSecond = 1000;
 
 /** Owns the states of all published targets. */
@@ -60,8 +48,7 @@
 	readonly #options: TargetRegistryOptions;
 	readonly #states = new Map<TargetId, TargetState>();
 	readonly #leavingTargets = new LeavingTargets();
-	/** The limits in force; they outlive published entries, which may lapse while the store is away. */
-	readonly #limits = new Map<TargetIncarnation, TargetLimit>();
+	readonly #limits: TargetLimits;
 	/** The open targets by service, computed on demand after each snapshot. */
 	#openTargets = new Map<ServiceName, TargetState[]>();
 	#snapshot: RoutingSnapshot = emptySnapshot;
@@ -72,6 +59,7 @@
 	 */
 	constructor(options: TargetRegistryOptions) {
 		this.#options = options;
+		this.#limits = new TargetLimits(options);
 		this.pathMonitor = new PathMonitor({
 			...options,
 			getTargetCount: () => this.#states.size,
@@ -193,7 +181,7 @@
 			return;
 		}
 
-		this.#addLimit(state, notice, source);
+		this.#limits.add(state, notice, source);
 		const {clock, log, metrics} = this.#options;
 		const {id, incarnation} = state.registration;
 		if (notice.unusablePause !== undefined) {
@@ -221,67 +209,15 @@
 		}
 	}
 
-	#addLimit(
-		{registration, availability}: TargetState,
-		{limitPerSecond, unusableLimit}: AvailabilityNotice,
-		source: LimitSource | undefined,
-	): void {
-		const {log, metrics, onLimitChange} = this.#options;
-		const {id, incarnation} = registration;
-		if (unusableLimit !== undefined) {
-			log.write('unusable limit of a target', {
-				target: id,
-				value: unusableLimit,
-			});
-			return;
-		}
-
-		if (source === undefined) {
-			return;
-		}
-
-		const nowMs = this.#options.clock.monotonicMs();
-		const change = availability.limit.add(limitPerSecond, source, nowMs);
-		if (change === undefined) {
-			return;
-		}
-
-		metrics.recordTargetNotice(change);
-		log.write(`target ${change}`, {
-			target: id,
-			life: incarnation,
-			source,
-			perSecond: limitPerSecond,
-		});
-		this.#rememberLimit(incarnation, availability.limit);
-		onLimitChange({incarnation, perSecond: limitPerSecond, source});
-	}
-
 	/**
 	 * Records the limit of a target that another host reported, or that it was lifted.
 	 *
 	 * @param notice - The limit.
 	 */
-	addRemoteLimit({incarnation, perSecond, source}: LimitNotice): void {
-		const nowMs = this.#options.clock.monotonicMs();
-		for (const {registration, availability} of this.#states.values()) {
-			if (registration.incarnation !== incarnation) {
-				continue;
-			}
-
-			const {limit} = availability;
-			const change =
-				perSecond === undefined
-					? limit.lift()
-					: limit.add(perSecond, source, nowMs);
-			this.#rememberLimit(incarnation, limit);
-			if (change !== undefined) {
-				this.#options.log.write(`target ${change}`, {
-					target: registration.id,
-					life: incarnation,
-					source: 'host',
-					perSecond,
-				});
+	addRemoteLimit(notice: LimitNotice): void {
+		for (const state of this.#states.values()) {
+			if (state.registration.incarnation === notice.incarnation) {
+				this.#limits.addRemote(state, notice);
 			}
 		}
 	}
@@ -309,19 +245,6 @@
 		return perSecond > 0 ? msPerSecond / perSecond : undefined;
 	}
 
-	#rememberLimit(incarnation: TargetIncarnation, limit: TargetLimit): void {
-		this.#limits.delete(incarnation);
-		if (!limit.isInForce) {
-			return;
-		}
-
-		this.#limits.set(incarnation, limit);
-		if (this.#limits.size > maxRememberedLimits) {
-			const [oldest] = this.#limits.keys();
-			this.#limits.delete(oldest!);
-		}
-	}
-
 	#getPublishedTargets(service: ServiceName): readonly TargetState[] {
 		const cached = this.#openTargets.get(service);
 		if (cached !== undefined) {
@@ -385,8 +308,7 @@
 				nowMs: this.#options.clock.monotonicMs(),
 				availability: new TargetAvailability(
 					this.#leavingTargets.has(registration.incarnation),
-					this.#limits.get(registration.incarnation) ??
-						new TargetLimit(this.#options.makeLimitPolicy(registration)),
+					this.#limits.get(registration),
 				),
 				pathMonitor: this.pathMonitor,
 			}),
