Declare the types of client accounts and of a request's priority

Cause: several parts are built side by side and share these types. Change: ClientAccount, RoutingPlan.clientAccounts, Route.isPublic and the priority and account of a routed request; no behaviour changes.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -17,6 +17,7 @@
 	RegisteredTarget,
 	TargetIncarnation,
 } from './plan/registered-target.js';
+export type {ClientAccount, ClientAccountName} from './plan/client-account.js';
 export type {
 	CallerLimits,
 	PlanVersion,
--- a/packages/gateway/src/plan/routing-plan.ts
+++ b/packages/gateway/src/plan/routing-plan.ts
@@ -1,6 +1,7 @@
 /** The versioned routing configuration that operators publish. */
 
 import type {Branded, ServiceName} from '@bilberryscale/core';
+import type {ClientAccount} from './client-account.js';
 
 /** The version of a routing plan; a higher version replaces a lower one. */
 export type PlanVersion = Branded<number, 'PlanVersion'>;
@@ -32,6 +33,8 @@
 	readonly maxAttempts: number;
 	/** The priority; 0 is the highest. */
 	readonly priority: number;
+	/** Whether requests need no key of a client account. */
+	readonly isPublic?: boolean;
 };
 
 /** The health check of a service's targets and the limits on what each of them can handle. */
@@ -58,4 +61,6 @@
 	readonly routes: readonly Route[];
 	readonly services: readonly ServicePlan[];
 	readonly limits: CallerLimits;
+	/** The client accounts; undefined if requests need no key. */
+	readonly clientAccounts?: readonly ClientAccount[];
 };
--- a/packages/gateway/src/relay/request-reader.ts
+++ b/packages/gateway/src/relay/request-reader.ts
@@ -9,6 +9,7 @@
 } from '@bilberryscale/core';
 import {BodyReader, type Exchange} from '@bilberryscale/daemon/edge';
 import {Err, Ok, type Result} from 'ts-results-es';
+import type {ClientAccount} from '../plan/client-account.js';
 import type {PlanHolder} from '../plan/plan-holder.js';
 import type {CallerLimits, Route} from '../plan/routing-plan.js';
 import type {TrafficSplitter} from '../plan/traffic-splitter.js';
@@ -24,6 +25,10 @@
 	readonly body: Buffer | undefined;
 	/** Whether the caller probably repeats a request that was refused. */
 	readonly isReturning: boolean;
+	/** The client account whose key it bears; undefined if the plan has none or the route is public. */
+	readonly account?: ClientAccount;
+	/** The priority of the client account, or else of the route; 0 is the highest. */
+	readonly priority: number;
 };
 
 /** Dependencies of the reader. */
@@ -87,7 +92,15 @@
 				route.name,
 				this.#getCallerTimeoutMs(exchange),
 			);
-			return {exchange, route, service, deadlineMs, body: bytes, isReturning};
+			return {
+				exchange,
+				route,
+				service,
+				deadlineMs,
+				body: bytes,
+				isReturning,
+				priority: route.priority,
+			};
 		});
 	}
 
