Schedule the return of refused callers by rank and completion rate

Cause: callers refused in a burst are told a fixed share of their remaining time, so they return as a burst and urgent ones among the others.

Change: for services whose routes or accounts have different priorities, each host keeps a schedule with one slot for each request that completes there. A refused caller gets the first slot that is not promised and not withheld for more urgent ranks, within 0.3 of its remaining time; without one, the refusal states no Retry-After (Failure.isRetryFutile). PickRequest.isReturning is passed to the picker. hasPriorityClasses and ActivePlan.prioritizedServices are the switch; other services keep the fixed share.

--- a/packages/core/src/errors/failure.ts
+++ b/packages/core/src/errors/failure.ts
@@ -11,6 +11,8 @@
 	readonly detail: string;
 	/** The delay after which a retry may succeed, in milliseconds; defaults to the value in the response table. */
 	readonly retryAfterMs?: number;
+	/** Whether no retry can succeed before the caller's deadline, so that it is told no delay at all. */
+	readonly isRetryFutile?: boolean;
 };
 
 /**
--- a/packages/daemon/src/http/problem-answer.ts
+++ b/packages/daemon/src/http/problem-answer.ts
@@ -30,7 +30,10 @@
 		title,
 		retryAfterMs: defaultRetryAfterMs,
 	} = errorResponses[failure.kind];
-	const retryAfterMs = failure.retryAfterMs ?? defaultRetryAfterMs;
+	const retryAfterMs =
+		failure.isRetryFutile === true
+			? undefined
+			: (failure.retryAfterMs ?? defaultRetryAfterMs);
 	const document = {
 		type: `urn:bilberryscale:error:${failure.kind}`,
 		title,
--- a/packages/gateway/src/choice/pick-request.ts
+++ b/packages/gateway/src/choice/pick-request.ts
@@ -20,6 +20,8 @@
 	readonly targetLatencyMs: number;
 	/** When the response must be complete, on the monotonic clock, in milliseconds. */
 	readonly deadlineMs: number;
+	/** Whether the caller probably repeats a request that was refused; it goes before new ones of its priority. */
+	readonly isReturning: boolean;
 	/** Aborts when the caller disconnects. */
 	readonly signal: AbortSignal;
 };
--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -9,6 +9,7 @@
 	type FilterResult,
 } from '@bilberryscale/daemon/edge';
 import {CrashSuspects} from '@bilberryscale/decisions';
+import {getPrioritizedServices} from '../capacity/has-priority-classes.js';
 import {TargetProbe} from '../choice/target-probe.js';
 import type {CallerServer} from '../edge/caller-server.js';
 import {TextServer} from '../edge/text-server.js';
@@ -359,6 +360,7 @@
 				version: plan.version,
 				routeTable: new RouteTable(plan.routes),
 				limits: plan.limits,
+				prioritizedServices: getPrioritizedServices(plan),
 			});
 		}
 
--- a/packages/gateway/src/context/make-relay.ts
+++ b/packages/gateway/src/context/make-relay.ts
@@ -2,6 +2,7 @@
 
 import type {Clock, Digest, RandomSource} from '@bilberryscale/core';
 import type {CrashSuspects} from '@bilberryscale/decisions';
+import {ReturnSchedules} from '../capacity/return-schedules.js';
 import {LastSlotFactor} from '../choice/last-slot-factor.js';
 import {TargetProber} from '../choice/target-prober.js';
 import {TargetPicker} from '../choice/target-picker.js';
@@ -62,6 +63,14 @@
 	const {host, dataCentre} = settings.current;
 	const lastSlotFactor = new LastSlotFactor();
 	const serviceTimes = new ServiceTimes();
+	const returnSchedules = new ReturnSchedules({
+		clock,
+		random,
+		log,
+		metrics,
+		hasPriorityClasses: (service) =>
+			plans.plan?.prioritizedServices.has(service) ?? false,
+	});
 	const prober = new TargetProber({
 		clock,
 		random,
@@ -94,6 +103,14 @@
 			returningCallerDetector: new ReturningCallerDetector(),
 			deadlineHeader: protocol.deadlineHeader,
 			plans,
+			bookReturn: ({exchange, route, service, priority}, remainingMs) =>
+				returnSchedules.book({
+					requestId: exchange.incoming.requestId,
+					service,
+					rank: priority,
+					remainingMs,
+					serviceTimeMs: serviceTimes.getMs(route.name, route.targetLatencyMs),
+				}),
 		}),
 		dispatcher: new AttemptDispatcher({
 			clock,
@@ -119,6 +136,7 @@
 		}),
 		forwarder: dependencies.forwarder,
 		registry: targetRegistry,
+		returnSchedules,
 		serviceTimes,
 		recorder,
 		isShuttingDown,
--- a/packages/gateway/src/plan/plan-holder.ts
+++ b/packages/gateway/src/plan/plan-holder.ts
@@ -1,6 +1,6 @@
 /** Holds the routing plan in force and lets requests wait for the first one. */
 
-import type {Clock} from '@bilberryscale/core';
+import type {Clock, ServiceName} from '@bilberryscale/core';
 import type {RouteTable} from './route-table.js';
 import type {CallerLimits} from './routing-plan.js';
 
@@ -9,6 +9,8 @@
 	readonly version: number;
 	readonly routeTable: RouteTable;
 	readonly limits: CallerLimits;
+	/** The services for which requests of different priorities compete. */
+	readonly prioritizedServices: ReadonlySet<ServiceName>;
 };
 
 /**
--- a/packages/gateway/src/records/gateway-metrics.ts
+++ b/packages/gateway/src/records/gateway-metrics.ts
@@ -67,6 +67,13 @@
 		registers: [this.#registry],
 	});
 
+	readonly #returnTimes = new Counter({
+		name: 'bilberryscale_returns_total',
+		help: 'Refused callers by service, priority and the return time that they were promised',
+		labelNames: ['service', 'priority', 'result'],
+		registers: [this.#registry],
+	});
+
 	/** Gets the content type of the exported text. */
 	get contentType(): string {
 		return this.#registry.contentType;
@@ -134,6 +141,17 @@
 		this.#forwards.inc({result});
 	}
 
+	/**
+	 * Records when a refused caller was told to return.
+	 *
+	 * @param service - The service.
+	 * @param priority - The effective priority of its request.
+	 * @param result - The kind of time that it was promised.
+	 */
+	recordReturnTime(service: string, priority: number, result: string): void {
+		this.#returnTimes.inc({service, priority, result});
+	}
+
 	/**
 	 * Exports all metrics.
 	 *
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -9,6 +9,7 @@
 } from '@bilberryscale/core';
 import type {Exchange, FilterResult} from '@bilberryscale/daemon/edge';
 import {Err, Ok, type Result} from 'ts-results-es';
+import type {ReturnSchedules} from '../capacity/return-schedules.js';
 import type {PickedTarget, TargetPicker} from '../choice/target-picker.js';
 import type {Forwarder} from '../forwarding/forwarder.js';
 import {RetryBudget, type RetryBudgetLimit} from '../limits/retry-budget.js';
@@ -35,6 +36,7 @@
 	readonly dispatcher: AttemptDispatcher;
 	readonly forwarder: Forwarder;
 	readonly registry: TargetRegistry;
+	readonly returnSchedules: ReturnSchedules;
 	readonly getRetryBudgetLimit: () => RetryBudgetLimit;
 	readonly getHostCount: () => number;
 	readonly recorder: RequestRecorder;
@@ -106,6 +108,7 @@
 	): Promise<FilterResult> {
 		const {clock, reader} = this.#options;
 		this.#getRetryBudget(request.service).addRequest(clock.monotonicMs());
+		this.#options.returnSchedules.addArrival(request);
 		const progress: Progress = {
 			triedTargets: new Set(),
 			refusingTargets: new Set(),
@@ -198,6 +201,10 @@
 			this.#canLeaveStalledTarget(request, executions),
 		);
 		picker.wakeFirstWaiting(request.service);
+		if (result.kind === 'answered') {
+			this.#options.returnSchedules.addDeparture(request.service);
+		}
+
 		if (result.kind === 'refused' && result.status !== misdirectedStatus) {
 			refusingTargets.add(id);
 		}
@@ -284,6 +291,7 @@
 			endsOutOfReach,
 			deadlineMs,
 			receivedAtMs: request.exchange.incoming.receivedAtMs,
+			isReturning: request.isReturning,
 			signal: request.exchange.incoming.signal,
 			targetLatencyMs: route.targetLatencyMs,
 		});
--- a/packages/gateway/src/relay/request-reader.ts
+++ b/packages/gateway/src/relay/request-reader.ts
@@ -9,6 +9,7 @@
 } from '@bilberryscale/core';
 import {BodyReader, type Exchange} from '@bilberryscale/daemon/edge';
 import {Err, Ok, type Result} from 'ts-results-es';
+import type {ReturnTime} from '../capacity/return-schedule.js';
 import type {ClientAccount} from '../plan/client-account.js';
 import type {PlanHolder} from '../plan/plan-holder.js';
 import type {CallerLimits, Route} from '../plan/routing-plan.js';
@@ -39,6 +40,11 @@
 	/** The header that holds the caller's timeout in milliseconds. */
 	readonly deadlineHeader: string;
 	readonly plans: PlanHolder;
+	/** Promises a return time to a refused caller; returns undefined if its service has no schedule. */
+	readonly bookReturn: (
+		request: RoutedRequest,
+		remainingMs: number,
+	) => ReturnTime | undefined;
 };
 
 /** Maximum pause between parts of a body, in milliseconds. */
@@ -145,27 +151,33 @@
 
 	/**
 	 * Adds a retry delay that lets the caller retry before its own deadline, unless
-	 * it is known when a retry can succeed.
+	 * it is known when a retry can succeed. Where the service has a return schedule,
+	 * the delay is the caller's turn in it.
 	 *
 	 * @param request - The request.
 	 * @param failure - The reason for the refusal.
-	 * @returns The failure with the retry delay.
+	 * @returns The failure with the retry delay, or marked as futile to retry.
 	 */
-	addRetryAfter(
-		{deadlineMs, exchange}: RoutedRequest,
-		failure: Failure,
-	): Failure {
+	addRetryAfter(request: RoutedRequest, failure: Failure): Failure {
+		const {deadlineMs, exchange} = request;
 		if (failure.retryAfterMs !== undefined) {
 			return failure;
 		}
 
-		const {clock} = this.#options;
+		const {clock, bookReturn} = this.#options;
 		const callerTimeoutMs = this.#getCallerTimeoutMs(exchange);
 		const callerDeadlineMs =
 			callerTimeoutMs === undefined
 				? deadlineMs
 				: exchange.incoming.receivedAtMs + callerTimeoutMs;
 		const remainingMs = callerDeadlineMs - clock.monotonicMs();
+		const returnTime = bookReturn(request, remainingMs);
+		if (returnTime !== undefined) {
+			return returnTime.kind === 'none'
+				? {...failure, isRetryFutile: true}
+				: {...failure, retryAfterMs: returnTime.delayMs};
+		}
+
 		const retryAfterMs = Math.max(
 			minRetryAfterMs,
 			remainingMs * retryAfterShare,
--- a/packages/gateway/test/choice/target-prober.test.ts
+++ b/packages/gateway/test/choice/target-prober.test.ts
@@ -82,6 +82,7 @@
 					endsOutOfReach: true,
 					receivedAtMs: nowMs,
 					targetLatencyMs: 600,
+					isReturning: false,
 					deadlineMs: nowMs + 2500,
 					signal: new AbortController().signal,
 				},
--- a/packages/gateway/test/plan/plan-holder.test.ts
+++ b/packages/gateway/test/plan/plan-holder.test.ts
@@ -11,6 +11,7 @@
 const plan: ActivePlan = {
 	version: 7,
 	routeTable: new RouteTable([]),
+	prioritizedServices: new Set(),
 	limits: {
 		maxHeaderBytes: 1,
 		maxBodyBytes: 1,
