Hedge idempotent requests that take unusually long, within a limit

Cause: a request at a target that has slowed down or dropped it waits for that target, or for the stall timeout, while other targets have free slots.

The first good answer wins, the other attempt ends as superseded and its connection closes. No hedge while the service is short of capacity, to unsuitable targets, for crash suspects, beyond the route's attempts or either budget. The histogram library is a file of its own in the bundle, loaded only with a limit.

Tests with raw targets: the answer comes from the second target, the first one's connection is closed.

--- a/packages/decisions/src/crash/crash-suspects.ts
+++ b/packages/decisions/src/crash/crash-suspects.ts
@@ -80,6 +80,16 @@
 		this.#incidents.delete(signature);
 	}
 
+	/**
+	 * Tells whether a target may have crashed while it ran a request.
+	 *
+	 * @param signature - The signature of the request.
+	 * @returns Whether an incident is known, confirmed or not, and no answer came since.
+	 */
+	isSuspect(signature: Digest): boolean {
+		return this.#incidents.has(signature);
+	}
+
 	/**
 	 * Tells whether a request is blocked because it crashes targets.
 	 *
--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -32,6 +32,7 @@
 import {CrashDetector} from './crash-detector.js';
 import type {GatewaySettings} from './gateway-settings.js';
 import {LiveSettings, type SettingsChange} from './live-settings.js';
+import type {HedgingOptions} from './make-hedged-dispatcher.js';
 import {makeRelay} from './make-relay.js';
 
 /** The settings of a gateway host and its external dependencies. */
@@ -47,6 +48,8 @@
 	readonly decode: ItemDecoder;
 	readonly callerProtocol: CallerProtocol;
 	readonly targetProtocol: TargetProtocol;
+	/** How hedged requests are sent; undefined for none. */
+	readonly hedging?: HedgingOptions | undefined;
 };
 
 /**
@@ -206,6 +209,7 @@
 			crashSuspects: this.#crashSuspects,
 			getHostCount,
 			isShuttingDown,
+			hedging: options.hedging,
 			probe: (state) => {
 				this.#probe(state);
 			},
@@ -254,8 +258,11 @@
 
 	/** Starts the servers, the feed and the gossip. */
 	async start(): Promise<void> {
-		const {settings, log} = this.#options;
-		log.writeState('process started', {dataCentre: settings.dataCentre});
+		const {settings, log, hedging} = this.#options;
+		log.writeState('process started', {
+			dataCentre: settings.dataCentre,
+			...(hedging && {hedgeLimit: hedging.limit}),
+		});
 		void this.#feed.run();
 		await this.#readinessServer.listen(settings.readiness);
 		await this.#metricsServer.listen(settings.metrics);
--- a/packages/gateway/src/context/make-relay.ts
+++ b/packages/gateway/src/context/make-relay.ts
@@ -22,6 +22,10 @@
 import type {TargetProtocol} from '../targets/target-protocol.js';
 import type {TargetState} from '../targets/target-state.js';
 import type {LiveSettings} from './live-settings.js';
+import {
+	makeHedgedDispatcher,
+	type HedgingOptions,
+} from './make-hedged-dispatcher.js';
 
 /** The objects and callbacks that the relay shares with the rest of the host. */
 export type RelayDependencies = {
@@ -38,6 +42,8 @@
 	readonly crashSuspects: CrashSuspects;
 	readonly getHostCount: () => number;
 	readonly isShuttingDown: () => boolean;
+	/** How hedged requests are sent; undefined for none. */
+	readonly hedging: HedgingOptions | undefined;
 	/** Probes a target. */
 	readonly probe: (state: TargetState) => void;
 	/** Called when a connection broke while it carried a request; calls back if the target has crashed. */
@@ -88,6 +94,28 @@
 		getPlanVersion: () => plans.plan?.version,
 		getNowMs: () => clock.monotonicMs(),
 	});
+	const dispatcher = new AttemptDispatcher({
+		clock,
+		serviceTimes,
+		lastSlotFactor,
+		recorder,
+		protocol,
+		crashSuspects,
+		silenceDetector: new SilenceDetector({
+			clock,
+			probe,
+			isPaused: isShuttingDown,
+		}),
+		onNotice(state, notice, namesRequest) {
+			targetRegistry.addAvailability(
+				state,
+				notice,
+				namesRequest ? 'attempt' : undefined,
+			);
+		},
+		onConnectionBroken: dependencies.onConnectionBroken,
+		onTargetFailure: dependencies.onFailure,
+	});
 	return new Relay({
 		clock,
 		picker: new TargetPicker({
@@ -112,28 +140,19 @@
 					serviceTimeMs: serviceTimes.getMs(route.name, route.targetLatencyMs),
 				}),
 		}),
-		dispatcher: new AttemptDispatcher({
-			clock,
-			serviceTimes,
-			lastSlotFactor,
-			recorder,
-			protocol,
-			crashSuspects,
-			silenceDetector: new SilenceDetector({
-				clock,
-				probe,
-				isPaused: isShuttingDown,
+		dispatcher,
+		hedging:
+			dependencies.hedging &&
+			makeHedgedDispatcher({
+				...dependencies,
+				hedging: dependencies.hedging,
+				dispatcher,
+				prober,
+				lastSlotFactor,
+				serviceTimes,
+				recorder,
+				dataCentre,
 			}),
-			onNotice(state, notice, namesRequest) {
-				targetRegistry.addAvailability(
-					state,
-					notice,
-					namesRequest ? 'attempt' : undefined,
-				);
-			},
-			onConnectionBroken: dependencies.onConnectionBroken,
-			onTargetFailure: dependencies.onFailure,
-		}),
 		forwarder: dependencies.forwarder,
 		registry: targetRegistry,
 		returnSchedules,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -2,6 +2,7 @@
 
 export type {CallerProtocol} from '@bilberryscale/daemon/edge';
 export {GatewayHost, type GatewayHostOptions} from './context/gateway-host.js';
+export type {HedgingOptions} from './context/make-hedged-dispatcher.js';
 export type {Endpoint, GatewaySettings} from './context/gateway-settings.js';
 export {TextClient, type TextClientOptions} from './edge/text-client.js';
 export type {
@@ -27,6 +28,7 @@
 	RoutingPlan,
 	ServicePlan,
 } from './plan/routing-plan.js';
+export {loadHistogram} from './hedging/load-histogram.js';
 export {EventLog} from './records/event-log.js';
 export {LineWriter} from './records/line-writer.js';
 export type {AvailabilityNotice} from './targets/target-availability.js';
--- a/packages/gateway/src/records/gateway-metrics.ts
+++ b/packages/gateway/src/records/gateway-metrics.ts
@@ -74,6 +74,26 @@
 		registers: [this.#registry],
 	});
 
+	readonly #hedges = new Counter({
+		name: 'bilberryscale_hedges_total',
+		help: 'Second copies of requests by event: sent, or won the race against the first',
+		labelNames: ['event'],
+		registers: [this.#registry],
+	});
+
+	readonly #hedgeObstacles = new Counter({
+		name: 'bilberryscale_hedge_obstacles_total',
+		help: 'Second copies that were due but not sent, by reason',
+		labelNames: ['reason'],
+		registers: [this.#registry],
+	});
+
+	readonly #wastedMs = new Counter({
+		name: 'bilberryscale_hedge_wasted_milliseconds_total',
+		help: 'Time that copies took which brought no answer, from the send to their end',
+		registers: [this.#registry],
+	});
+
 	/** Gets the content type of the exported text. */
 	get contentType(): string {
 		return this.#registry.contentType;
@@ -152,6 +172,31 @@
 		this.#returnTimes.inc({service, priority, result});
 	}
 
+	/** Records that a second copy of a request was sent. */
+	recordHedgeSent(): void {
+		this.#hedges.inc({event: 'sent'});
+	}
+
+	/**
+	 * Records that a second copy was due but not sent.
+	 *
+	 * @param reason - The reason.
+	 */
+	recordHedgeObstacle(reason: string): void {
+		this.#hedgeObstacles.inc({reason});
+	}
+
+	/**
+	 * Records how two copies of a request have ended.
+	 *
+	 * @param hasWon - Whether the second one won.
+	 * @param wastedMs - The time of the copies that brought no answer, in milliseconds.
+	 */
+	recordHedgeResult(hasWon: boolean, wastedMs: number): void {
+		this.#hedges.inc({event: 'won'}, hasWon ? 1 : 0);
+		this.#wastedMs.inc(wastedMs);
+	}
+
 	/**
 	 * Exports all metrics.
 	 *
--- a/packages/gateway/src/records/request-recorder.ts
+++ b/packages/gateway/src/records/request-recorder.ts
@@ -30,6 +30,21 @@
 	readonly result: AttemptResult;
 };
 
+/** Two copies of a request and how they have ended. */
+export type HedgeRecord = {
+	readonly route: string;
+	/** The target of the first copy. */
+	readonly first: string;
+	/** The target of the second copy. */
+	readonly second: string;
+	/** The copy that brought the answer; undefined if neither did. */
+	readonly winner: 'first' | 'second' | undefined;
+	/** After which time the second copy was due, in milliseconds. */
+	readonly delayMs: number;
+	/** The time of the copies that brought no answer, in milliseconds. */
+	readonly wastedMs: number;
+};
+
 /** Dependencies of the recorder. */
 export type RequestRecorderOptions = {
 	readonly log: EventLog;
@@ -89,6 +104,43 @@
 		});
 	}
 
+	/** Counts a second copy of a request; its attempt is recorded when it ends. */
+	recordHedgeSent(): void {
+		this.#options.metrics.recordHedgeSent();
+	}
+
+	/**
+	 * Records that a second copy of a request was due but not sent.
+	 *
+	 * @param exchange - The request.
+	 * @param reason - The reason.
+	 */
+	recordHedgeObstacle({incoming}: Exchange, reason: string): void {
+		this.#options.metrics.recordHedgeObstacle(reason);
+		this.#options.log.write('hedge not sent', {
+			requestId: incoming.requestId,
+			reason,
+		});
+	}
+
+	/**
+	 * Records two copies of a request, when both have ended.
+	 *
+	 * @param exchange - The request.
+	 * @param record - The copies.
+	 */
+	recordHedge({incoming}: Exchange, record: HedgeRecord): void {
+		const {winner = 'none', wastedMs} = record;
+		this.#options.metrics.recordHedgeResult(winner === 'second', wastedMs);
+		this.#options.log.write('request hedged', {
+			requestId: incoming.requestId,
+			...record,
+			winner,
+			delayMs: roundToTenth(record.delayMs),
+			wastedMs: roundToTenth(wastedMs),
+		});
+	}
+
 	/**
 	 * Records the completion of a request that had a route.
 	 *
--- a/packages/gateway/src/relay/attempt-dispatcher.ts
+++ b/packages/gateway/src/relay/attempt-dispatcher.ts
@@ -22,7 +22,7 @@
 } from './attempt-result.js';
 import {getStallTimeoutMs} from './get-stall-timeout-ms.js';
 import type {SilenceDetector} from './silence-detector.js';
-import {TargetAttempt} from './target-attempt.js';
+import {TargetAttempt, type TargetAttemptOptions} from './target-attempt.js';
 import type {ServiceTimes} from './service-times.js';
 
 /** Dependencies of the dispatcher. */
@@ -51,6 +51,12 @@
 	readonly onTargetFailure: (state: TargetState) => void;
 };
 
+/** What ends an attempt before its deadline. */
+export type AttemptControl = Pick<
+	TargetAttemptOptions,
+	'canRetry' | 'supersededSignal'
+>;
+
 /** Retry delay for a blocked request, in milliseconds. */
 const blockedRetryAfterMs = 60_000;
 
@@ -93,14 +99,14 @@
 	 * @param request - The request.
 	 * @param pick - The target, a connection to it and figures for the log.
 	 * @param attempt - The number of the attempt, from 1 for each request.
-	 * @param canRetry - Whether the request may be sent to another target.
+	 * @param control - What ends the attempt early.
 	 * @returns The result of the attempt.
 	 */
 	async send(
 		request: RoutedRequest,
 		{state, connection, expectedMs, probedCount, waitedMs}: PickedTarget,
 		attempt: number,
-		canRetry: () => boolean,
+		control: AttemptControl,
 	): Promise<AttemptResult> {
 		const {clock, protocol, silenceDetector, recorder, serviceTimes} =
 			this.#options;
@@ -132,7 +138,7 @@
 						remainingMs: deadlineMs - startedAtMs,
 					})
 				: undefined,
-			canRetry,
+			...control,
 		}).run();
 		const durationMs = clock.monotonicMs() - startedAtMs;
 		if (
--- a/packages/gateway/src/relay/attempt-result.ts
+++ b/packages/gateway/src/relay/attempt-result.ts
@@ -14,6 +14,8 @@
 	| 'stalled'
 	/** The deadline of the request has passed. */
 	| 'overdue'
+	/** The other copy of the request has been answered. */
+	| 'superseded'
 	/** The caller has disconnected. */
 	| 'caller-gone';
 
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -17,6 +17,11 @@
 import type {RequestRecorder} from '../records/request-recorder.js';
 import type {TargetRegistry} from '../targets/target-registry.js';
 import type {RequestReader, RoutedRequest} from './request-reader.js';
+import type {
+	HedgedDispatcher,
+	SentCopies,
+	SentCopy,
+} from './hedged-dispatcher.js';
 import type {AttemptDispatcher} from './attempt-dispatcher.js';
 import {
 	describeResult,
@@ -37,6 +42,8 @@
 	readonly forwarder: Forwarder;
 	readonly registry: TargetRegistry;
 	readonly returnSchedules: ReturnSchedules;
+	/** Sends second copies of idempotent requests; undefined if the operator has set no limit for them. */
+	readonly hedging: HedgedDispatcher | undefined;
 	readonly getRetryBudgetLimit: () => RetryBudgetLimit;
 	readonly getHostCount: () => number;
 	readonly recorder: RequestRecorder;
@@ -56,6 +63,8 @@
 
 /** Share of the retry budget that is reserved for returning callers. */
 const returningCallerShare = 0.6;
+/** Share of the retry budget that hedges leave to retries. */
+const retryShare = 0.6;
 /** Retry delay for callers whose request was refused by targets with free capacity, in milliseconds. */
 const refusedRetryAfterMs = 40;
 /** Maximum attempts beyond the route's limit, to targets that refused the request at random before. */
@@ -109,6 +118,7 @@
 		const {clock, reader} = this.#options;
 		this.#getRetryBudget(request.service).addRequest(clock.monotonicMs());
 		this.#options.returnSchedules.addArrival(request);
+		this.#options.hedging?.addRequest(request.service);
 		const progress: Progress = {
 			triedTargets: new Set(),
 			refusingTargets: new Set(),
@@ -129,6 +139,7 @@
 
 			const attempt = await this.#attempt(request, progress, canForward);
 			if (attempt.isErr()) {
+				this.#options.hedging?.addRefusal(request.service);
 				return best === undefined
 					? Err(reader.addRetryAfter(request, attempt.error))
 					: this.#buildResult(
@@ -192,26 +203,59 @@
 	async #send(
 		request: RoutedRequest,
 		picked: PickedTarget,
-		{triedTargets, refusingTargets, attempts, executions}: Progress,
+		progress: Progress,
 	): Promise<AttemptResult> {
-		const {dispatcher, picker} = this.#options;
-		const {id} = picked.state.registration;
-		triedTargets.add(id);
-		const result = await dispatcher.send(request, picked, attempts + 1, () =>
-			this.#canLeaveStalledTarget(request, executions),
+		const {picker} = this.#options;
+		progress.triedTargets.add(picked.state.registration.id);
+		const [{target, result}, ...others] = await this.#sendCopies(
+			request,
+			picked,
+			progress,
 		);
 		picker.wakeFirstWaiting(request.service);
 		if (result.kind === 'answered') {
 			this.#options.returnSchedules.addDeparture(request.service);
 		}
 
-		if (result.kind === 'refused' && result.status !== misdirectedStatus) {
-			refusingTargets.add(id);
+		addRefusingTarget(progress, {target, result});
+		for (const other of others) {
+			progress.triedTargets.add(other.target);
+			progress.attempts++;
+			progress.executions += mayHaveRun(other.result) ? 1 : 0;
+			addRefusingTarget(progress, other);
 		}
 
 		return result;
 	}
 
+	/** Sends a request to a picked target and, if hedging is on, perhaps to another one. */
+	async #sendCopies(
+		request: RoutedRequest,
+		picked: PickedTarget,
+		{triedTargets, attempts, executions}: Progress,
+	): Promise<SentCopies> {
+		const {dispatcher, hedging, clock} = this.#options;
+		const attempt = attempts + 1;
+		const canRetry = () => this.#canLeaveStalledTarget(request, executions);
+		if (hedging === undefined) {
+			const target = picked.state.registration.id;
+			const result = await dispatcher.send(request, picked, attempt, {
+				canRetry,
+			});
+			return [{target, result}];
+		}
+
+		const budget = this.#getRetryBudget(request.service);
+		return hedging.send(request, picked, {
+			attempt,
+			executions,
+			triedTargets,
+			canRetry,
+			canTakeRetry: () => budget.canTake(clock.monotonicMs(), retryShare),
+			takeRetry: () => budget.take(clock.monotonicMs(), retryShare),
+		});
+	}
+
 	/**
 	 * Sends a request through another host. A request that another host has
 	 * forwarded is refused instead, so that no two hosts send it to each other.
@@ -359,6 +403,16 @@
 	}
 }
 
+/** Remembers a target that has refused a request without running it. */
+function addRefusingTarget(
+	{refusingTargets}: Progress,
+	{target, result}: SentCopy,
+): void {
+	if (result.kind === 'refused' && result.status !== misdirectedStatus) {
+		refusingTargets.add(target);
+	}
+}
+
 function limitAttempts(
 	request: RoutedRequest,
 	attempts: number | undefined,
--- a/packages/gateway/src/relay/target-attempt.ts
+++ b/packages/gateway/src/relay/target-attempt.ts
@@ -38,6 +38,8 @@
 	readonly stallTimeoutMs: number | undefined;
 	/** Whether the request may be sent to another target, so that a stalled attempt may be cancelled. */
 	readonly canRetry: () => boolean;
+	/** Aborts when another copy of the request has been answered; undefined if there is none. */
+	readonly supersededSignal?: AbortSignal | undefined;
 };
 
 /**
@@ -103,8 +105,8 @@
 	}
 
 	#start(): void {
-		const {clock, deadlineMs, incoming, state, connection, silenceDetector} =
-			this.#options;
+		const {clock, deadlineMs, incoming, state, connection} = this.#options;
+		const {silenceDetector, supersededSignal} = this.#options;
 		const remainingMs = deadlineMs - this.#startedAtMs;
 		this.#cancelTimer = clock.schedule(
 			remainingMs + deadlineResponseGraceMs,
@@ -120,6 +122,13 @@
 			return;
 		}
 
+		supersededSignal?.addEventListener(
+			'abort',
+			() => {
+				this.#cancel('superseded');
+			},
+			{once: true},
+		);
 		this.#stopWatching =
 			silenceDetector?.watch(state, () => {
 				this.#cancel('silent');
@@ -335,7 +344,10 @@
 
 		this.#isSettled = true;
 		const {state, clock} = this.#options;
-		if (!(result.kind === 'failed' && result.cause === 'caller-gone')) {
+		const isUnfinished =
+			result.kind === 'failed' &&
+			(result.cause === 'caller-gone' || result.cause === 'superseded');
+		if (!isUnfinished) {
 			state.addOutcome(hasFailed, clock.monotonicMs());
 		}
 
--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -1,6 +1,6 @@
 /**
- * Bundles the entry process of the platform into two files, so that it starts quickly: a small one
- * that listens, and one with everything else.
+ * Bundles the entry process of the platform into three files, so that it starts quickly: a small one
+ * that listens, one with everything else, and the histograms that only hosts with a hedge limit load.
  */
 
 import {fileURLToPath} from 'node:url';
@@ -21,6 +21,22 @@
 	},
 };
 
+/** Keeps the histograms in a separate file, which a host that hedges loads. */
+const externalHistogram = {
+	name: 'external-histogram',
+	setup({onResolve}) {
+		// eslint-disable-next-line require-unicode-regexp
+		onResolve({filter: /^hdr-histogram-js\/dist/}, ({kind, path}) =>
+			kind === 'entry-point'
+				? undefined
+				: {
+						path: `./${path.split('/').at(-1).replace('.js', '.cjs')}`,
+						external: true,
+					},
+		);
+	},
+};
+
 /** Replaces undici's HTTP/2 client with a stub. */
 const http2Stub = {
 	name: 'http2-stub',
@@ -33,7 +49,11 @@
 };
 
 await build({
-	entryPoints: ['platform/src/bin/bilberryscaled.ts', 'platform/src/serve.ts'],
+	entryPoints: [
+		'platform/src/bin/bilberryscaled.ts',
+		'platform/src/serve.ts',
+		'hdr-histogram-js/dist/JsHistogramFactory.js',
+	],
 	entryNames: '[name]',
 	outdir: 'target',
 	outExtension: {'.js': '.cjs'},
@@ -51,5 +71,5 @@
 		undici: getPath('undici-core.js'),
 		'prom-client': getPath('prom-core.js'),
 	},
-	plugins: [externalServe, http2Stub],
+	plugins: [externalServe, externalHistogram, http2Stub],
 });
