Decide by service which requests look at far targets

Cause: a host probed up to 8 far targets for each request without an acceptable near one, and 3 of any data centre at each recheck, drawn at random, so that most bytes between data centres were probes and the connections for them. A lost near side was probed first by each request.

Change: Spillover keeps what looks at near and far targets have found and decides whether a request looks far first, at once or not; TargetSearch makes the looks. A far look asks the first 3 far targets in the host's rendezvous order that have a connection and a slot to spare, and is shared for 14 ms. Rechecks ask near targets, and far ones by the same decision. Without far targets nothing changes.

--- a/packages/gateway/src/choice/admission.ts
+++ b/packages/gateway/src/choice/admission.ts
@@ -56,11 +56,11 @@
 		return 'take';
 	}
 
-	const latencyBudgetMs = targetLatencyMs * (1 - latencyMargin);
+	const latencyBudgetMs = getLatencyBudgetMs(targetLatencyMs);
 	const isOnTimeAfterRecheck =
 		ageMs + recheckIntervalMs + bestLatencyMs <= latencyBudgetMs;
 	const isNearOptimalOnTimeAfterRecheck =
-		ageMs + recheckIntervalMs + serviceTimeMs * nearOptimalFactor <=
+		ageMs + recheckIntervalMs + getNearOptimalLatencyMs(serviceTimeMs) <=
 		latencyBudgetMs;
 	const isOnTimeNow = ageMs + bestLatencyMs <= latencyBudgetMs;
 	if (
@@ -76,3 +76,23 @@
 
 	return hasFreeSlot && bestLatencyMs <= remainingMs ? 'take' : 'refuse';
 }
+
+/**
+ * Gets the time within which a request is planned to be answered.
+ *
+ * @param targetLatencyMs - The latency target of the route, in milliseconds.
+ * @returns The latency target without the safety margin, in milliseconds.
+ */
+export function getLatencyBudgetMs(targetLatencyMs: number): number {
+	return targetLatencyMs * (1 - latencyMargin);
+}
+
+/**
+ * Gets the longest latency that counts as near optimal.
+ *
+ * @param serviceTimeMs - The typical service time of the route, in milliseconds.
+ * @returns The latency, in milliseconds.
+ */
+export function getNearOptimalLatencyMs(serviceTimeMs: number): number {
+	return serviceTimeMs * nearOptimalFactor;
+}
--- a/packages/gateway/src/choice/target-cost.ts
+++ b/packages/gateway/src/choice/target-cost.ts
@@ -26,8 +26,8 @@
 
 /** A cold target runs at about half speed; its reported slowdown includes this, so the two are not multiplied. */
 const coldSlowdownFactor = 2;
-/** Traffic between data centres is costly, so a near target wins a tie. */
-const remotePenaltyMs = 12;
+/** Traffic between data centres is costly, so a near target wins a tie; in milliseconds. */
+export const remotePenaltyMs = 12;
 /** Relative cost that each request already at the target adds, to spread requests. */
 const loadPenaltyFactor = 0.04;
 /** A target that reports itself unhealthy is picked only if all others cost far more. */
--- a/packages/gateway/src/choice/target-picker.ts
+++ b/packages/gateway/src/choice/target-picker.ts
@@ -21,17 +21,16 @@
 import type {LastSlotFactor} from './last-slot-factor.js';
 import {isEligible, type PickRequest} from './pick-request.js';
 import {
-	maxProbeCount,
-	probeScopes,
-	type TargetProber,
-} from './target-prober.js';
+	TargetSearch,
+	type TargetSearchOptions,
+	type TargetSide,
+} from './target-search.js';
 import {WaitQueue} from './wait-queue.js';
 
 /** The dependencies of a picker. */
-export type TargetPickerOptions = {
+export type TargetPickerOptions = TargetSearchOptions & {
 	readonly clock: Clock;
 	readonly registry: TargetRegistry;
-	readonly prober: TargetProber;
 	readonly lastSlotFactor: LastSlotFactor;
 	/** The data centre of this host. */
 	readonly dataCentre: DataCentreId;
@@ -55,8 +54,6 @@
 	readonly expectedMs: number;
 };
 
-/** The number of targets probed again while a request waits. */
-const reprobeCount = 3;
 /** Maximum age of a load report that a pick may rely on, in milliseconds. */
 const maxReportAgeMs = 15;
 /** Maximum age of the load report of a target with a limit, in milliseconds; it counts as idle without one, as it gets few requests. */
@@ -90,20 +87,10 @@
 	async pick(request: PickRequest): Promise<Result<PickedTarget, Failure>> {
 		const {clock} = this.#options;
 		const startedAtMs = clock.monotonicMs();
-		let probedCount = 0;
-		for (const scope of probeScopes) {
-			probedCount += await this.#options.prober.probe(
-				request,
-				maxProbeCount,
-				scope,
-			);
-			if (
-				this.#hasAcceptableTarget(request) ||
-				(request.endsOutOfReach && this.#options.registry.pathMonitor.isLost)
-			) {
-				break;
-			}
-		}
+		const search = new TargetSearch(this.#options, request, (side) =>
+			this.#hasAcceptableTarget(request, side),
+		);
+		await search.run();
 
 		for (;;) {
 			const best = this.#findBest(request);
@@ -114,6 +101,8 @@
 					best.state.availability.limit.addSend(clock.monotonicMs());
 					const waitedMs = clock.monotonicMs() - startedAtMs;
 					const {state, expectedMs} = best;
+					const {probedCount} = search;
+					search.end(state);
 					return Ok({state, connection, expectedMs, probedCount, waitedMs});
 				}
 			}
@@ -127,16 +116,17 @@
 				isOutOfReach ||
 				this.#isUnservable(request)
 			) {
-				return Err(this.#describeRefusal(request, best, probedCount));
+				search.end(undefined);
+				return Err(this.#describeRefusal(request, best, search.probedCount));
 			}
 
 			const wasWoken = await this.#waitQueue.wait(
 				request.service,
 				reprobeIntervalMs,
 			);
-			probedCount += wasWoken
-				? 0
-				: await this.#options.prober.probe(request, reprobeCount, 'any');
+			if (!wasWoken) {
+				await search.recheck();
+			}
 		}
 	}
 
@@ -151,8 +141,8 @@
 	}
 
 	/** Checks whether a target is known that the request would take without a wait. */
-	#hasAcceptableTarget(request: PickRequest): boolean {
-		const best = this.#findBest(request);
+	#hasAcceptableTarget(request: PickRequest, side: TargetSide): boolean {
+		const best = this.#findBest(request, side);
 		return (
 			best !== undefined && this.#decideAdmission(request, best) === 'take'
 		);
@@ -214,12 +204,17 @@
 		);
 	}
 
-	#findBest(request: PickRequest): Candidate | undefined {
+	#findBest(
+		request: PickRequest,
+		side: TargetSide = 'any',
+	): Candidate | undefined {
 		const {registry, clock} = this.#options;
 		const nowMs = clock.monotonicMs();
 		let best: Candidate | undefined;
 		for (const state of registry.getOpenTargets(request.service)) {
-			if (!this.#isUsable(state, request, nowMs)) {
+			const isOnSide =
+				side === 'any' || this.#isNear(state) === (side === 'near');
+			if (!isOnSide || !this.#isUsable(state, request, nowMs)) {
 				continue;
 			}
 
@@ -271,10 +266,14 @@
 			isHealthy: state.health?.isHealthy ?? true,
 			isCold: state.isCold(nowMs),
 			failureRate: state.getFailureRate(nowMs),
-			isNear: state.registration.dataCentre === this.#options.dataCentre,
+			isNear: this.#isNear(state),
 		};
 	}
 
+	#isNear({registration}: TargetState): boolean {
+		return registration.dataCentre === this.#options.dataCentre;
+	}
+
 	#getProfile(
 		{slots}: TargetState,
 		{service, serviceTimeMs, isIdempotent}: PickRequest,
--- a/packages/gateway/src/choice/target-prober.ts
+++ b/packages/gateway/src/choice/target-prober.ts
@@ -15,7 +15,7 @@
 import type {TargetState} from '../targets/target-state.js';
 import {probeTargets} from './probe-targets.js';
 import {isEligible, type PickRequest} from './pick-request.js';
-import {getTargetSubset} from './target-subset.js';
+import {getTargetSubset, orderByRank} from './target-subset.js';
 
 /** The dependencies of a prober. */
 export type TargetProberOptions = {
@@ -30,23 +30,28 @@
 	/** Gets how many probes per second a target may get from all hosts together. */
 	readonly getProbesPerTargetSecond: () => number;
 	readonly getHostCount: () => number;
+	/** Sends a round of probes; a test replaces it. */
+	readonly sendProbes?: typeof probeTargets;
+	/** Called with the number of probes of a round that go to other data centres. */
+	readonly onFarProbes?: (service: ServiceName, count: number) => void;
 };
 
 /**
  * Which targets are probed: this host's subset of the targets in its own data
- * centre, the others there, those in other data centres, or all.
+ * centre (near targets), the others there, or any of them; this host's subset of
+ * the targets in other data centres (far targets), or the next ones of these in
+ * the order of this host.
  */
-export type ProbeScope = 'subset' | 'near' | 'far' | 'any';
-
-/** The order in which scopes are probed until an acceptable target is found. */
-export const probeScopes: readonly ProbeScope[] = ['subset', 'near', 'far'];
+export type ProbeScope = 'subset' | 'near' | 'any-near' | 'far' | 'other-far';
 
 /** The number of targets of a service that a host probes for each request while one of them is acceptable. */
 const subsetSize = 4;
-/** The maximum number of other targets probed at once. */
-export const maxProbeCount = 8;
-/** Time after its start in which a round of probes also serves other requests, in milliseconds. */
-const roundSharingMs = 3;
+/** Time after its start in which a round of near probes also serves other requests, in milliseconds. */
+const nearRoundSharingMs = 3;
+/** The same for far probes, which cost bytes between data centres; a pick relies on reports of up to 15 ms. */
+const farRoundSharingMs = 14;
+/** A far target that reported no free slot but its last one is not probed again within this time, in milliseconds. */
+const fullFarTargetRestMs = 100;
 
 /**
  * Probes targets within a budget, but at least one in each round of probes;
@@ -87,7 +92,8 @@
 		const running = this.#rounds.get(key);
 		if (
 			running !== undefined &&
-			nowMs - running.startedAtMs <= roundSharingMs
+			nowMs - running.startedAtMs <=
+				(isFar(scope) ? farRoundSharingMs : nearRoundSharingMs)
 		) {
 			await running.end;
 			return 0;
@@ -99,7 +105,12 @@
 		}
 
 		const healthPath = registry.getServicePlan(service)?.healthPath ?? '/';
-		const end = probeTargets({
+		const {sendProbes = probeTargets, onFarProbes} = this.#options;
+		if (isFar(scope)) {
+			onFarProbes?.(service, states.length);
+		}
+
+		const end = sendProbes({
 			states,
 			healthPath,
 			protocol,
@@ -122,7 +133,7 @@
 		const {service} = request;
 		const {clock, random, registry} = this.#options;
 		const nowMs = clock.monotonicMs();
-		const open = this.#getTargetsInScope(service, scope).filter(
+		const open = this.#getTargetsInScope(service, scope, nowMs).filter(
 			({registration, availability}) =>
 				isEligible(request, registration.id) &&
 				availability.limit.canProbe(nowMs),
@@ -135,30 +146,39 @@
 			registry.getOpenTargets(service).length,
 			nowMs,
 		);
-		return candidates
-			.map((state) => ({state, rank: random()}))
-			.toSorted((a, b) => a.rank - b.rank)
-			.slice(0, Math.max(1, allowed))
-			.map(({state}) => state);
+		const ordered = isFar(scope)
+			? candidates
+			: candidates
+					.map((state) => ({state, rank: random()}))
+					.toSorted((a, b) => a.rank - b.rank)
+					.map(({state}) => state);
+		return ordered.slice(0, Math.max(1, allowed));
 	}
 
+	/** Gets the targets of a scope; far ones in the order of this host, so that it keeps to few connections. */
 	#getTargetsInScope(
 		service: ServiceName,
 		scope: ProbeScope,
+		nowMs: number,
 	): readonly TargetState[] {
 		const {registry, dataCentre, host} = this.#options;
 		const open = registry.getOpenTargets(service);
-		if (scope === 'any') {
-			return open;
-		}
-
 		const isNear = ({registration}: TargetState) =>
 			registration.dataCentre === dataCentre;
-		if (scope === 'far') {
-			return open.filter((state) => !isNear(state));
+		if (isFar(scope)) {
+			// Requests that last long may hold all connections to a target of the subset.
+			const far = open.filter(
+				(state) => !isNear(state) && state.pool.isAvailable,
+			);
+			const rested = far.filter((state) => !isResting(state, nowMs));
+			return orderByRank(rested.length > 0 ? rested : far, host);
 		}
 
 		const near = open.filter((state) => isNear(state));
+		if (scope === 'any-near') {
+			return near;
+		}
+
 		const subset = getTargetSubset(near, host, subsetSize);
 		return scope === 'subset'
 			? subset
@@ -174,3 +194,16 @@
 		return budget;
 	}
 }
+
+function isFar(scope: ProbeScope): boolean {
+	return scope === 'far' || scope === 'other-far';
+}
+
+/** Checks whether a target has just reported that it is full, or that only its last slot of several is free. */
+function isResting({report, load, slots}: TargetState, nowMs: number): boolean {
+	return (
+		report !== undefined &&
+		nowMs - report.receivedAtMs < fullFarTargetRestMs &&
+		load >= Math.max(1, slots - 1)
+	);
+}
--- a/packages/gateway/src/choice/target-subset.ts
+++ b/packages/gateway/src/choice/target-subset.ts
@@ -22,12 +22,25 @@
 		return states;
 	}
 
+	return orderByRank(states, host).slice(0, maxCount);
+}
+
+/**
+ * Orders targets by rendezvous hashing: each host has its own order, which it keeps.
+ *
+ * @param states - The targets.
+ * @param host - The host.
+ * @returns The targets, those that the host uses first at the beginning.
+ */
+export function orderByRank(
+	states: readonly TargetState[],
+	host: HostId,
+): readonly TargetState[] {
 	return states
 		.map((state) => ({
 			state,
 			rank: getRendezvousRank(host, state.registration.id),
 		}))
 		.toSorted((a, b) => a.rank - b.rank)
-		.slice(0, maxCount)
 		.map(({state}) => state);
 }
--- a/packages/gateway/src/context/make-relay.ts
+++ b/packages/gateway/src/context/make-relay.ts
@@ -3,11 +3,13 @@
 import type {Clock, Digest, RandomSource} from '@bilberryscale/core';
 import type {CrashSuspects} from '@bilberryscale/decisions';
 import {LastSlotFactor} from '../choice/last-slot-factor.js';
+import {Spillover} from '../choice/spillover.js';
 import {TargetProber} from '../choice/target-prober.js';
 import {TargetPicker} from '../choice/target-picker.js';
 import type {Forwarder} from '../forwarding/forwarder.js';
 import type {PlanHolder} from '../plan/plan-holder.js';
 import {TrafficSplitter} from '../plan/traffic-splitter.js';
+import {writeSpilloverChange} from '../records/write-spillover-change.js';
 import {RequestRecorder} from '../records/request-recorder.js';
 import type {EventLog} from '../records/event-log.js';
 import type {GatewayMetrics} from '../records/gateway-metrics.js';
@@ -72,6 +74,9 @@
 		dataCentre,
 		getProbesPerTargetSecond: () => settings.current.questionsPerTargetSecond,
 		getHostCount,
+		onFarProbes(service, count) {
+			metrics.recordFarProbes(service, count);
+		},
 	});
 	const recorder = new RequestRecorder({
 		log,
@@ -85,6 +90,12 @@
 			clock,
 			registry: targetRegistry,
 			prober,
+			spillover: new Spillover(clock, (service, stage, inputs) => {
+				writeSpilloverChange(log, service, stage, inputs);
+			}),
+			onFarSend(service) {
+				metrics.recordFarSend(service);
+			},
 			lastSlotFactor,
 			dataCentre,
 		}),
--- a/packages/gateway/src/records/gateway-metrics.ts
+++ b/packages/gateway/src/records/gateway-metrics.ts
@@ -67,6 +67,20 @@
 		registers: [this.#registry],
 	});
 
+	readonly #farProbes = new Counter({
+		name: 'bilberryscale_far_probes_total',
+		help: 'Probes of targets in other data centres',
+		labelNames: ['service'],
+		registers: [this.#registry],
+	});
+
+	readonly #farSends = new Counter({
+		name: 'bilberryscale_far_sends_total',
+		help: 'Requests sent to targets in other data centres',
+		labelNames: ['service'],
+		registers: [this.#registry],
+	});
+
 	/** Gets the content type of the exported text. */
 	get contentType(): string {
 		return this.#registry.contentType;
@@ -134,6 +148,25 @@
 		this.#forwards.inc({result});
 	}
 
+	/**
+	 * Records probes of targets in other data centres.
+	 *
+	 * @param service - The service.
+	 * @param count - The number of probes.
+	 */
+	recordFarProbes(service: string, count: number): void {
+		this.#farProbes.inc({service}, count);
+	}
+
+	/**
+	 * Records a request that is sent to a target in another data centre.
+	 *
+	 * @param service - The service.
+	 */
+	recordFarSend(service: string): void {
+		this.#farSends.inc({service});
+	}
+
 	/**
 	 * Exports all metrics.
 	 *
--- a/packages/gateway/src/targets/connection-pool.ts
+++ b/packages/gateway/src/targets/connection-pool.ts
@@ -33,6 +33,13 @@
 		return this.#idle.length + this.#busy.size;
 	}
 
+	/** Whether a connection is idle or may be opened. */
+	get isAvailable(): boolean {
+		return (
+			this.#idle.length > 0 || this.#busy.size < this.#options.getMaxSize()
+		);
+	}
+
 	/**
 	 * Takes an idle connection or opens a new one.
 	 *
--- /dev/null
+++ b/packages/gateway/test/choice/model-host.ts
@@ -0,0 +1,87 @@
+/** Builds the picker of a host for tests without a network, and requests for it. */
+
+import {
+	makeId,
+	type Clock,
+	type DataCentreId,
+	type HostId,
+	type RandomSource,
+} from '@bilberryscale/core';
+import {LastSlotFactor} from '../../src/choice/last-slot-factor.js';
+import type {PickRequest} from '../../src/choice/pick-request.js';
+import {Spillover} from '../../src/choice/spillover.js';
+import {TargetPicker} from '../../src/choice/target-picker.js';
+import {
+	TargetProber,
+	type TargetProberOptions,
+} from '../../src/choice/target-prober.js';
+import {GatewayMetrics} from '../../src/records/gateway-metrics.js';
+import {TargetRegistry} from '../../src/targets/target-registry.js';
+import {makeTestLog, reading, testProtocol} from '../fixtures.js';
+
+export type ModelHostOptions = {
+	readonly clock: Clock;
+	readonly name: string;
+	readonly dataCentre: DataCentreId;
+	readonly hostCount: number;
+	readonly random: RandomSource;
+	/** Takes the place of the network. */
+	readonly sendProbes: NonNullable<TargetProberOptions['sendProbes']>;
+};
+
+export function makeModelHost(options: ModelHostOptions): {
+	readonly registry: TargetRegistry;
+	readonly picker: TargetPicker;
+} {
+	const {clock, name, hostCount} = options;
+	const {log} = makeTestLog(clock);
+	const getHostCount = () => hostCount;
+	const registry = new TargetRegistry({
+		clock,
+		log,
+		metrics: new GatewayMetrics(),
+		localAddress: '127.0.0.1',
+		getHostCount,
+		makeLimitPolicy: () => ({
+			getShare: (perSecond) => perSecond,
+			getCheckDelayMs: () => 1000,
+		}),
+		onLimitChange: () => undefined,
+		onPathLost: () => undefined,
+	});
+	const prober = new TargetProber({
+		...options,
+		log,
+		registry,
+		protocol: testProtocol,
+		host: makeId<HostId>(name),
+		getProbesPerTargetSecond: () => 60,
+		getHostCount,
+	});
+	const picker = new TargetPicker({
+		...options,
+		registry,
+		prober,
+		spillover: new Spillover(clock),
+		onFarSend: () => undefined,
+		lastSlotFactor: new LastSlotFactor(),
+	});
+	return {registry, picker};
+}
+
+export function makePickRequest(
+	changes: Partial<PickRequest> & Pick<PickRequest, 'receivedAtMs'>,
+): PickRequest {
+	return {
+		service: reading,
+		isIdempotent: true,
+		serviceTimeMs: 200,
+		triedTargets: new Set(),
+		allowedTargets: undefined,
+		endsOutOfReach: false,
+		targetLatencyMs: 600,
+		deadlineMs: changes.receivedAtMs + 2500,
+		signal: new AbortController().signal,
+		...changes,
+	};
+}
