--- a/packages/gateway/test/choice/model-host.ts
+++ b/packages/gateway/test/choice/model-host.ts
@@ -78,6 +78,7 @@
 		serviceTimeMs: 200,
 		triedTargets: new Set(),
 		allowedTargets: undefined,
+		isReturning: false,
 		endsOutOfReach: false,
 		targetLatencyMs: 600,
 		deadlineMs: changes.receivedAtMs + 2500,
