Check the keys of client accounts before a request is read and sent

Cause: a deployment publishes client accounts; requests must carry a key of one, targets must learn the account but never the key, and a removed key must stop working on open connections and for waiting requests. Error kinds account-unknown (401), account-rate-exceeded (429, for the rate limits) and accounts-outdated (503).

--- a/packages/core/src/errors/error-responses.ts
+++ b/packages/core/src/errors/error-responses.ts
@@ -23,6 +23,17 @@
 	'body-too-large': response(413, 'The body is too large'),
 	'body-timeout': response(408, 'The body came too slowly'),
 	'service-unknown': response(404, 'The service is unknown'),
+	'account-unknown': response(401, 'The client account is unknown'),
+	'account-rate-exceeded': response(
+		429,
+		'The client account is over its rate limit',
+		shortRetryMs,
+	),
+	'accounts-outdated': response(
+		503,
+		'The client accounts may be outdated',
+		shortRetryMs,
+	),
 	'class-unknown': response(400, 'The class of caller is unknown'),
 	'key-invalid': response(400, 'The idempotency key is not a UUIDv7'),
 	'key-conflict': response(422, 'The key was used for another request'),
--- a/packages/daemon/src/edge.ts
+++ b/packages/daemon/src/edge.ts
@@ -9,11 +9,11 @@
 export {getForwardedHeaders} from './http/forwarded-headers.js';
 export {waitForPendingIo} from './http/wait-for-pending-io.js';
 export {getRequestSignature} from './dispatch/request-signature.js';
-export type {
-	Answer,
+export {
 	Exchange,
-	FilterResult,
-	IncomingCall,
+	type Answer,
+	type FilterResult,
+	type IncomingCall,
 } from './pipeline/exchange.js';
 export {BodyReader} from './pipeline/filters/read-body.js';
 export {Connection} from './upstream/connection.js';
--- a/packages/daemon/src/http/caller-listener.ts
+++ b/packages/daemon/src/http/caller-listener.ts
@@ -175,6 +175,7 @@
 		method: request.method ?? 'GET',
 		url: originalUrl ?? '/',
 		headers: request.headers,
+		rawHeaders: request.rawHeaders,
 		body: request,
 		receivedAtMs: clock.monotonicMs(),
 		signal,
--- a/packages/daemon/src/pipeline/exchange.ts
+++ b/packages/daemon/src/pipeline/exchange.ts
@@ -20,6 +20,8 @@
 	/** The path and the query as the caller sent them. */
 	readonly url: string;
 	readonly headers: IncomingHttpHeaders;
+	/** The names and values of all header lines in turn, as the caller sent them; undefined if they are not known. */
+	readonly rawHeaders?: readonly string[];
 	readonly body: Readable;
 	/** When the request head was received, on the monotonic clock, in milliseconds. */
 	readonly receivedAtMs: number;
--- a/packages/gateway/src/choice/pick-request.ts
+++ b/packages/gateway/src/choice/pick-request.ts
@@ -20,6 +20,8 @@
 	readonly targetLatencyMs: number;
 	/** When the response must be complete, on the monotonic clock, in milliseconds. */
 	readonly deadlineMs: number;
+	/** Checks whether the request must not be sent any more, because its key was removed. */
+	readonly isRevoked?: () => boolean;
 	/** Aborts when the caller disconnects. */
 	readonly signal: AbortSignal;
 };
--- a/packages/gateway/src/choice/target-picker.ts
+++ b/packages/gateway/src/choice/target-picker.ts
@@ -174,7 +174,7 @@
 	}
 
 	/**
-	 * Checks whether the caller has disconnected or no open target is eligible.
+	 * Checks whether the caller has disconnected, its key was removed or no open target is eligible.
 	 * A target with a limit is not if its next request would be late.
 	 */
 	#isUnservable(request: PickRequest): boolean {
@@ -187,6 +187,7 @@
 		);
 		return (
 			request.signal.aborted ||
+			request.isRevoked?.() === true ||
 			registry
 				.getOpenTargets(service)
 				.every(
--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -9,6 +9,7 @@
 	type FilterResult,
 } from '@bilberryscale/daemon/edge';
 import {CrashSuspects} from '@bilberryscale/decisions';
+import {AccountDirectory} from '../accounts/account-directory.js';
 import {TargetProbe} from '../choice/target-probe.js';
 import type {CallerServer} from '../edge/caller-server.js';
 import {TextServer} from '../edge/text-server.js';
@@ -18,7 +19,11 @@
 import {PathRecovery} from '../forwarding/path-recovery.js';
 import {LimitShares} from '../limits/limit-shares.js';
 import {SnapshotFeed} from '../snapshot/snapshot-feed.js';
-import type {ItemDecoder, SnapshotSource} from '../snapshot/snapshot-source.js';
+import type {
+	ItemDecoder,
+	ItemPreparation,
+	SnapshotSource,
+} from '../snapshot/snapshot-source.js';
 import type {RoutingSnapshot} from '../plan/routing-snapshot.js';
 import {PlanHolder} from '../plan/plan-holder.js';
 import {RouteTable} from '../plan/route-table.js';
@@ -44,6 +49,8 @@
 	/** The reader of the store with the published items. */
 	readonly store: SnapshotSource;
 	readonly decode: ItemDecoder;
+	/** Decodes large items ahead; undefined if the decoder never takes long. */
+	readonly prepareItem?: ItemPreparation;
 	readonly callerProtocol: CallerProtocol;
 	readonly targetProtocol: TargetProtocol;
 };
@@ -136,6 +143,7 @@
 			log,
 			metrics: this.#metrics,
 			decode,
+			prepareItem: options.prepareItem,
 			address: settings.callers.address,
 			getSources: (hasSnapshot) => this.#fleet.getSources(hasSnapshot),
 			getHostCount: () => this.#fleet.hostCount,
@@ -189,6 +197,7 @@
 			metrics: this.#metrics,
 			localAddress: settings.callers.address,
 			port: settings.forwardingPort,
+			hasAccounts: () => this.#plans.plan?.accounts !== undefined,
 			getPeers: () => this.#fleet.getShuffledPeers(),
 			isShuttingDown,
 		});
@@ -204,6 +213,7 @@
 			plans: this.#plans,
 			crashSuspects: this.#crashSuspects,
 			getHostCount,
+			getSnapshotAgeMs: () => this.#feed.ageMs,
 			isShuttingDown,
 			probe: (state) => {
 				this.#probe(state);
@@ -347,18 +357,25 @@
 		this.#targetCount = targets.size;
 		this.#targetRegistry.setSnapshot(snapshot);
 		if (plan !== undefined && plan.version !== previousPlan?.version) {
+			const accounts =
+				plan.accountDirectory ??
+				(plan.clientAccounts &&
+					AccountDirectory.fromOrThrow(plan.clientAccounts));
 			log.writeState('plan in force', {
 				version: plan.version,
 				former: previousPlan?.version,
 				routes: plan.routes.length,
 				targets: targets.size,
 				emptied: [...drainedDataCentres],
+				accounts: accounts?.accountCount,
+				keys: accounts?.keyCount,
 			});
 			callerServer.setTimeouts(plan.limits);
 			this.#plans.setPlan({
 				version: plan.version,
 				routeTable: new RouteTable(plan.routes),
 				limits: plan.limits,
+				accounts,
 			});
 		}
 
--- a/packages/gateway/src/context/gateway-settings.ts
+++ b/packages/gateway/src/context/gateway-settings.ts
@@ -31,6 +31,11 @@
 	readonly retryBound: RetryBudgetLimit;
 	/** Maximum rate of probes from the whole fleet to a target, per second. */
 	readonly questionsPerTargetSecond: number;
+	/**
+	 * Maximum age of the published knowledge by which keys of client accounts are
+	 * accepted, in milliseconds; undefined if the last known keys always are.
+	 */
+	readonly maxAccountsAgeMs: number | undefined;
 	/** Maximum duration of a shutdown, in milliseconds. */
 	readonly shutdownMs: number;
 };
--- a/packages/gateway/src/context/live-settings.ts
+++ b/packages/gateway/src/context/live-settings.ts
@@ -15,6 +15,7 @@
 	'seeds',
 	'retryBound',
 	'questionsPerTargetSecond',
+	'maxAccountsAgeMs',
 	'shutdownMs',
 ]);
 
@@ -49,11 +50,13 @@
 			(key) => !isDeepStrictEqual(next[key], this.#current[key]),
 		);
 		const {seeds, retryBound, questionsPerTargetSecond, shutdownMs} = next;
+		const {maxAccountsAgeMs} = next;
 		this.#current = {
 			...this.#current,
 			seeds,
 			retryBound,
 			questionsPerTargetSecond,
+			maxAccountsAgeMs,
 			shutdownMs,
 		};
 		return {
--- a/packages/gateway/src/context/make-relay.ts
+++ b/packages/gateway/src/context/make-relay.ts
@@ -2,6 +2,7 @@
 
 import type {Clock, Digest, RandomSource} from '@bilberryscale/core';
 import type {CrashSuspects} from '@bilberryscale/decisions';
+import {AccountCheck} from '../accounts/account-check.js';
 import {LastSlotFactor} from '../choice/last-slot-factor.js';
 import {TargetProber} from '../choice/target-prober.js';
 import {TargetPicker} from '../choice/target-picker.js';
@@ -36,6 +37,8 @@
 	/** The requests that may have crashed targets. */
 	readonly crashSuspects: CrashSuspects;
 	readonly getHostCount: () => number;
+	/** Gets the time since the store confirmed the published state, in milliseconds. */
+	readonly getSnapshotAgeMs: () => number;
 	readonly isShuttingDown: () => boolean;
 	/** Probes a target. */
 	readonly probe: (state: TargetState) => void;
@@ -79,8 +82,19 @@
 		getPlanVersion: () => plans.plan?.version,
 		getNowMs: () => clock.monotonicMs(),
 	});
+	const accountCheck = new AccountCheck({
+		plans,
+		credentialHeader: protocol.credentialHeader,
+		getMaxAgeMs: () => settings.current.maxAccountsAgeMs,
+		getAgeMs: dependencies.getSnapshotAgeMs,
+		onRefusal(incoming, refusal, plan) {
+			const ageMs = dependencies.getSnapshotAgeMs();
+			recorder.recordAccountRefusal(incoming, refusal, plan, ageMs);
+		},
+	});
 	return new Relay({
 		clock,
+		accountCheck,
 		picker: new TargetPicker({
 			clock,
 			registry: targetRegistry,
@@ -94,6 +108,7 @@
 			returningCallerDetector: new ReturningCallerDetector(),
 			deadlineHeader: protocol.deadlineHeader,
 			plans,
+			accountCheck,
 		}),
 		dispatcher: new AttemptDispatcher({
 			clock,
--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -1,12 +1,14 @@
 /** Sends requests through other hosts while this one reaches no target. */
 
 import {
+	errorResponses,
 	makeId,
 	type Clock,
 	type ServiceName,
 	type TargetId,
 } from '@bilberryscale/core';
 import type {CallerProtocol} from '@bilberryscale/daemon/edge';
+import {getHostAccountHeaders} from '../accounts/account-headers.js';
 import {probeTargets} from '../choice/probe-targets.js';
 import {TargetProbe} from '../choice/target-probe.js';
 import type {HostPlace} from '../limits/get-rate-share.js';
@@ -43,6 +45,8 @@
 	readonly callerProtocol: CallerProtocol;
 	readonly targetProtocol: TargetProtocol;
 	readonly isShuttingDown: () => boolean;
+	/** Whether the plan in force has client accounts. */
+	readonly hasAccounts: () => boolean;
 };
 
 /** How many hosts are asked at once whether they take a request. */
@@ -60,6 +64,7 @@
 /** Maximum idle time of a reused connection, in milliseconds. */
 const maxIdleMs = {idempotent: 5000, nonIdempotent: 150};
 const maxConnectionsPerHost = 32;
+const keyRefusedStatus = errorResponses['account-unknown'].status;
 /** Requests are spread by how many a host works on; this number has no other effect. */
 const assumedSlots = 64;
 
@@ -108,10 +113,11 @@
 	): Promise<AttemptResult | undefined> {
 		const {clock} = this.#options;
 		const tried = new Set<TargetState>();
+		let keyRefusal: AttemptResult | undefined;
 		while (tried.size < maxHostsPerRequest) {
 			const state = await this.#findHost(request.route.isIdempotent, tried);
 			if (state === undefined) {
-				return undefined;
+				return keyRefusal;
 			}
 
 			tried.add(state);
@@ -121,10 +127,15 @@
 				return result;
 			}
 
-			state.avoidUntilMs = clock.monotonicMs() + unavailableAvoidMs;
+			if (result?.kind === 'refused' && result.status === keyRefusedStatus) {
+				// The host serves other requests; it may have read another version of the plan.
+				keyRefusal = result;
+			} else {
+				state.avoidUntilMs = clock.monotonicMs() + unavailableAvoidMs;
+			}
 		}
 
-		return undefined;
+		return keyRefusal;
 	}
 
 	/** Closes all connections. */
@@ -141,7 +152,7 @@
 		attemptsLeft: number,
 	): Promise<AttemptResult | undefined> {
 		const {clock, log, metrics} = this.#options;
-		const {exchange, route, body, deadlineMs} = request;
+		const {exchange, route, body, deadlineMs, hasAccounts} = request;
 		const connection = state.pool.acquire(
 			route.isIdempotent ? maxIdleMs.idempotent : maxIdleMs.nonIdempotent,
 		);
@@ -150,14 +161,19 @@
 		}
 
 		const startedAtMs = clock.monotonicMs();
+		const protocol = this.#makeProtocol(attemptsLeft);
+		const {headers} = exchange.incoming;
 		const result = await new TargetAttempt({
 			incoming: exchange.incoming,
 			body,
 			state,
 			connection,
-			protocol: this.#makeProtocol(attemptsLeft),
+			protocol,
 			clock,
 			deadlineMs,
+			accountHeaders: hasAccounts
+				? getHostAccountHeaders(protocol, headers[protocol.credentialHeader])
+				: {},
 			onNotice: () => undefined,
 			silenceDetector: route.isIdempotent ? this.#silenceDetector : undefined,
 			stallTimeoutMs: undefined,
@@ -276,11 +292,12 @@
 	}
 
 	#makeProtocol(attemptsLeft: number): TargetProtocol {
-		const {targetProtocol, callerProtocol} = this.#options;
+		const {targetProtocol, callerProtocol, hasAccounts} = this.#options;
 		return makeForwardingProtocol(
 			targetProtocol,
 			callerProtocol.runStateHeader,
 			attemptsLeft,
+			hasAccounts,
 		);
 	}
 }
--- a/packages/gateway/src/forwarding/forwarding-protocol.ts
+++ b/packages/gateway/src/forwarding/forwarding-protocol.ts
@@ -8,6 +8,8 @@
 export const hostHeader = 'bilberryscale-host';
 /** The header of a health response with the number of requests that the host works on. */
 export const openRequestsHeader = 'bilberryscale-open-requests';
+/** The header of a health response by which a host says that it checks the keys of client accounts itself. */
+export const checksAccountsHeader = 'bilberryscale-checks-accounts';
 /** The path on which a host tells whether it takes requests from others. */
 export const forwardingHealthPath = '/forwarding-health';
 
@@ -20,12 +22,14 @@
  * @param targetProtocol - The protocol between hosts and targets, whose headers the other host passes on.
  * @param runStateHeader - The header of a host's own failure that says whether the request may have run.
  * @param attemptsLeft - How many targets the other host may send the request to.
+ * @param hasAccounts - Whether only hosts that check keys may get requests; an earlier version would pass them to targets.
  * @returns The protocol.
  */
 export function makeForwardingProtocol(
 	targetProtocol: TargetProtocol,
 	runStateHeader: string,
 	attemptsLeft: number,
+	hasAccounts: () => boolean = () => false,
 ): TargetProtocol {
 	return {
 		...targetProtocol,
@@ -44,7 +48,9 @@
 				waiting: 0,
 				slots,
 				slowdownFactor: 1,
-				isHealthy: status === healthyStatus,
+				isHealthy:
+					status === healthyStatus &&
+					(!hasAccounts() || headers[checksAccountsHeader] !== undefined),
 				remainingWarmUpMs: 0,
 				answeredBy: typeof answeredBy === 'string' ? answeredBy : undefined,
 			};
--- a/packages/gateway/src/forwarding/forwarding-server.ts
+++ b/packages/gateway/src/forwarding/forwarding-server.ts
@@ -14,6 +14,7 @@
 import type {EventLog} from '../records/event-log.js';
 import {
 	attemptsLeftHeader,
+	checksAccountsHeader,
 	forwardingHealthPath,
 	hostHeader,
 	openRequestsHeader,
@@ -112,6 +113,7 @@
 			status: isAvailable() ? okStatus : unavailableStatus,
 			headers: {
 				[hostHeader]: address,
+				[checksAccountsHeader]: '1',
 				[openRequestsHeader]: String(getOpenRequestCount()),
 				'content-length': '0',
 			},
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,11 +1,14 @@
 /** The gateway: routing, choice of targets by probing, limits and the published snapshot. */
 
 export type {CallerProtocol} from '@bilberryscale/daemon/edge';
+export {AccountDirectory} from './accounts/account-directory.js';
+export {getKeyDigest} from './accounts/get-key-digest.js';
 export {GatewayHost, type GatewayHostOptions} from './context/gateway-host.js';
 export type {Endpoint, GatewaySettings} from './context/gateway-settings.js';
 export {TextClient, type TextClientOptions} from './edge/text-client.js';
 export type {
 	ItemDecoder,
+	ItemPreparation,
 	PublishedChange,
 	PublishedChanges,
 	ItemContent,
--- a/packages/gateway/src/plan/plan-holder.ts
+++ b/packages/gateway/src/plan/plan-holder.ts
@@ -1,6 +1,7 @@
 /** Holds the routing plan in force and lets requests wait for the first one. */
 
 import type {Clock} from '@bilberryscale/core';
+import type {AccountDirectory} from '../accounts/account-directory.js';
 import type {RouteTable} from './route-table.js';
 import type {CallerLimits} from './routing-plan.js';
 
@@ -9,6 +10,8 @@
 	readonly version: number;
 	readonly routeTable: RouteTable;
 	readonly limits: CallerLimits;
+	/** The client accounts; undefined if requests need no key. */
+	readonly accounts?: AccountDirectory | undefined;
 };
 
 /**
--- a/packages/gateway/src/plan/routing-plan.ts
+++ b/packages/gateway/src/plan/routing-plan.ts
@@ -1,6 +1,7 @@
 /** The versioned routing configuration that operators publish. */
 
 import type {Branded, ServiceName} from '@bilberryscale/core';
+import type {AccountDirectory} from '../accounts/account-directory.js';
 import type {ClientAccount} from './client-account.js';
 
 /** The version of a routing plan; a higher version replaces a lower one. */
@@ -63,4 +64,6 @@
 	readonly limits: CallerLimits;
 	/** The client accounts; undefined if requests need no key. */
 	readonly clientAccounts?: readonly ClientAccount[];
+	/** The same accounts, indexed by their keys; undefined if the index is still to be built. */
+	readonly accountDirectory?: AccountDirectory;
 };
--- a/packages/gateway/src/records/gateway-metrics.ts
+++ b/packages/gateway/src/records/gateway-metrics.ts
@@ -67,6 +67,13 @@
 		registers: [this.#registry],
 	});
 
+	readonly #accountRefusals = new Counter({
+		name: 'bilberryscale_account_refusals_total',
+		help: 'Requests refused on arrival for their key by reason',
+		labelNames: ['reason'],
+		registers: [this.#registry],
+	});
+
 	/** Gets the content type of the exported text. */
 	get contentType(): string {
 		return this.#registry.contentType;
@@ -134,6 +141,15 @@
 		this.#forwards.inc({result});
 	}
 
+	/**
+	 * Records a request that was refused on arrival for its key.
+	 *
+	 * @param reason - What was wrong with it.
+	 */
+	recordAccountRefusal(reason: string): void {
+		this.#accountRefusals.inc({reason});
+	}
+
 	/**
 	 * Exports all metrics.
 	 *
--- a/packages/gateway/src/records/request-recorder.ts
+++ b/packages/gateway/src/records/request-recorder.ts
@@ -1,7 +1,13 @@
 /** Writes a log line and updates metrics for each step of a request. */
 
 import type {Failure} from '@bilberryscale/core';
-import type {Exchange, FilterResult} from '@bilberryscale/daemon/edge';
+import type {
+	Exchange,
+	FilterResult,
+	IncomingCall,
+} from '@bilberryscale/daemon/edge';
+import type {AccountRefusal} from '../accounts/account-check.js';
+import type {ActivePlan} from '../plan/plan-holder.js';
 import type {Route} from '../plan/routing-plan.js';
 import type {AttemptResult} from '../relay/attempt-result.js';
 import type {EventLog} from './event-log.js';
@@ -11,6 +17,8 @@
 export type AttemptRecord = {
 	readonly attempt: number;
 	readonly target: string;
+	/** The name of the client account; undefined without one. */
+	readonly account: string | undefined;
 	/** How many requests the target held when the attempt started. */
 	readonly load: number;
 	readonly slots: number;
@@ -65,6 +73,30 @@
 		this.#options.metrics.recordRequest('none', failure.kind, undefined);
 	}
 
+	/**
+	 * Records why a request was refused for its key, which appears nowhere itself.
+	 *
+	 * @param incoming - The request.
+	 * @param refusal - The reason.
+	 * @param plan - The plan by which it was refused.
+	 * @param ageMs - The time since the store confirmed the plan, in milliseconds.
+	 */
+	recordAccountRefusal(
+		{requestId}: IncomingCall,
+		{reason, keyDigestStart}: AccountRefusal,
+		{version}: ActivePlan,
+		ageMs: number,
+	): void {
+		this.#options.metrics.recordAccountRefusal(reason);
+		this.#options.log.write('key refused', {
+			requestId,
+			planVersion: version,
+			reason,
+			keyDigestStart,
+			knowledgeAgeMs: Math.round(ageMs),
+		});
+	}
+
 	/**
 	 * Records an attempt.
 	 *
@@ -95,11 +127,13 @@
 	 * @param exchange - The request.
 	 * @param route - Its route.
 	 * @param result - Its response, or the reason for the failure.
+	 * @param account - The name of its client account; undefined without one.
 	 */
 	recordCompletion(
 		exchange: Exchange,
 		route: Route,
 		result: FilterResult,
+		account?: string,
 	): void {
 		const durationMs =
 			this.#options.getNowMs() - exchange.incoming.receivedAtMs;
@@ -109,6 +143,7 @@
 		this.#options.metrics.recordRequest(route.name, outcome, durationMs);
 		this.#writeLine(exchange, 'request ended', durationMs, {
 			route: route.name,
+			account,
 			outcome,
 			...(result.isErr() && {
 				ran: result.error.ran,
--- a/packages/gateway/src/relay/attempt-dispatcher.ts
+++ b/packages/gateway/src/relay/attempt-dispatcher.ts
@@ -8,6 +8,7 @@
 } from '@bilberryscale/core';
 import {getRequestSignature} from '@bilberryscale/daemon/edge';
 import type {CrashSuspects} from '@bilberryscale/decisions';
+import {getTargetAccountHeaders} from '../accounts/account-headers.js';
 import type {LastSlotFactor} from '../choice/last-slot-factor.js';
 import type {PickedTarget} from '../choice/target-picker.js';
 import type {RequestRecorder} from '../records/request-recorder.js';
@@ -104,7 +105,7 @@
 	): Promise<AttemptResult> {
 		const {clock, protocol, silenceDetector, recorder, serviceTimes} =
 			this.#options;
-		const {exchange, route, body, deadlineMs} = request;
+		const {exchange, route, body, deadlineMs, account} = request;
 		const {report} = state;
 		const startedAtMs = clock.monotonicMs();
 		const {load} = state;
@@ -118,6 +119,9 @@
 			protocol,
 			clock,
 			deadlineMs,
+			accountHeaders: request.hasAccounts
+				? getTargetAccountHeaders(protocol, account)
+				: {},
 			onNotice: (notice, namesRequest) => {
 				this.#options.onNotice(state, notice, namesRequest);
 			},
@@ -154,6 +158,7 @@
 		recorder.recordAttempt(exchange, {
 			attempt,
 			target: state.registration.id,
+			account: account?.name,
 			load,
 			slots: state.slots,
 			slowness: slowdownFactor,
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -9,6 +9,7 @@
 } from '@bilberryscale/core';
 import type {Exchange, FilterResult} from '@bilberryscale/daemon/edge';
 import {Err, Ok, type Result} from 'ts-results-es';
+import type {AccountCheck} from '../accounts/account-check.js';
 import type {PickedTarget, TargetPicker} from '../choice/target-picker.js';
 import type {Forwarder} from '../forwarding/forwarder.js';
 import {RetryBudget, type RetryBudgetLimit} from '../limits/retry-budget.js';
@@ -31,6 +32,7 @@
 	readonly clock: Clock;
 	readonly picker: TargetPicker;
 	readonly reader: RequestReader;
+	readonly accountCheck: AccountCheck;
 	readonly serviceTimes: ServiceTimes;
 	readonly dispatcher: AttemptDispatcher;
 	readonly forwarder: Forwarder;
@@ -96,7 +98,12 @@
 			blockedFailure === undefined
 				? await this.#sendWithRetries(request, forwardedAttempts === undefined)
 				: Err(blockedFailure);
-		this.#options.recorder.recordCompletion(exchange, request.route, outcome);
+		this.#options.recorder.recordCompletion(
+			exchange,
+			request.route,
+			outcome,
+			request.account?.name,
+		);
 		return outcome;
 	}
 
@@ -126,6 +133,10 @@
 
 			const attempt = await this.#attempt(request, progress, canForward);
 			if (attempt.isErr()) {
+				if (progress.executions === 0 && isAccountFailure(attempt.error)) {
+					return attempt;
+				}
+
 				return best === undefined
 					? Err(reader.addRetryAfter(request, attempt.error))
 					: this.#buildResult(
@@ -168,7 +179,7 @@
 
 		const picked = await this.#pick(request, progress, !wasLost);
 		if (picked.isOk()) {
-			return Ok(await this.#send(request, picked.value, progress));
+			return this.#send(request, picked.value, progress);
 		}
 
 		if (wasLost || !registry.isOutOfReach(request.service)) {
@@ -183,26 +194,37 @@
 		const pickedAfterAll = await this.#pick(request, progress, false);
 		return pickedAfterAll.isErr()
 			? pickedAfterAll
-			: Ok(await this.#send(request, pickedAfterAll.value, progress));
+			: this.#send(request, pickedAfterAll.value, progress);
 	}
 
+	/** Sends a request to a picked target, unless its key is no longer valid. */
 	async #send(
 		request: RoutedRequest,
 		picked: PickedTarget,
 		{triedTargets, refusingTargets, attempts, executions}: Progress,
-	): Promise<AttemptResult> {
-		const {dispatcher, picker} = this.#options;
+	): Promise<Result<AttemptResult, Failure>> {
+		const {dispatcher, picker, accountCheck} = this.#options;
 		const {id} = picked.state.registration;
+		const checked = accountCheck.recheck(request);
+		if (checked.isErr()) {
+			picked.state.pool.release(picked.connection, false);
+			picker.wakeFirstWaiting(request.service);
+			return checked;
+		}
+
 		triedTargets.add(id);
-		const result = await dispatcher.send(request, picked, attempts + 1, () =>
-			this.#canLeaveStalledTarget(request, executions),
+		const result = await dispatcher.send(
+			checked.value,
+			picked,
+			attempts + 1,
+			() => this.#canLeaveStalledTarget(request, executions),
 		);
 		picker.wakeFirstWaiting(request.service);
 		if (result.kind === 'refused' && result.status !== misdirectedStatus) {
 			refusingTargets.add(id);
 		}
 
-		return result;
+		return Ok(result);
 	}
 
 	/**
@@ -220,8 +242,13 @@
 			return Err(notRunFailure('no-target', 'This host reaches no target.'));
 		}
 
+		const checked = this.#options.accountCheck.recheck(request);
+		if (checked.isErr()) {
+			return checked;
+		}
+
 		const result = await this.#options.forwarder.forward(
-			request,
+			checked.value,
 			request.route.maxAttempts - executions,
 		);
 		if (result?.kind !== 'refused') {
@@ -272,10 +299,10 @@
 		{triedTargets, refusingTargets}: Progress,
 		endsOutOfReach: boolean,
 	): Promise<Result<PickedTarget, Failure>> {
-		const {picker} = this.#options;
+		const {picker, accountCheck} = this.#options;
 		const {route, service, deadlineMs} = request;
 		const isTargetLimitReached = triedTargets.size >= route.maxAttempts;
-		return picker.pick({
+		const picked = await picker.pick({
 			service,
 			isIdempotent: route.isIdempotent,
 			serviceTimeMs: this.#getServiceTimeMs(route),
@@ -286,7 +313,10 @@
 			receivedAtMs: request.exchange.incoming.receivedAtMs,
 			signal: request.exchange.incoming.signal,
 			targetLatencyMs: route.targetLatencyMs,
+			isRevoked: () => accountCheck.recheck(request).isErr(),
 		});
+		const checked = accountCheck.recheck(request);
+		return picked.isErr() && checked.isErr() ? checked : picked;
 	}
 
 	#getServiceTimeMs({name, targetLatencyMs}: Route): number {
@@ -351,6 +381,11 @@
 	}
 }
 
+/** Checks whether a request was refused because of its client account, which a retry does not change. */
+function isAccountFailure({kind}: Failure): boolean {
+	return kind === 'account-unknown' || kind === 'accounts-outdated';
+}
+
 function limitAttempts(
 	request: RoutedRequest,
 	attempts: number | undefined,
--- a/packages/gateway/src/relay/request-reader.ts
+++ b/packages/gateway/src/relay/request-reader.ts
@@ -10,7 +10,8 @@
 import {BodyReader, type Exchange} from '@bilberryscale/daemon/edge';
 import {Err, Ok, type Result} from 'ts-results-es';
 import type {ClientAccount} from '../plan/client-account.js';
-import type {PlanHolder} from '../plan/plan-holder.js';
+import type {AccountCheck} from '../accounts/account-check.js';
+import type {ActivePlan, PlanHolder} from '../plan/plan-holder.js';
 import type {CallerLimits, Route} from '../plan/routing-plan.js';
 import type {TrafficSplitter} from '../plan/traffic-splitter.js';
 import type {ReturningCallerDetector} from './returning-caller-detector.js';
@@ -26,7 +27,11 @@
 	/** Whether the caller probably repeats a request that was refused. */
 	readonly isReturning: boolean;
 	/** The client account whose key it bears; undefined if the plan has none or the route is public. */
-	readonly account?: ClientAccount;
+	readonly account?: ClientAccount | undefined;
+	/** The plan by which the account was last checked. */
+	readonly plan?: ActivePlan;
+	/** Whether a plan with client accounts has applied to it, so that targets don't get the caller's headers about them. */
+	readonly hasAccounts?: boolean;
 	/** The priority of the client account, or else of the route; 0 is the highest. */
 	readonly priority: number;
 };
@@ -39,6 +44,7 @@
 	/** The header that holds the caller's timeout in milliseconds. */
 	readonly deadlineHeader: string;
 	readonly plans: PlanHolder;
+	readonly accountCheck: AccountCheck;
 };
 
 /** Maximum pause between parts of a body, in milliseconds. */
@@ -60,7 +66,7 @@
 	}
 
 	/**
-	 * Reads the body of a request and finds its route and service.
+	 * Finds the route, the client account and the service of a request, and reads its body.
 	 *
 	 * @param exchange - The request.
 	 * @returns The routed request, or the reason for a refusal.
@@ -83,6 +89,15 @@
 			);
 		}
 
+		const account = this.#options.accountCheck.check(
+			exchange.incoming,
+			route,
+			plan,
+		);
+		if (account.isErr()) {
+			return account;
+		}
+
 		const deadlineMs = receivedAtMs + this.#getTimeoutMs(exchange, route);
 		const body = await this.#readBody(exchange, plan.limits, deadlineMs);
 		const service = this.#options.trafficSplitter.pick(route);
@@ -99,7 +114,10 @@
 				deadlineMs,
 				body: bytes,
 				isReturning,
-				priority: route.priority,
+				account: account.value,
+				priority: account.value?.priority ?? route.priority,
+				plan,
+				hasAccounts: plan.accounts !== undefined,
 			};
 		});
 	}
--- a/packages/gateway/src/relay/target-attempt.ts
+++ b/packages/gateway/src/relay/target-attempt.ts
@@ -10,6 +10,7 @@
 	type IncomingCall,
 	type TargetAnswer,
 } from '@bilberryscale/daemon/edge';
+import type {AccountHeaders} from '../accounts/account-headers.js';
 import type {AvailabilityNotice} from '../targets/target-availability.js';
 import type {TargetProtocol} from '../targets/target-protocol.js';
 import type {TargetState} from '../targets/target-state.js';
@@ -27,6 +28,8 @@
 	readonly clock: Clock;
 	/** When the response must be complete, on the monotonic clock, in milliseconds. */
 	readonly deadlineMs: number;
+	/** What replaces the caller's headers about client accounts. */
+	readonly accountHeaders: AccountHeaders;
 	/** Called with what the response says about the target's availability, and whether it names the request. */
 	readonly onNotice: (
 		notice: AvailabilityNotice | undefined,
@@ -167,6 +170,14 @@
 		headers[protocol.deadlineHeader] = String(
 			Math.max(1, Math.floor(remainingMs)),
 		);
+		for (const [name, value] of Object.entries(this.#options.accountHeaders)) {
+			if (value === undefined) {
+				Reflect.deleteProperty(headers, name);
+			} else {
+				headers[name] = value;
+			}
+		}
+
 		const [name, value] = protocol.getExpectationHeader(state.registration);
 		headers[name] = value;
 		return headers;
--- a/packages/gateway/src/snapshot/snapshot-feed.ts
+++ b/packages/gateway/src/snapshot/snapshot-feed.ts
@@ -7,6 +7,7 @@
 import {ItemReplica} from './item-replica.js';
 import type {
 	ItemDecoder,
+	ItemPreparation,
 	PublishedChanges,
 	SnapshotSource,
 	ReadError,
@@ -21,6 +22,8 @@
 	readonly log: EventLog;
 	readonly metrics: GatewayMetrics;
 	readonly decode: ItemDecoder;
+	/** Decodes large items ahead; undefined if the decoder never takes long. */
+	readonly prepareItem?: ItemPreparation | undefined;
 	/** The address of this host. */
 	readonly address: string;
 	/**
@@ -194,6 +197,7 @@
 			return false;
 		}
 
+		await this.#prepareItems(result.value);
 		if (result.value.era < this.position.era) {
 			this.#skipStaleSource(
 				source,
@@ -230,6 +234,19 @@
 		return true;
 	}
 
+	async #prepareItems({changes}: PublishedChanges): Promise<void> {
+		const {prepareItem} = this.#options;
+		if (prepareItem === undefined) {
+			return;
+		}
+
+		for (const {name, text} of changes) {
+			if (text !== undefined) {
+				await prepareItem(name, text);
+			}
+		}
+	}
+
 	#skipStaleSource(source: SnapshotSource, detail: string): void {
 		this.#health.recordStale(source);
 		this.#options.metrics.recordSnapshotRead(getSourceKind(source), 'failed');
--- a/packages/gateway/src/snapshot/snapshot-source.ts
+++ b/packages/gateway/src/snapshot/snapshot-source.ts
@@ -85,3 +85,16 @@
 	name: string,
 	text: string,
 ) => Result<ItemContent | undefined, string>;
+
+/**
+ * Decodes the text of a large item in parts, between which the event loop runs,
+ * so that the decoder then returns the same result at once.
+ *
+ * @param name - The name of the item.
+ * @param text - Its text.
+ * @returns A promise of the end; undefined if the decoder takes no long time for this item.
+ */
+export type ItemPreparation = (
+	name: string,
+	text: string,
+) => Promise<void> | undefined;
--- a/packages/gateway/src/targets/target-protocol.ts
+++ b/packages/gateway/src/targets/target-protocol.ts
@@ -11,6 +11,10 @@
 	readonly requestIdHeader: string;
 	/** The request header with the time left until the deadline, in milliseconds. */
 	readonly deadlineHeader: string;
+	/** The request header with the key of the caller's client account, which targets never get. */
+	readonly credentialHeader: string;
+	/** The request header that names the client account to a target. */
+	readonly accountHeader: string;
 	/**
 	 * Gets the request header that makes any target other than the intended one refuse the request.
 	 *
--- a/packages/gateway/test/context/live-settings.test.ts
+++ b/packages/gateway/test/context/live-settings.test.ts
@@ -20,6 +20,7 @@
 	seeds: [endpoint],
 	retryBound: {ratio: 0.2, slack: 60, windowMs: 10_000},
 	questionsPerTargetSecond: 60,
+	maxAccountsAgeMs: undefined,
 	shutdownMs: 6000,
 };
 
@@ -48,6 +49,11 @@
 			{taken: [], needsRestart: []},
 		);
 		doTest('applies new seeds', {seeds}, {taken: ['seeds'], needsRestart: []});
+		doTest(
+			'applies the maximum age of accounts',
+			{maxAccountsAgeMs: 5000},
+			{taken: ['maxAccountsAgeMs'], needsRestart: []},
+		);
 		doTest(
 			'applies what it can and lists what needs a restart',
 			{callers, shutdownMs: 2000},
--- a/packages/gateway/test/fixtures.ts
+++ b/packages/gateway/test/fixtures.ts
@@ -8,6 +8,11 @@
 	type TargetId,
 } from '@bilberryscale/core';
 import {Err, Ok, type Result} from 'ts-results-es';
+import {getKeyDigest} from '../src/accounts/get-key-digest.js';
+import type {
+	ClientAccount,
+	ClientAccountName,
+} from '../src/plan/client-account.js';
 import type {
 	RegisteredTarget,
 	TargetIncarnation,
@@ -43,6 +48,21 @@
 	};
 }
 
+export function makeAccount(
+	name: string,
+	keys: readonly string[],
+	changes: Partial<ClientAccount> = {},
+): ClientAccount {
+	return {
+		name: makeId<ClientAccountName>(name),
+		keyDigests: keys.map((key) => getKeyDigest(key)),
+		priority: undefined,
+		ratePerSecond: 0,
+		burst: 0,
+		...changes,
+	};
+}
+
 export function makeRegisteredTarget(
 	id: string,
 	changes: Partial<RegisteredTarget> = {},
@@ -111,6 +131,8 @@
 export const testProtocol: TargetProtocol = {
 	requestIdHeader: 'id',
 	deadlineHeader: 'deadline',
+	credentialHeader: 'credential',
+	accountHeader: 'account',
 	getExpectationHeader: () => ['expect', 'a'],
 	isNotRun: () => false,
 	isSealed: () => true,
--- a/packages/gateway/test/forwarding/forwarding-protocol.test.ts
+++ b/packages/gateway/test/forwarding/forwarding-protocol.test.ts
@@ -42,6 +42,23 @@
 		]);
 	});
 
+	// Guards against keys that a host of an earlier version would pass to targets.
+	it('takes only hosts that check keys while the plan has accounts', () => {
+		let hasAccounts = false;
+		const {readHealth} = makeForwardingProtocol(
+			testProtocol,
+			'run-state',
+			2,
+			() => hasAccounts,
+		);
+		const read = (headers: Record<string, string>) =>
+			readHealth(200, headers, makeRegisteredTarget('10.0.0.2'), 5).isHealthy;
+		assert.is(read({}), true);
+		hasAccounts = true;
+		assert.is(read({}), false);
+		assert.is(read({'bilberryscale-checks-accounts': '1'}), true);
+	});
+
 	it('reads whether the host takes requests', () => {
 		const target = makeRegisteredTarget('10.0.0.2');
 		const read = (status: number, headers: Record<string, string>) =>
