Learn which full targets hang and count requests from the pick on

Cause: a request to a full target that hangs instead of shedding is lost until its deadline, and a host learnt nothing from it. Requests that share a round of probes chose a target before the first of them was counted there, so all of them went to the same one, past its last slot.

Change: FullTargetBehaviour learns by service from the outcomes of attempts at full targets. Where they hang, a target gets a request only while its reported load and this host's own requests there are below its slots plus the places of the queue that were seen to be answered. TargetPicker counts a request at its target when it is picked; the forwarder counts its own.

--- a/packages/gateway/src/choice/target-picker.ts
+++ b/packages/gateway/src/choice/target-picker.ts
@@ -18,6 +18,7 @@
 	type TargetCondition,
 	type RequestProfile,
 } from './target-cost.js';
+import type {FullTargetBehaviour} from './full-target-behaviour.js';
 import type {LastSlotFactor} from './last-slot-factor.js';
 import {isEligible, type PickRequest} from './pick-request.js';
 import {
@@ -32,6 +33,7 @@
 	readonly clock: Clock;
 	readonly registry: TargetRegistry;
 	readonly lastSlotFactor: LastSlotFactor;
+	readonly fullTargets: FullTargetBehaviour;
 	/** The data centre of this host. */
 	readonly dataCentre: DataCentreId;
 };
@@ -40,6 +42,8 @@
 export type PickedTarget = {
 	readonly state: TargetState;
 	readonly connection: Connection;
+	/** The estimated number of requests that it held without this one. */
+	readonly load: number;
 	/** The expected latency, in milliseconds. */
 	readonly expectedMs: number;
 	/** The number of targets probed for the request. */
@@ -98,12 +102,21 @@
 			if (decision === 'take' && best !== undefined) {
 				const connection = this.#acquireConnection(best.state, request);
 				if (connection !== undefined) {
-					best.state.availability.limit.addSend(clock.monotonicMs());
-					const waitedMs = clock.monotonicMs() - startedAtMs;
 					const {state, expectedMs} = best;
+					const {load} = state;
+					state.availability.limit.addSend(clock.monotonicMs());
+					state.addSend(clock.monotonicMs());
+					const waitedMs = clock.monotonicMs() - startedAtMs;
 					const {probedCount} = search;
 					search.end(state);
-					return Ok({state, connection, expectedMs, probedCount, waitedMs});
+					return Ok({
+						state,
+						connection,
+						load,
+						expectedMs,
+						probedCount,
+						waitedMs,
+					});
 				}
 			}
 
@@ -243,7 +256,11 @@
 		const isReady = limit.isInForce
 			? limit.canSend(nowMs)
 			: getReportAgeMs(state, nowMs) <= maxReportAgeMs;
-		if (!isReady || !isEligible(request, state.registration.id)) {
+		if (
+			!isReady ||
+			!isEligible(request, state.registration.id) ||
+			this.#mayHang(state, request.service)
+		) {
 			return false;
 		}
 
@@ -255,6 +272,12 @@
 		);
 	}
 
+	/** Checks whether a request might find a full queue at a target and get no response. */
+	#mayHang(state: TargetState, service: ServiceName): boolean {
+		const {maxQueued} = this.#options.fullTargets.get(service);
+		return Math.max(state.load, state.outstanding) >= state.slots + maxQueued;
+	}
+
 	#getCondition(state: TargetState, nowMs: number): TargetCondition {
 		const hasCurrentLoad =
 			!state.availability.limit.isInForce ||
--- a/packages/gateway/src/context/make-relay.ts
+++ b/packages/gateway/src/context/make-relay.ts
@@ -2,6 +2,7 @@
 
 import type {Clock, Digest, RandomSource} from '@bilberryscale/core';
 import type {CrashSuspects} from '@bilberryscale/decisions';
+import {FullTargetBehaviour} from '../choice/full-target-behaviour.js';
 import {LastSlotFactor} from '../choice/last-slot-factor.js';
 import {Spillover} from '../choice/spillover.js';
 import {TargetProber} from '../choice/target-prober.js';
@@ -63,6 +64,18 @@
 		dependencies;
 	const {host, dataCentre} = settings.current;
 	const lastSlotFactor = new LastSlotFactor();
+	const fullTargets = new FullTargetBehaviour(clock, (service, limit) => {
+		const {maxQueued} = limit;
+		const isHanging = Number.isFinite(maxQueued);
+		log.write('full targets judged', {
+			service,
+			isHanging,
+			maxQueued: isHanging ? maxQueued : undefined,
+			answered: Math.round(limit.answered),
+			refused: Math.round(limit.refused),
+			hung: Math.round(limit.hung),
+		});
+	});
 	const serviceTimes = new ServiceTimes();
 	const prober = new TargetProber({
 		clock,
@@ -97,6 +110,7 @@
 				metrics.recordFarSend(service);
 			},
 			lastSlotFactor,
+			fullTargets,
 			dataCentre,
 		}),
 		reader: new RequestReader({
@@ -110,6 +124,7 @@
 			clock,
 			serviceTimes,
 			lastSlotFactor,
+			fullTargets,
 			recorder,
 			protocol,
 			crashSuspects,
--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -150,6 +150,7 @@
 		}
 
 		const startedAtMs = clock.monotonicMs();
+		state.addSend(startedAtMs);
 		const result = await new TargetAttempt({
 			incoming: exchange.incoming,
 			body,
--- a/packages/gateway/src/relay/attempt-dispatcher.ts
+++ b/packages/gateway/src/relay/attempt-dispatcher.ts
@@ -8,6 +8,7 @@
 } from '@bilberryscale/core';
 import {getRequestSignature} from '@bilberryscale/daemon/edge';
 import type {CrashSuspects} from '@bilberryscale/decisions';
+import type {FullTargetBehaviour} from '../choice/full-target-behaviour.js';
 import type {LastSlotFactor} from '../choice/last-slot-factor.js';
 import type {PickedTarget} from '../choice/target-picker.js';
 import type {RequestRecorder} from '../records/request-recorder.js';
@@ -30,6 +31,7 @@
 	readonly clock: Clock;
 	readonly serviceTimes: ServiceTimes;
 	readonly lastSlotFactor: LastSlotFactor;
+	readonly fullTargets: FullTargetBehaviour;
 	readonly silenceDetector: SilenceDetector;
 	readonly protocol: TargetProtocol;
 	readonly recorder: RequestRecorder;
@@ -98,7 +100,7 @@
 	 */
 	async send(
 		request: RoutedRequest,
-		{state, connection, expectedMs, probedCount, waitedMs}: PickedTarget,
+		{state, connection, load, expectedMs, probedCount, waitedMs}: PickedTarget,
 		attempt: number,
 		canRetry: () => boolean,
 	): Promise<AttemptResult> {
@@ -107,7 +109,6 @@
 		const {exchange, route, body, deadlineMs} = request;
 		const {report} = state;
 		const startedAtMs = clock.monotonicMs();
-		const {load} = state;
 		const slowdownFactor = report?.slowdownFactor ?? 1;
 		const limitPerSecond = state.availability.limit.perSecond;
 		const result = await new TargetAttempt({
@@ -135,6 +136,11 @@
 			canRetry,
 		}).run();
 		const durationMs = clock.monotonicMs() - startedAtMs;
+		this.#options.fullTargets.add(
+			request.service,
+			load + 1 - state.slots,
+			result,
+		);
 		if (
 			result.kind === 'answered' &&
 			result.answer.status < minServerErrorStatus
--- a/packages/gateway/src/relay/target-attempt.ts
+++ b/packages/gateway/src/relay/target-attempt.ts
@@ -125,7 +125,6 @@
 				this.#cancel('silent');
 			}) ?? this.#stopWatching;
 		this.#startStallTimer();
-		state.addSend(this.#startedAtMs);
 		connection.dispatch(
 			{
 				method: incoming.method,
@@ -302,6 +301,7 @@
 		this.#stopWatching();
 		const {incoming, state, connection} = this.#options;
 		incoming.signal.removeEventListener('abort', this.#onCallerAbort);
+		state.addEnd();
 		state.pool.release(
 			connection,
 			error === undefined && !this.#isResponseInvalid,
--- a/packages/gateway/src/targets/target-state.ts
+++ b/packages/gateway/src/targets/target-state.ts
@@ -55,6 +55,7 @@
 	#decayedAtMs: number;
 	/** Requests sent since the latest report, which does not include them. */
 	#unreportedSends = 0;
+	#outstanding = 0;
 
 	/**
 	 * @param options - The target.
@@ -87,6 +88,11 @@
 		return running + waiting + this.#unreportedSends;
 	}
 
+	/** The number of requests of this host that it has not answered. */
+	get outstanding(): number {
+		return this.#outstanding;
+	}
+
 	/** The number of requests it runs at once. */
 	get slots(): number {
 		return Math.max(1, this.report?.slots ?? this.registration.slots);
@@ -145,17 +151,24 @@
 	}
 
 	/**
-	 * Records that a request is sent to the target.
+	 * Records that a request is about to be sent to the target, so that those picked
+	 * at the same moment count it.
 	 *
 	 * @param nowMs - The monotonic time in milliseconds.
 	 */
 	addSend(nowMs: number): void {
 		this.#unreportedSends++;
+		this.#outstanding++;
 		if (this.isCold(nowMs)) {
 			this.lastColdSendAtMs = nowMs;
 		}
 	}
 
+	/** Records that a request to the target has ended, with or without a response. */
+	addEnd(): void {
+		this.#outstanding = Math.max(0, this.#outstanding - 1);
+	}
+
 	/**
 	 * Records the outcome of a request of this host.
 	 *
--- a/packages/gateway/test/choice/data-centre-model.ts
+++ b/packages/gateway/test/choice/data-centre-model.ts
@@ -171,7 +171,6 @@
 			'sends',
 			connection.answeredAtMs === undefined,
 		);
-		state.addSend(receivedAtMs);
 		await this.#sleep(roundTripMs / 2);
 		const nowMs = this.#clock.monotonicMs();
 		const ends = this.#getEnds(state, nowMs);
@@ -188,6 +187,7 @@
 				slotFactor;
 		this.#ends.set(state.registration.id, [...ends, endMs]);
 		await this.#sleep(endMs - nowMs + roundTripMs / 2);
+		state.addEnd();
 		state.pool.release(connection, true);
 		picker.wakeFirstWaiting(state.registration.service);
 		const latencyMs = this.#clock.monotonicMs() - receivedAtMs;
--- a/packages/gateway/test/choice/model-host.ts
+++ b/packages/gateway/test/choice/model-host.ts
@@ -7,6 +7,7 @@
 	type HostId,
 	type RandomSource,
 } from '@bilberryscale/core';
+import {FullTargetBehaviour} from '../../src/choice/full-target-behaviour.js';
 import {LastSlotFactor} from '../../src/choice/last-slot-factor.js';
 import type {PickRequest} from '../../src/choice/pick-request.js';
 import {Spillover} from '../../src/choice/spillover.js';
@@ -32,6 +33,7 @@
 export function makeModelHost(options: ModelHostOptions): {
 	readonly registry: TargetRegistry;
 	readonly picker: TargetPicker;
+	readonly fullTargets: FullTargetBehaviour;
 } {
 	const {clock, name, hostCount} = options;
 	const {log} = makeTestLog(clock);
@@ -58,6 +60,7 @@
 		getProbesPerTargetSecond: () => 60,
 		getHostCount,
 	});
+	const fullTargets = new FullTargetBehaviour(clock);
 	const picker = new TargetPicker({
 		...options,
 		registry,
@@ -65,8 +68,9 @@
 		spillover: new Spillover(clock),
 		onFarSend: () => undefined,
 		lastSlotFactor: new LastSlotFactor(),
+		fullTargets,
 	});
-	return {registry, picker};
+	return {registry, picker, fullTargets};
 }
 
 export function makePickRequest(
