--- a/packages/gateway/src/edge/fetch-text.ts
+++ b/packages/gateway/src/edge/fetch-text.ts
@@ -2,6 +2,7 @@
 
 import {Buffer} from 'node:buffer';
 import type {IncomingHttpHeaders} from 'node:http';
+import {gunzipSync} from 'node:zlib';
 import type {Clock} from '@bilberryscale/core';
 import {TargetRequest, type Connection} from '@bilberryscale/daemon/edge';
 import {Err, Ok, type Result} from 'ts-results-es';
@@ -15,6 +16,8 @@
 	readonly path: string;
 	/** The JSON body to send, if any. */
 	readonly body?: string;
+	/** Whether the response may be compressed with gzip, which costs processor time on both sides. */
+	readonly acceptsGzip?: boolean;
 	/** Timeout for the complete response, in milliseconds. */
 	readonly timeoutMs: number;
 };
@@ -26,6 +29,9 @@
 	readonly text: string;
 };
 
+/** The longest text that a compressed response may hold, in bytes; decompressing it takes some milliseconds. */
+const maxDecompressedBytes = 4_194_304;
+
 /**
  * Sends a request and reads the complete response.
  *
@@ -36,15 +42,16 @@
 	request: TextRequest,
 ): Promise<Result<TextResponse, string>> {
 	const {connection, clock, method, path, body, timeoutMs} = request;
+	const headers = getRequestHeaders(request);
 	return new Promise((resolve) => {
-		let response: TextResponse | undefined;
+		let response: Result<TextResponse, string> | undefined;
 		const cancelTimer = clock.schedule(timeoutMs, () => {
 			targetRequest.cancel(new Error(`no response within ${timeoutMs} ms`));
 		});
 		const targetRequest = new TargetRequest({
-			onAnswer({status, headers, body: responseBody}) {
+			onAnswer({status, headers: responseHeaders, body: responseBody}) {
 				if (Buffer.isBuffer(responseBody)) {
-					response = {status, headers, text: responseBody.toString()};
+					response = decodeResponse(status, responseHeaders, responseBody);
 					return;
 				}
 
@@ -53,7 +60,7 @@
 					responseBody,
 					(bytes) => {
 						cancelTimer();
-						resolve(Ok({status, headers, text: bytes.toString()}));
+						resolve(decodeResponse(status, responseHeaders, bytes));
 					},
 					() => {
 						targetRequest.cancel(new Error('the response is too large'));
@@ -65,7 +72,7 @@
 				if (error !== undefined) {
 					resolve(Err(error.message));
 				} else if (response !== undefined) {
-					resolve(Ok(response));
+					resolve(response);
 				}
 			},
 		});
@@ -74,11 +81,40 @@
 				method,
 				path,
 				body: body ?? null,
-				...(body !== undefined && {
-					headers: {'content-type': 'application/json'},
-				}),
+				...(Object.keys(headers).length > 0 && {headers}),
 			},
 			targetRequest,
 		);
 	});
 }
+
+function getRequestHeaders({
+	body,
+	acceptsGzip = false,
+}: TextRequest): Record<string, string> {
+	return {
+		...(body !== undefined && {'content-type': 'application/json'}),
+		...(acceptsGzip && {'accept-encoding': 'gzip'}),
+	};
+}
+
+function decodeResponse(
+	status: number,
+	headers: IncomingHttpHeaders,
+	bytes: Buffer,
+): Result<TextResponse, string> {
+	if (headers['content-encoding'] !== 'gzip') {
+		return Ok({status, headers, text: bytes.toString()});
+	}
+
+	try {
+		const decompressed = gunzipSync(bytes, {
+			maxOutputLength: maxDecompressedBytes,
+		});
+		return Ok({status, headers, text: decompressed.toString()});
+	} catch (error) {
+		return Err(
+			`the response is not decompressible: ${(error as Error).message}`,
+		);
+	}
+}
--- a/packages/gateway/src/fleet/fleet.ts
+++ b/packages/gateway/src/fleet/fleet.ts
@@ -155,7 +155,7 @@
 		this.#gossip.broadcastLimit(notice);
 	}
 
-	#getPeer({address}: MemberRecord): PeerReader {
+	#getPeer({address, dataCentre}: MemberRecord): PeerReader {
 		const existing = this.#peers.get(address);
 		if (existing !== undefined) {
 			return existing;
@@ -170,6 +170,7 @@
 			onResponse: () => {
 				this.#membership.recordResponse(address);
 			},
+			isFar: dataCentre !== settings.dataCentre,
 		});
 		this.#peers.set(address, peer);
 		return peer;
--- a/packages/gateway/src/fleet/order-sources.ts
+++ b/packages/gateway/src/fleet/order-sources.ts
@@ -59,7 +59,12 @@
 		(other) => dataCentre < other,
 	);
 	const [firstRemotePeer, ...otherRemotePeers] = remotePeers;
-	if (!hasSnapshot || (isFirstInDataCentre && isFirstDataCentre)) {
+	if (!hasSnapshot) {
+		// A whole snapshot is read, which is expensive from another data centre.
+		return [store, ...localPeers, ...remotePeers];
+	}
+
+	if (isFirstInDataCentre && isFirstDataCentre) {
 		return [store, ...remotePeers, ...localPeers];
 	}
 
--- a/packages/gateway/src/fleet/peer-reader.ts
+++ b/packages/gateway/src/fleet/peer-reader.ts
@@ -21,6 +21,8 @@
 export type PeerReaderOptions = TextClientOptions & {
 	/** Called when the host has responded. */
 	readonly onResponse: () => void;
+	/** Whether the host is in another data centre, so that its responses should be compressed. */
+	readonly isFar: boolean;
 };
 
 /** How long the other host waits for a change before it responds, in milliseconds. */
@@ -98,6 +100,7 @@
 			method: 'POST',
 			path: '/',
 			body: JSON.stringify(request),
+			acceptsGzip: this.#options.isFar,
 			timeoutMs: query.waitMs + responseMarginMs,
 		});
 		if (response.isErr()) {
--- a/packages/gateway/src/fleet/snapshot-server.ts
+++ b/packages/gateway/src/fleet/snapshot-server.ts
@@ -7,6 +7,8 @@
 	type Server,
 	type ServerResponse,
 } from 'node:http';
+import {promisify} from 'node:util';
+import {constants, gzip} from 'node:zlib';
 import {
 	isJSONRPCRequest,
 	JSONRPCServer,
@@ -32,6 +34,12 @@
 const maxWaitMs = 2000;
 const maxRequestBytes = 4096;
 const badRequestStatus = 400;
+/** Smaller responses fit into a packet and are not compressed. */
+const minCompressedBytes = 1400;
+/** Lowest level: hosts have a fraction of a core, and many read at once after a common start. */
+const compressionLevel = constants.Z_BEST_SPEED;
+
+const compress = promisify(gzip);
 
 /** Serves the changes that a host's feed has read. */
 export class SnapshotServer {
@@ -98,7 +106,17 @@
 
 		const rpcResponse = await this.#rpcServer.receive(rpcRequest);
 		response.setHeader('content-type', 'application/json');
-		response.end(JSON.stringify(rpcResponse));
+		const body = Buffer.from(JSON.stringify(rpcResponse));
+		const isCompressed =
+			body.length >= minCompressedBytes &&
+			request.headers['accept-encoding'] === 'gzip';
+		if (isCompressed) {
+			response.setHeader('content-encoding', 'gzip');
+		}
+
+		response.end(
+			isCompressed ? await compress(body, {level: compressionLevel}) : body,
+		);
 	}
 }
 
