--- a/packages/gateway/src/context/make-relay.ts
+++ b/packages/gateway/src/context/make-relay.ts
@@ -3,6 +3,7 @@
 import type {Clock, Digest, RandomSource} from '@bilberryscale/core';
 import type {CrashSuspects} from '@bilberryscale/decisions';
 import {FullTargetBehaviour} from '../choice/full-target-behaviour.js';
+import {ReturnSchedules} from '../capacity/return-schedules.js';
 import {LastSlotFactor} from '../choice/last-slot-factor.js';
 import {Spillover} from '../choice/spillover.js';
 import {TargetProber} from '../choice/target-prober.js';
@@ -77,6 +78,14 @@
 		});
 	});
 	const serviceTimes = new ServiceTimes();
+	const returnSchedules = new ReturnSchedules({
+		clock,
+		random,
+		log,
+		metrics,
+		hasPriorityClasses: (service) =>
+			plans.plan?.prioritizedServices.has(service) ?? false,
+	});
 	const prober = new TargetProber({
 		clock,
 		random,
@@ -119,6 +128,14 @@
 			returningCallerDetector: new ReturningCallerDetector(),
 			deadlineHeader: protocol.deadlineHeader,
 			plans,
+			bookReturn: ({exchange, route, service, priority}, remainingMs) =>
+				returnSchedules.book({
+					requestId: exchange.incoming.requestId,
+					service,
+					rank: priority,
+					remainingMs,
+					serviceTimeMs: serviceTimes.getMs(route.name, route.targetLatencyMs),
+				}),
 		}),
 		dispatcher: new AttemptDispatcher({
 			clock,
@@ -145,6 +162,7 @@
 		}),
 		forwarder: dependencies.forwarder,
 		registry: targetRegistry,
+		returnSchedules,
 		serviceTimes,
 		recorder,
 		isShuttingDown,
