--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -163,6 +163,7 @@
 		const startedAtMs = clock.monotonicMs();
 		const protocol = this.#makeProtocol(attemptsLeft);
 		const {headers} = exchange.incoming;
+		state.addSend(startedAtMs);
 		const result = await new TargetAttempt({
 			incoming: exchange.incoming,
 			body,
--- a/packages/gateway/src/relay/attempt-dispatcher.ts
+++ b/packages/gateway/src/relay/attempt-dispatcher.ts
@@ -9,6 +9,7 @@
 import {getRequestSignature} from '@bilberryscale/daemon/edge';
 import type {CrashSuspects} from '@bilberryscale/decisions';
 import {getTargetAccountHeaders} from '../accounts/account-headers.js';
+import type {FullTargetBehaviour} from '../choice/full-target-behaviour.js';
 import type {LastSlotFactor} from '../choice/last-slot-factor.js';
 import type {PickedTarget} from '../choice/target-picker.js';
 import type {RequestRecorder} from '../records/request-recorder.js';
@@ -31,6 +32,7 @@
 	readonly clock: Clock;
 	readonly serviceTimes: ServiceTimes;
 	readonly lastSlotFactor: LastSlotFactor;
+	readonly fullTargets: FullTargetBehaviour;
 	readonly silenceDetector: SilenceDetector;
 	readonly protocol: TargetProtocol;
 	readonly recorder: RequestRecorder;
@@ -99,7 +101,7 @@
 	 */
 	async send(
 		request: RoutedRequest,
-		{state, connection, expectedMs, probedCount, waitedMs}: PickedTarget,
+		{state, connection, load, expectedMs, probedCount, waitedMs}: PickedTarget,
 		attempt: number,
 		canRetry: () => boolean,
 	): Promise<AttemptResult> {
@@ -108,7 +110,6 @@
 		const {exchange, route, body, deadlineMs, account} = request;
 		const {report} = state;
 		const startedAtMs = clock.monotonicMs();
-		const {load} = state;
 		const slowdownFactor = report?.slowdownFactor ?? 1;
 		const limitPerSecond = state.availability.limit.perSecond;
 		const result = await new TargetAttempt({
@@ -139,6 +140,11 @@
 			canRetry,
 		}).run();
 		const durationMs = clock.monotonicMs() - startedAtMs;
+		this.#options.fullTargets.add(
+			request.service,
+			load + 1 - state.slots,
+			result,
+		);
 		if (
 			result.kind === 'answered' &&
 			result.answer.status < minServerErrorStatus
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -210,6 +210,7 @@
 		const {id} = picked.state.registration;
 		const checked = accountCheck.recheck(request);
 		if (checked.isErr()) {
+			picked.state.addEnd();
 			picked.state.pool.release(picked.connection, false);
 			picker.wakeFirstWaiting(request.service);
 			return checked;
