--- a/packages/gateway/src/context/make-hedged-dispatcher.ts
+++ b/packages/gateway/src/context/make-hedged-dispatcher.ts
@@ -2,6 +2,7 @@
 
 import type {Clock, DataCentreId, RandomSource} from '@bilberryscale/core';
 import type {CrashSuspects} from '@bilberryscale/decisions';
+import type {AccountCheck} from '../accounts/account-check.js';
 import {ShortageDetector} from '../capacity/shortage-detector.js';
 import type {LastSlotFactor} from '../choice/last-slot-factor.js';
 import type {TargetProber} from '../choice/target-prober.js';
@@ -38,6 +39,7 @@
 	readonly lastSlotFactor: LastSlotFactor;
 	readonly serviceTimes: ServiceTimes;
 	readonly recorder: RequestRecorder;
+	readonly accountCheck: AccountCheck;
 	/** The data centre of this host. */
 	readonly dataCentre: DataCentreId;
 };
--- a/packages/gateway/src/context/make-relay.ts
+++ b/packages/gateway/src/context/make-relay.ts
@@ -2,13 +2,17 @@
 
 import type {Clock, Digest, RandomSource} from '@bilberryscale/core';
 import type {CrashSuspects} from '@bilberryscale/decisions';
+import {FullTargetBehaviour} from '../choice/full-target-behaviour.js';
 import {ReturnSchedules} from '../capacity/return-schedules.js';
+import {AccountCheck} from '../accounts/account-check.js';
 import {LastSlotFactor} from '../choice/last-slot-factor.js';
+import {Spillover} from '../choice/spillover.js';
 import {TargetProber} from '../choice/target-prober.js';
 import {TargetPicker} from '../choice/target-picker.js';
 import type {Forwarder} from '../forwarding/forwarder.js';
 import type {PlanHolder} from '../plan/plan-holder.js';
 import {TrafficSplitter} from '../plan/traffic-splitter.js';
+import {writeSpilloverChange} from '../records/write-spillover-change.js';
 import {RequestRecorder} from '../records/request-recorder.js';
 import type {EventLog} from '../records/event-log.js';
 import type {GatewayMetrics} from '../records/gateway-metrics.js';
@@ -41,6 +45,8 @@
 	/** The requests that may have crashed targets. */
 	readonly crashSuspects: CrashSuspects;
 	readonly getHostCount: () => number;
+	/** Gets the time since the store confirmed the published state, in milliseconds. */
+	readonly getSnapshotAgeMs: () => number;
 	readonly isShuttingDown: () => boolean;
 	/** How hedged requests are sent; undefined for none. */
 	readonly hedging: HedgingOptions | undefined;
@@ -68,6 +74,18 @@
 		dependencies;
 	const {host, dataCentre} = settings.current;
 	const lastSlotFactor = new LastSlotFactor();
+	const fullTargets = new FullTargetBehaviour(clock, (service, limit) => {
+		const {maxQueued} = limit;
+		const isHanging = Number.isFinite(maxQueued);
+		log.write('full targets judged', {
+			service,
+			isHanging,
+			maxQueued: isHanging ? maxQueued : undefined,
+			answered: Math.round(limit.answered),
+			refused: Math.round(limit.refused),
+			hung: Math.round(limit.hung),
+		});
+	});
 	const serviceTimes = new ServiceTimes();
 	const returnSchedules = new ReturnSchedules({
 		clock,
@@ -87,6 +105,9 @@
 		dataCentre,
 		getProbesPerTargetSecond: () => settings.current.questionsPerTargetSecond,
 		getHostCount,
+		onFarProbes(service, count) {
+			metrics.recordFarProbes(service, count);
+		},
 	});
 	const recorder = new RequestRecorder({
 		log,
@@ -98,6 +119,7 @@
 		clock,
 		serviceTimes,
 		lastSlotFactor,
+		fullTargets,
 		recorder,
 		protocol,
 		crashSuspects,
@@ -116,13 +138,31 @@
 		onConnectionBroken: dependencies.onConnectionBroken,
 		onTargetFailure: dependencies.onFailure,
 	});
+	const accountCheck = new AccountCheck({
+		plans,
+		credentialHeader: protocol.credentialHeader,
+		getMaxAgeMs: () => settings.current.maxAccountsAgeMs,
+		getAgeMs: dependencies.getSnapshotAgeMs,
+		onRefusal(incoming, refusal, plan) {
+			const ageMs = dependencies.getSnapshotAgeMs();
+			recorder.recordAccountRefusal(incoming, refusal, plan, ageMs);
+		},
+	});
 	return new Relay({
 		clock,
+		accountCheck,
 		picker: new TargetPicker({
 			clock,
 			registry: targetRegistry,
 			prober,
+			spillover: new Spillover(clock, (service, stage, inputs) => {
+				writeSpilloverChange(log, service, stage, inputs);
+			}),
+			onFarSend(service) {
+				metrics.recordFarSend(service);
+			},
 			lastSlotFactor,
+			fullTargets,
 			dataCentre,
 		}),
 		reader: new RequestReader({
@@ -139,6 +179,7 @@
 					remainingMs,
 					serviceTimeMs: serviceTimes.getMs(route.name, route.targetLatencyMs),
 				}),
+			accountCheck,
 		}),
 		dispatcher,
 		hedging:
@@ -152,6 +193,7 @@
 				serviceTimes,
 				recorder,
 				dataCentre,
+				accountCheck,
 			}),
 		forwarder: dependencies.forwarder,
 		registry: targetRegistry,
--- a/packages/gateway/src/hedging/hedge-policy.ts
+++ b/packages/gateway/src/hedging/hedge-policy.ts
@@ -22,6 +22,8 @@
 	readonly isShortOfCapacity: boolean;
 	/** Whether a target may have crashed because of such a request. */
 	readonly isCrashSuspect: boolean;
+	/** Whether the key of the request is no longer valid. */
+	readonly isKeyRemoved: boolean;
 	/** How often targets may have run the request, the first attempt included. */
 	readonly executions: number;
 	readonly maxAttempts: number;
@@ -36,6 +38,7 @@
 	| 'shutting-down'
 	| 'short-of-capacity'
 	| 'crash-suspect'
+	| 'key-removed'
 	| 'attempts-used'
 	| 'limit'
 	| 'retry-budget'
@@ -144,6 +147,10 @@
 		return 'crash-suspect';
 	}
 
+	if (context.isKeyRemoved) {
+		return 'key-removed';
+	}
+
 	if (context.executions + 1 > context.maxAttempts) {
 		return 'attempts-used';
 	}
--- a/packages/gateway/src/hedging/hedge-target-picker.ts
+++ b/packages/gateway/src/hedging/hedge-target-picker.ts
@@ -80,11 +80,16 @@
 			const best = this.#findBest(request);
 			if (best !== undefined) {
 				const {state, expectedMs} = best;
+				const {load} = state;
 				const connection = claim() ? state.pool.acquire(maxIdleMs) : undefined;
-				const waitedMs = clock.monotonicMs() - startedAtMs;
-				return (
-					connection && {state, connection, expectedMs, probedCount, waitedMs}
-				);
+				if (connection === undefined) {
+					return undefined;
+				}
+
+				const nowMs = clock.monotonicMs();
+				const waitedMs = nowMs - startedAtMs;
+				state.addSend(nowMs);
+				return {state, connection, load, expectedMs, probedCount, waitedMs};
 			}
 		}
 
--- a/packages/gateway/src/records/gateway-metrics.ts
+++ b/packages/gateway/src/records/gateway-metrics.ts
@@ -67,6 +67,20 @@
 		registers: [this.#registry],
 	});
 
+	readonly #farProbes = new Counter({
+		name: 'bilberryscale_far_probes_total',
+		help: 'Probes of targets in other data centres',
+		labelNames: ['service'],
+		registers: [this.#registry],
+	});
+
+	readonly #farSends = new Counter({
+		name: 'bilberryscale_far_sends_total',
+		help: 'Requests sent to targets in other data centres',
+		labelNames: ['service'],
+		registers: [this.#registry],
+	});
+
 	readonly #returnTimes = new Counter({
 		name: 'bilberryscale_returns_total',
 		help: 'Refused callers by service, priority and the return time that they were promised',
@@ -94,6 +108,13 @@
 		registers: [this.#registry],
 	});
 
+	readonly #accountRefusals = new Counter({
+		name: 'bilberryscale_account_refusals_total',
+		help: 'Requests refused on arrival for their key by reason',
+		labelNames: ['reason'],
+		registers: [this.#registry],
+	});
+
 	/** Gets the content type of the exported text. */
 	get contentType(): string {
 		return this.#registry.contentType;
@@ -161,6 +182,25 @@
 		this.#forwards.inc({result});
 	}
 
+	/**
+	 * Records probes of targets in other data centres.
+	 *
+	 * @param service - The service.
+	 * @param count - The number of probes.
+	 */
+	recordFarProbes(service: string, count: number): void {
+		this.#farProbes.inc({service}, count);
+	}
+
+	/**
+	 * Records a request that is sent to a target in another data centre.
+	 *
+	 * @param service - The service.
+	 */
+	recordFarSend(service: string): void {
+		this.#farSends.inc({service});
+	}
+
 	/**
 	 * Records when a refused caller was told to return.
 	 *
@@ -197,6 +237,15 @@
 		this.#wastedMs.inc(wastedMs);
 	}
 
+	/**
+	 * Records a request that was refused on arrival for its key.
+	 *
+	 * @param reason - What was wrong with it.
+	 */
+	recordAccountRefusal(reason: string): void {
+		this.#accountRefusals.inc({reason});
+	}
+
 	/**
 	 * Exports all metrics.
 	 *
--- a/packages/gateway/src/relay/attempt-dispatcher.ts
+++ b/packages/gateway/src/relay/attempt-dispatcher.ts
@@ -8,6 +8,8 @@
 } from '@bilberryscale/core';
 import {getRequestSignature} from '@bilberryscale/daemon/edge';
 import type {CrashSuspects} from '@bilberryscale/decisions';
+import {getTargetAccountHeaders} from '../accounts/account-headers.js';
+import type {FullTargetBehaviour} from '../choice/full-target-behaviour.js';
 import type {LastSlotFactor} from '../choice/last-slot-factor.js';
 import type {PickedTarget} from '../choice/target-picker.js';
 import type {RequestRecorder} from '../records/request-recorder.js';
@@ -30,6 +32,7 @@
 	readonly clock: Clock;
 	readonly serviceTimes: ServiceTimes;
 	readonly lastSlotFactor: LastSlotFactor;
+	readonly fullTargets: FullTargetBehaviour;
 	readonly silenceDetector: SilenceDetector;
 	readonly protocol: TargetProtocol;
 	readonly recorder: RequestRecorder;
@@ -104,16 +107,15 @@
 	 */
 	async send(
 		request: RoutedRequest,
-		{state, connection, expectedMs, probedCount, waitedMs}: PickedTarget,
+		{state, connection, load, expectedMs, probedCount, waitedMs}: PickedTarget,
 		attempt: number,
 		control: AttemptControl,
 	): Promise<AttemptResult> {
 		const {clock, protocol, silenceDetector, recorder, serviceTimes} =
 			this.#options;
-		const {exchange, route, body, deadlineMs} = request;
+		const {exchange, route, body, deadlineMs, account} = request;
 		const {report} = state;
 		const startedAtMs = clock.monotonicMs();
-		const {load} = state;
 		const slowdownFactor = report?.slowdownFactor ?? 1;
 		const limitPerSecond = state.availability.limit.perSecond;
 		const result = await new TargetAttempt({
@@ -124,6 +126,9 @@
 			protocol,
 			clock,
 			deadlineMs,
+			accountHeaders: request.hasAccounts
+				? getTargetAccountHeaders(protocol, account)
+				: {},
 			onNotice: (notice, namesRequest) => {
 				this.#options.onNotice(state, notice, namesRequest);
 			},
@@ -141,6 +146,11 @@
 			...control,
 		}).run();
 		const durationMs = clock.monotonicMs() - startedAtMs;
+		this.#options.fullTargets.add(
+			request.service,
+			load + 1 - state.slots,
+			result,
+		);
 		if (
 			result.kind === 'answered' &&
 			result.answer.status < minServerErrorStatus
@@ -160,6 +170,7 @@
 		recorder.recordAttempt(exchange, {
 			attempt,
 			target: state.registration.id,
+			account: account?.name,
 			load,
 			slots: state.slots,
 			slowness: slowdownFactor,
--- a/packages/gateway/src/relay/hedged-dispatcher.ts
+++ b/packages/gateway/src/relay/hedged-dispatcher.ts
@@ -4,6 +4,7 @@
 import type {Clock, ServiceName, TargetId} from '@bilberryscale/core';
 import {getRequestSignature} from '@bilberryscale/daemon/edge';
 import type {CrashSuspects} from '@bilberryscale/decisions';
+import type {AccountCheck} from '../accounts/account-check.js';
 import type {ShortageDetector} from '../capacity/shortage-detector.js';
 import type {PickRequest} from '../choice/pick-request.js';
 import type {PickedTarget} from '../choice/target-picker.js';
@@ -35,6 +36,8 @@
 	readonly shortageDetector: ShortageDetector;
 	readonly serviceTimes: ServiceTimes;
 	readonly crashSuspects: CrashSuspects;
+	/** Checks the key of a request again before its second copy is sent. */
+	readonly accountCheck: Pick<AccountCheck, 'recheck'>;
 	readonly recorder: Pick<
 		RequestRecorder,
 		'recordHedge' | 'recordHedgeObstacle' | 'recordHedgeSent'
@@ -235,7 +238,7 @@
 		context: SendContext,
 		isOpen: () => boolean,
 	): Promise<Copy<EndedCopy> | undefined> {
-		const {clock, recorder, targetPicker} = this.#options;
+		const {clock, recorder, targetPicker, accountCheck} = this.#options;
 		const {exchange, service} = request;
 		const isNeeded = () => isOpen() && !exchange.incoming.signal.aborted;
 		if (!isNeeded()) {
@@ -271,21 +274,25 @@
 		}
 
 		recorder.recordHedgeSent();
-		return this.#startCopy(request, picked, context.attempt + 1, () => false);
+		// The key may belong to another account by now.
+		const checked = accountCheck.recheck(request).unwrapOr(request);
+		return this.#startCopy(checked, picked, context.attempt + 1, () => false);
 	}
 
 	#getObstacle(
-		{service, route, exchange}: RoutedRequest,
+		request: RoutedRequest,
 		{executions, canTakeRetry}: SendContext,
 	): HedgeObstacle | undefined {
-		const {clock, shortageDetector, isShuttingDown, crashSuspects} =
-			this.#options;
+		const {service, route, exchange} = request;
+		const {clock, shortageDetector, isShuttingDown} = this.#options;
+		const {crashSuspects, accountCheck} = this.#options;
 		return getHedgeObstacle({
 			isShuttingDown: isShuttingDown(),
 			isShortOfCapacity: shortageDetector.isShort(service),
 			isCrashSuspect:
 				!crashSuspects.isEmpty &&
 				crashSuspects.isSuspect(getRequestSignature(exchange)),
+			isKeyRemoved: accountCheck.recheck(request).isErr(),
 			executions: executions + 1,
 			maxAttempts: route.maxAttempts,
 			isWithinLimit: this.#getBudget(service).canTake(clock.monotonicMs()),
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -10,6 +10,7 @@
 import type {Exchange, FilterResult} from '@bilberryscale/daemon/edge';
 import {Err, Ok, type Result} from 'ts-results-es';
 import type {ReturnSchedules} from '../capacity/return-schedules.js';
+import type {AccountCheck} from '../accounts/account-check.js';
 import type {PickedTarget, TargetPicker} from '../choice/target-picker.js';
 import type {Forwarder} from '../forwarding/forwarder.js';
 import {RetryBudget, type RetryBudgetLimit} from '../limits/retry-budget.js';
@@ -37,6 +38,7 @@
 	readonly clock: Clock;
 	readonly picker: TargetPicker;
 	readonly reader: RequestReader;
+	readonly accountCheck: AccountCheck;
 	readonly serviceTimes: ServiceTimes;
 	readonly dispatcher: AttemptDispatcher;
 	readonly forwarder: Forwarder;
@@ -107,7 +109,12 @@
 			blockedFailure === undefined
 				? await this.#sendWithRetries(request, forwardedAttempts === undefined)
 				: Err(blockedFailure);
-		this.#options.recorder.recordCompletion(exchange, request.route, outcome);
+		this.#options.recorder.recordCompletion(
+			exchange,
+			request.route,
+			outcome,
+			request.account?.name,
+		);
 		return outcome;
 	}
 
@@ -139,6 +146,10 @@
 
 			const attempt = await this.#attempt(request, progress, canForward);
 			if (attempt.isErr()) {
+				if (progress.executions === 0 && isAccountFailure(attempt.error)) {
+					return attempt;
+				}
+
 				this.#options.hedging?.addRefusal(request.service);
 				return best === undefined
 					? Err(reader.addRetryAfter(request, attempt.error))
@@ -182,7 +193,7 @@
 
 		const picked = await this.#pick(request, progress, !wasLost);
 		if (picked.isOk()) {
-			return Ok(await this.#send(request, picked.value, progress));
+			return this.#send(request, picked.value, progress);
 		}
 
 		if (wasLost || !registry.isOutOfReach(request.service)) {
@@ -197,18 +208,27 @@
 		const pickedAfterAll = await this.#pick(request, progress, false);
 		return pickedAfterAll.isErr()
 			? pickedAfterAll
-			: Ok(await this.#send(request, pickedAfterAll.value, progress));
+			: this.#send(request, pickedAfterAll.value, progress);
 	}
 
+	/** Sends a request to a picked target, unless its key is no longer valid. */
 	async #send(
 		request: RoutedRequest,
 		picked: PickedTarget,
 		progress: Progress,
-	): Promise<AttemptResult> {
-		const {picker} = this.#options;
+	): Promise<Result<AttemptResult, Failure>> {
+		const {picker, accountCheck} = this.#options;
+		const checked = accountCheck.recheck(request);
+		if (checked.isErr()) {
+			picked.state.addEnd();
+			picked.state.pool.release(picked.connection, false);
+			picker.wakeFirstWaiting(request.service);
+			return checked;
+		}
+
 		progress.triedTargets.add(picked.state.registration.id);
 		const [{target, result}, ...others] = await this.#sendCopies(
-			request,
+			checked.value,
 			picked,
 			progress,
 		);
@@ -225,7 +245,7 @@
 			addRefusingTarget(progress, other);
 		}
 
-		return result;
+		return Ok(result);
 	}
 
 	/** Sends a request to a picked target and, if hedging is on, perhaps to another one. */
@@ -271,8 +291,13 @@
 			return Err(notRunFailure('no-target', 'This host reaches no target.'));
 		}
 
+		const checked = this.#options.accountCheck.recheck(request);
+		if (checked.isErr()) {
+			return checked;
+		}
+
 		const result = await this.#options.forwarder.forward(
-			request,
+			checked.value,
 			request.route.maxAttempts - executions,
 		);
 		if (result?.kind !== 'refused') {
@@ -323,10 +348,10 @@
 		{triedTargets, refusingTargets}: Progress,
 		endsOutOfReach: boolean,
 	): Promise<Result<PickedTarget, Failure>> {
-		const {picker} = this.#options;
+		const {picker, accountCheck} = this.#options;
 		const {route, service, deadlineMs} = request;
 		const isTargetLimitReached = triedTargets.size >= route.maxAttempts;
-		return picker.pick({
+		const picked = await picker.pick({
 			service,
 			isIdempotent: route.isIdempotent,
 			serviceTimeMs: this.#getServiceTimeMs(route),
@@ -338,7 +363,10 @@
 			isReturning: request.isReturning,
 			signal: request.exchange.incoming.signal,
 			targetLatencyMs: route.targetLatencyMs,
+			isRevoked: () => accountCheck.recheck(request).isErr(),
 		});
+		const checked = accountCheck.recheck(request);
+		return picked.isErr() && checked.isErr() ? checked : picked;
 	}
 
 	#getServiceTimeMs({name, targetLatencyMs}: Route): number {
@@ -413,6 +441,11 @@
 	}
 }
 
+/** Checks whether a request was refused because of its client account, which a retry does not change. */
+function isAccountFailure({kind}: Failure): boolean {
+	return kind === 'account-unknown' || kind === 'accounts-outdated';
+}
+
 function limitAttempts(
 	request: RoutedRequest,
 	attempts: number | undefined,
--- a/packages/gateway/test/hedging/hedge-policy.test.ts
+++ b/packages/gateway/test/hedging/hedge-policy.test.ts
@@ -145,6 +145,7 @@
 		isShuttingDown: false,
 		isShortOfCapacity: false,
 		isCrashSuspect: false,
+		isKeyRemoved: false,
 		executions: 1,
 		maxAttempts: 2,
 		isWithinLimit: true,
@@ -164,6 +165,7 @@
 	doTest({isShuttingDown: true}, 'shutting-down');
 	doTest({isShortOfCapacity: true}, 'short-of-capacity');
 	doTest({isCrashSuspect: true}, 'crash-suspect');
+	doTest({isKeyRemoved: true}, 'key-removed');
 	doTest({executions: 2}, 'attempts-used');
 	doTest({executions: 2, maxAttempts: 3}, undefined);
 	doTest({isWithinLimit: false}, 'limit');
