Make an error in one copy end a race, and count overtaken targets

Cause: an error thrown in a step of a race was an unhandled rejection, which ends the process. A target that drops requests looked faultless once its requests were hedged, since a superseded attempt counts as no failure. A forwarded request counted towards the permits of two hosts. Change: the race rejects and cancels both copies; a first target whose copy was overtaken counts 0.35 of a failure; only requests of a host's own callers count.

--- a/packages/gateway/src/relay/hedged-dispatcher.ts
+++ b/packages/gateway/src/relay/hedged-dispatcher.ts
@@ -145,6 +145,10 @@
 			void this.#recordRace(request, race, delayMs);
 		}
 
+		if (race.winner === 'second') {
+			picked.state.addOvertaken(clock.monotonicMs());
+		}
+
 		const [only, other] = race.outcomes;
 		if (other === undefined) {
 			return [only];
@@ -330,22 +334,26 @@
 		const [first, second] = await Promise.all(
 			copies.map(async ({outcome}) => outcome),
 		);
+		if (first === undefined || second === undefined) {
+			return;
+		}
+
 		const loser = winner === 'first' ? second : first;
 		if (winner !== undefined) {
-			discardAnswer(loser!.result);
+			discardAnswer(loser.result);
 		}
 
-		const durations = {first: first!.durationMs, second: second!.durationMs};
+		const durations = {first: first.durationMs, second: second.durationMs};
 		this.#options.recorder.recordHedge(exchange, {
 			route: route.name,
-			first: first!.target,
-			second: second!.target,
+			first: first.target,
+			second: second.target,
 			winner,
 			delayMs,
 			wastedMs:
 				winner === undefined
 					? durations.first + durations.second
-					: loser!.durationMs,
+					: loser.durationMs,
 		});
 	}
 
--- a/packages/gateway/src/relay/race-copies.ts
+++ b/packages/gateway/src/relay/race-copies.ts
@@ -4,7 +4,7 @@
 
 /** A copy that is under way. */
 export type Copy<Outcome> = {
-	/** Resolves when the copy has ended; never rejects. */
+	/** Resolves when the copy has ended. */
 	readonly outcome: Promise<Outcome>;
 	/** Cancels the copy, which then ends. */
 	readonly cancel: () => void;
@@ -45,18 +45,20 @@
  *
  * @param options - The copies.
  * @returns How the race has ended; a cancelled copy may still be ending.
+ * @throws The error of a copy, or of its start, if one rejects before the race has ended; both copies are cancelled.
  */
 export async function raceCopies<Outcome>(
 	options: RaceOptions<Outcome>,
 ): Promise<RaceResult<Outcome>> {
-	return new Promise((resolve) => {
-		new Race(options, resolve).start();
+	return new Promise((resolve, reject) => {
+		new Race(options, resolve, reject).start();
 	});
 }
 
 class Race<Outcome> {
 	readonly #options: RaceOptions<Outcome>;
 	readonly #resolve: (result: RaceResult<Outcome>) => void;
+	readonly #reject: (error: Error) => void;
 	readonly #copies: Array<Copy<Outcome>>;
 	#outcomes: readonly Outcome[] = [];
 	#cancelTimer: () => void = () => undefined;
@@ -65,18 +67,37 @@
 	constructor(
 		options: RaceOptions<Outcome>,
 		resolve: (result: RaceResult<Outcome>) => void,
+		reject: (error: Error) => void,
 	) {
 		this.#options = options;
 		this.#resolve = resolve;
+		this.#reject = reject;
 		this.#copies = [options.first];
 	}
 
 	start(): void {
 		const {clock, first, delayMs} = this.#options;
 		this.#cancelTimer = clock.schedule(delayMs, () => {
-			void this.#startSecond();
+			void this.#catch(this.#startSecond());
 		});
-		void this.#follow(first);
+		void this.#catch(this.#follow(first));
+	}
+
+	/** Ends the race if one of its steps throws. */
+	async #catch(step: Promise<void>): Promise<void> {
+		try {
+			await step;
+		} catch (error) {
+			if (!this.#hasEnded) {
+				this.#hasEnded = true;
+				this.#cancelTimer();
+				for (const copy of this.#copies) {
+					copy.cancel();
+				}
+
+				this.#reject(error as Error);
+			}
+		}
 	}
 
 	async #startSecond(): Promise<void> {
@@ -91,7 +112,7 @@
 			return;
 		}
 
-		void this.#follow(second);
+		void this.#catch(this.#follow(second));
 	}
 
 	async #follow(copy: Copy<Outcome>): Promise<void> {
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -125,7 +125,11 @@
 		const {clock, reader} = this.#options;
 		this.#getRetryBudget(request.service).addRequest(clock.monotonicMs());
 		this.#options.returnSchedules.addArrival(request);
-		this.#options.hedging?.addRequest(request.service);
+		if (canForward) {
+			// A forwarded request counts at the host of its caller.
+			this.#options.hedging?.addRequest(request.service);
+		}
+
 		const progress: Progress = {
 			triedTargets: new Set(),
 			refusingTargets: new Set(),
--- a/packages/gateway/src/targets/target-state.ts
+++ b/packages/gateway/src/targets/target-state.ts
@@ -24,6 +24,8 @@
 const failureDecayMs = 4000;
 /** Successes assumed before any request, so that a first failure weighs less. */
 const priorSuccesses = 2;
+/** Weight of a request that another target answered sooner; most of them would have been answered. */
+const overtakenWeight = 0.35;
 /** Weight of a failure that another host reported; its successes are not reported. */
 const remoteFailureWeight = 0.35;
 
@@ -195,6 +197,17 @@
 		this.#failures += remoteFailureWeight;
 	}
 
+	/**
+	 * Records that a request took so long that its copy at another target was
+	 * answered first. Without it, a target that drops requests would look faultless.
+	 *
+	 * @param nowMs - The monotonic time in milliseconds.
+	 */
+	addOvertaken(nowMs: number): void {
+		this.#decay(nowMs);
+		this.#failures += overtakenWeight;
+	}
+
 	/**
 	 * Estimates the probability that a request fails at the target.
 	 *
--- a/packages/gateway/test/relay/race-copies.test.ts
+++ b/packages/gateway/test/relay/race-copies.test.ts
@@ -129,6 +129,33 @@
 		assert.equal(results[0]?.outcomes, ['bad']);
 	});
 
+	it('throws the error of a copy instead of leaving it unhandled, and cancels the other', async () => {
+		const clock = new ManualClock();
+		const second = makeRunner();
+		let fail: (error: Error) => void = () => undefined;
+		const outcome = new Promise<string>((_resolve, reject) => {
+			fail = reject;
+		});
+		const race = raceCopies({
+			clock,
+			first: {outcome, cancel: () => undefined},
+			delayMs: 100,
+			startSecond: async () => second,
+			isGood: () => true,
+		});
+		clock.advance(100);
+		await settle();
+		fail(new Error('broken'));
+		try {
+			await race;
+			assert.unreachable('the race has ended without an error');
+		} catch (error) {
+			assert.is((error as Error).message, 'broken');
+		}
+
+		assert.ok(second.isCancelled);
+	});
+
 	it('ends with the first copy if it fails while a second one is being prepared, and cancels that one', async () => {
 		const clock = new ManualClock();
 		const first = makeRunner();
--- a/packages/gateway/test/targets/target-state.test.ts
+++ b/packages/gateway/test/targets/target-state.test.ts
@@ -53,6 +53,17 @@
 	});
 
 	describe('getFailureRate', () => {
+		it('rises with requests that other targets answered sooner, less than with failures', () => {
+			const [overtaken, failing] = [makeState(), makeState()];
+			for (let index = 0; index < 5; index++) {
+				overtaken.addOvertaken(0);
+				failing.addOutcome(true, 0);
+			}
+
+			assert.ok(overtaken.getFailureRate(0) > 0.4);
+			assert.ok(overtaken.getFailureRate(0) < failing.getFailureRate(0));
+		});
+
 		it('rises with failures and decays', () => {
 			const state = makeState();
 			state.addOutcome(true, 0);
