Apply spillover only where priorities compete

Cause: deployments without competing priorities must be served as before, but the new order of far probes applied to all of them. Change: a service without capacity management keeps the former probing, and its full targets are judged but not passed over.

--- a/packages/gateway/src/choice/target-picker.ts
+++ b/packages/gateway/src/choice/target-picker.ts
@@ -275,7 +275,12 @@
 
 	/** Checks whether a request might find a full queue at a target and get no response. */
 	#mayHang(state: TargetState, service: ServiceName): boolean {
-		const {maxQueued} = this.#options.fullTargets.get(service);
+		const {fullTargets, hasCapacityManagement} = this.#options;
+		if (!hasCapacityManagement(service)) {
+			return false;
+		}
+
+		const {maxQueued} = fullTargets.get(service);
 		return Math.max(state.load, state.outstanding) >= state.slots + maxQueued;
 	}
 
--- a/packages/gateway/src/choice/target-prober.ts
+++ b/packages/gateway/src/choice/target-prober.ts
@@ -39,10 +39,11 @@
 /**
  * Which targets are probed: this host's subset of the targets in its own data
  * centre (near targets), the others there, or any of them; this host's subset of
- * the targets in other data centres (far targets), or the next ones of these in
- * the order of this host.
+ * the targets in other data centres (far targets), the next ones of these in
+ * the order of this host, or any of them; or any target.
  */
-export type ProbeScope = 'subset' | 'near' | 'any-near' | 'far' | 'other-far';
+export type ProbeScope =
+	'subset' | 'near' | 'any-near' | 'far' | 'other-far' | 'any-far' | 'any';
 
 /** The number of targets of a service that a host probes for each request while one of them is acceptable. */
 const subsetSize = 4;
@@ -163,6 +164,10 @@
 	): readonly TargetState[] {
 		const {registry, dataCentre, host} = this.#options;
 		const open = registry.getOpenTargets(service);
+		if (scope === 'any') {
+			return open;
+		}
+
 		const isNear = ({registration}: TargetState) =>
 			registration.dataCentre === dataCentre;
 		if (isFar(scope)) {
@@ -174,6 +179,10 @@
 			return orderByRank(rested.length > 0 ? rested : far, host);
 		}
 
+		if (scope === 'any-far') {
+			return open.filter((state) => !isNear(state));
+		}
+
 		const near = open.filter((state) => isNear(state));
 		if (scope === 'any-near') {
 			return near;
--- a/packages/gateway/src/choice/target-search.ts
+++ b/packages/gateway/src/choice/target-search.ts
@@ -19,6 +19,8 @@
 	readonly spillover: Spillover;
 	/** The data centre of this host. */
 	readonly dataCentre: DataCentreId;
+	/** Checks whether the plan calls for capacity management of a service; otherwise far targets are probed as soon as near ones don't suffice. */
+	readonly hasCapacityManagement: (service: ServiceName) => boolean;
 	/** Called when a request is sent to a far target. */
 	readonly onFarSend: (service: ServiceName) => void;
 };
@@ -26,8 +28,10 @@
 /** Checks whether a target of one side is known that the request would take without a wait. */
 export type AcceptanceCheck = (side: TargetSide) => boolean;
 
-/** The maximum number of near targets probed beyond the subset of this host. */
+/** The maximum number of targets probed beyond the subset of this host, far ones only without capacity management. */
 const nearCount = 8;
+/** The scopes probed in turn without capacity management. */
+const plainScopes: readonly ProbeScope[] = ['subset', 'near', 'any-far'];
 /** The maximum number of far targets probed at once; each probe of them costs bytes between data centres. */
 const farCount = 3;
 /** The number of targets probed again while a request waits. */
@@ -63,6 +67,11 @@
 
 	/** Probes targets until an acceptable one is known or no further probes are worth their cost. */
 	async run(): Promise<void> {
+		if (!this.#hasCapacityManagement) {
+			await this.#runPlain();
+			return;
+		}
+
 		const sides = this.#getOpenSides();
 		const order = this.#options.spillover.takeOrder(
 			this.#request.service,
@@ -95,6 +104,11 @@
 
 	/** Probes targets again while the request waits: near ones, and far ones if a near one would come too late. */
 	async recheck(): Promise<void> {
+		if (!this.#hasCapacityManagement) {
+			await this.#probe('any', recheckCount);
+			return;
+		}
+
 		const sides = this.#getOpenSides();
 		const looks: Array<Promise<unknown>> = [];
 		if (sides.hasNear) {
@@ -129,6 +143,10 @@
 		}
 	}
 
+	get #hasCapacityManagement(): boolean {
+		return this.#options.hasCapacityManagement(this.#request.service);
+	}
+
 	/** Whether what the request finds holds for new requests too: a retry may go to fewer targets. */
 	get #isFirstSend(): boolean {
 		const {allowedTargets, triedTargets} = this.#request;
@@ -141,6 +159,15 @@
 		);
 	}
 
+	async #runPlain(): Promise<void> {
+		for (const scope of plainScopes) {
+			await this.#probe(scope, nearCount);
+			if (this.#isAcceptable('any') || this.#isPathLost) {
+				return;
+			}
+		}
+	}
+
 	#shouldLookFar({hasNear}: OpenSides): boolean {
 		const {clock, spillover} = this.#options;
 		const {service, receivedAtMs, targetLatencyMs, serviceTimeMs} =
--- a/packages/gateway/src/context/make-relay.ts
+++ b/packages/gateway/src/context/make-relay.ts
@@ -1,6 +1,11 @@
 /** Wires up the relay, which forwards requests from callers to targets. */
 
-import type {Clock, Digest, RandomSource} from '@bilberryscale/core';
+import type {
+	Clock,
+	Digest,
+	RandomSource,
+	ServiceName,
+} from '@bilberryscale/core';
 import type {CrashSuspects} from '@bilberryscale/decisions';
 import {FullTargetBehaviour} from '../choice/full-target-behaviour.js';
 import {ReturnSchedules} from '../capacity/return-schedules.js';
@@ -81,13 +86,14 @@
 		});
 	});
 	const serviceTimes = new ServiceTimes();
+	const hasPriorityClasses = (service: ServiceName) =>
+		plans.plan?.prioritizedServices.has(service) ?? false;
 	const returnSchedules = new ReturnSchedules({
 		clock,
 		random,
 		log,
 		metrics,
-		hasPriorityClasses: (service) =>
-			plans.plan?.prioritizedServices.has(service) ?? false,
+		hasPriorityClasses,
 	});
 	const prober = new TargetProber({
 		clock,
@@ -129,6 +135,7 @@
 			spillover: new Spillover(clock, (service, stage, inputs) => {
 				writeSpilloverChange(log, service, stage, inputs);
 			}),
+			hasCapacityManagement: hasPriorityClasses,
 			onFarSend(service) {
 				metrics.recordFarSend(service);
 			},
--- a/packages/gateway/test/choice/model-host.ts
+++ b/packages/gateway/test/choice/model-host.ts
@@ -66,6 +66,7 @@
 		registry,
 		prober,
 		spillover: new Spillover(clock),
+		hasCapacityManagement: () => true,
 		onFarSend: () => undefined,
 		lastSlotFactor: new LastSlotFactor(),
 		fullTargets,
