--- a/packages/gateway/src/edge/fetch-text.ts
+++ b/packages/gateway/src/edge/fetch-text.ts
@@ -7,6 +7,12 @@
 import {Err, Ok, type Result} from 'ts-results-es';
 import {collectBody} from '../relay/collect-body.js';
 
+/**
+ * Maximum length of a response in bytes: a plan with 10,000 accounts of 5 keys
+ * has 1.9 MB, 2.5 MB as the store encodes it.
+ */
+const maxTextBytes = 16_777_216;
+
 /** A request and the connection to send it over. */
 export type TextRequest = {
 	readonly connection: Connection;
@@ -58,6 +64,7 @@
 					() => {
 						targetRequest.cancel(new Error('the response is too large'));
 					},
+					maxTextBytes,
 				);
 			},
 			onEnd(error) {
--- a/packages/gateway/src/snapshot/item-replica.ts
+++ b/packages/gateway/src/snapshot/item-replica.ts
@@ -25,6 +25,8 @@
 
 /** How many of the latest changes are kept for peers. */
 const maxChangeLogLength = 500;
+/** How many characters the kept changes may have; a plan with 10,000 accounts has 1.9 million. */
+const maxChangeLogSize = 8_388_608;
 /** Lower than all revisions of the store. */
 const beforeFirstRevision = -1;
 
@@ -282,7 +284,7 @@
 		this.#changeLog = [...this.#changeLog, ...newChanges].toSorted(
 			(a, b) => a.revision - b.revision,
 		);
-		const surplusCount = this.#changeLog.length - maxChangeLogLength;
+		const surplusCount = countSurplus(this.#changeLog);
 		if (surplusCount > 0) {
 			this.#changeLogStartRevision =
 				this.#changeLog[surplusCount - 1]!.revision;
@@ -290,3 +292,22 @@
 		}
 	}
 }
+
+/** Counts the oldest changes that exceed the limits of the change log; the newest one is kept whatever its size. */
+function countSurplus(changeLog: readonly PublishedChange[]): number {
+	let size = 0;
+	let keptCount = 0;
+	for (const {text = ''} of changeLog.toReversed()) {
+		size += text.length;
+		if (
+			keptCount === maxChangeLogLength ||
+			(size > maxChangeLogSize && keptCount > 0)
+		) {
+			break;
+		}
+
+		keptCount++;
+	}
+
+	return changeLog.length - keptCount;
+}
--- a/packages/gateway/test/snapshot/item-replica.test.ts
+++ b/packages/gateway/test/snapshot/item-replica.test.ts
@@ -211,6 +211,34 @@
 			);
 		});
 
+		// Guards against a change log that fills the memory with former versions of a large plan.
+		it('keeps large changes up to a total size', () => {
+			const replica = makeReplica();
+			const largeText = 'x'.repeat(3_000_000);
+			replica.apply(makeChanges(5, [makeUpdate('a', 5)], true), undefined);
+			for (let revision = 6; revision <= 10; revision++) {
+				const change = makeUpdate('a', revision, largeText);
+				replica.apply(makeChanges(revision, [change]), undefined);
+			}
+
+			const isWhole = (revision: number) =>
+				replica.getChangesAfter({era: 0, revision}).isWhole;
+			assert.is(isWhole(7), true);
+			assert.is(isWhole(8), false);
+			assert.is(
+				replica.getChangesAfter({era: 0, revision: 8}).changes.length,
+				2,
+			);
+		});
+
+		it('keeps the newest change whatever its size', () => {
+			const replica = makeReplica();
+			replica.apply(makeChanges(5, [makeUpdate('a', 5)], true), undefined);
+			const change = makeUpdate('a', 6, 'x'.repeat(9_000_000));
+			replica.apply(makeChanges(6, [change]), undefined);
+			assert.is(replica.getChangesAfter({era: 0, revision: 5}).isWhole, false);
+		});
+
 		it('returns all items if the change log does not reach back', () => {
 			const replica = makeReplica();
 			replica.apply(makeChanges(5, [makeUpdate('a', 4)], true), undefined);
