--- a/packages/gateway/src/choice/target-picker.ts
+++ b/packages/gateway/src/choice/target-picker.ts
@@ -18,21 +18,22 @@
 	type TargetCondition,
 	type RequestProfile,
 } from './target-cost.js';
+import type {FullTargetBehaviour} from './full-target-behaviour.js';
 import type {LastSlotFactor} from './last-slot-factor.js';
 import {isEligible, type PickRequest} from './pick-request.js';
 import {
-	maxProbeCount,
-	probeScopes,
-	type TargetProber,
-} from './target-prober.js';
+	TargetSearch,
+	type TargetSearchOptions,
+	type TargetSide,
+} from './target-search.js';
 import {WaitQueue} from './wait-queue.js';
 
 /** The dependencies of a picker. */
-export type TargetPickerOptions = {
+export type TargetPickerOptions = TargetSearchOptions & {
 	readonly clock: Clock;
 	readonly registry: TargetRegistry;
-	readonly prober: TargetProber;
 	readonly lastSlotFactor: LastSlotFactor;
+	readonly fullTargets: FullTargetBehaviour;
 	/** The data centre of this host. */
 	readonly dataCentre: DataCentreId;
 };
@@ -41,6 +42,8 @@
 export type PickedTarget = {
 	readonly state: TargetState;
 	readonly connection: Connection;
+	/** The estimated number of requests that it held without this one. */
+	readonly load: number;
 	/** The expected latency, in milliseconds. */
 	readonly expectedMs: number;
 	/** The number of targets probed for the request. */
@@ -55,8 +58,6 @@
 	readonly expectedMs: number;
 };
 
-/** The number of targets probed again while a request waits. */
-const reprobeCount = 3;
 /** Maximum age of a load report that a pick may rely on, in milliseconds. */
 const maxReportAgeMs = 15;
 /** Maximum age of the load report of a target with a limit, in milliseconds; it counts as idle without one, as it gets few requests. */
@@ -90,20 +91,10 @@
 	async pick(request: PickRequest): Promise<Result<PickedTarget, Failure>> {
 		const {clock} = this.#options;
 		const startedAtMs = clock.monotonicMs();
-		let probedCount = 0;
-		for (const scope of probeScopes) {
-			probedCount += await this.#options.prober.probe(
-				request,
-				maxProbeCount,
-				scope,
-			);
-			if (
-				this.#hasAcceptableTarget(request) ||
-				(request.endsOutOfReach && this.#options.registry.pathMonitor.isLost)
-			) {
-				break;
-			}
-		}
+		const search = new TargetSearch(this.#options, request, (side) =>
+			this.#hasAcceptableTarget(request, side),
+		);
+		await search.run();
 
 		for (;;) {
 			const best = this.#findBest(request);
@@ -111,10 +102,21 @@
 			if (decision === 'take' && best !== undefined) {
 				const connection = this.#acquireConnection(best.state, request);
 				if (connection !== undefined) {
-					best.state.availability.limit.addSend(clock.monotonicMs());
-					const waitedMs = clock.monotonicMs() - startedAtMs;
 					const {state, expectedMs} = best;
-					return Ok({state, connection, expectedMs, probedCount, waitedMs});
+					const {load} = state;
+					state.availability.limit.addSend(clock.monotonicMs());
+					state.addSend(clock.monotonicMs());
+					const waitedMs = clock.monotonicMs() - startedAtMs;
+					const {probedCount} = search;
+					search.end(state);
+					return Ok({
+						state,
+						connection,
+						load,
+						expectedMs,
+						probedCount,
+						waitedMs,
+					});
 				}
 			}
 
@@ -127,16 +129,17 @@
 				isOutOfReach ||
 				this.#isUnservable(request)
 			) {
-				return Err(this.#describeRefusal(request, best, probedCount));
+				search.end(undefined);
+				return Err(this.#describeRefusal(request, best, search.probedCount));
 			}
 
 			const wasWoken = await this.#waitQueue.wait(
 				request.service,
 				reprobeIntervalMs,
 			);
-			probedCount += wasWoken
-				? 0
-				: await this.#options.prober.probe(request, reprobeCount, 'any');
+			if (!wasWoken) {
+				await search.recheck();
+			}
 		}
 	}
 
@@ -151,8 +154,8 @@
 	}
 
 	/** Checks whether a target is known that the request would take without a wait. */
-	#hasAcceptableTarget(request: PickRequest): boolean {
-		const best = this.#findBest(request);
+	#hasAcceptableTarget(request: PickRequest, side: TargetSide): boolean {
+		const best = this.#findBest(request, side);
 		return (
 			best !== undefined && this.#decideAdmission(request, best) === 'take'
 		);
@@ -215,12 +218,17 @@
 		);
 	}
 
-	#findBest(request: PickRequest): Candidate | undefined {
+	#findBest(
+		request: PickRequest,
+		side: TargetSide = 'any',
+	): Candidate | undefined {
 		const {registry, clock} = this.#options;
 		const nowMs = clock.monotonicMs();
 		let best: Candidate | undefined;
 		for (const state of registry.getOpenTargets(request.service)) {
-			if (!this.#isUsable(state, request, nowMs)) {
+			const isOnSide =
+				side === 'any' || this.#isNear(state) === (side === 'near');
+			if (!isOnSide || !this.#isUsable(state, request, nowMs)) {
 				continue;
 			}
 
@@ -249,7 +257,11 @@
 		const isReady = limit.isInForce
 			? limit.canSend(nowMs)
 			: getReportAgeMs(state, nowMs) <= maxReportAgeMs;
-		if (!isReady || !isEligible(request, state.registration.id)) {
+		if (
+			!isReady ||
+			!isEligible(request, state.registration.id) ||
+			this.#mayHang(state, request.service)
+		) {
 			return false;
 		}
 
@@ -261,6 +273,12 @@
 		);
 	}
 
+	/** Checks whether a request might find a full queue at a target and get no response. */
+	#mayHang(state: TargetState, service: ServiceName): boolean {
+		const {maxQueued} = this.#options.fullTargets.get(service);
+		return Math.max(state.load, state.outstanding) >= state.slots + maxQueued;
+	}
+
 	#getCondition(state: TargetState, nowMs: number): TargetCondition {
 		const hasCurrentLoad =
 			!state.availability.limit.isInForce ||
@@ -272,10 +290,14 @@
 			isHealthy: state.health?.isHealthy ?? true,
 			isCold: state.isCold(nowMs),
 			failureRate: state.getFailureRate(nowMs),
-			isNear: state.registration.dataCentre === this.#options.dataCentre,
+			isNear: this.#isNear(state),
 		};
 	}
 
+	#isNear({registration}: TargetState): boolean {
+		return registration.dataCentre === this.#options.dataCentre;
+	}
+
 	#getProfile(
 		{slots}: TargetState,
 		{service, serviceTimeMs, isIdempotent}: PickRequest,
--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -9,6 +9,7 @@
 	type FilterResult,
 } from '@bilberryscale/daemon/edge';
 import {CrashSuspects} from '@bilberryscale/decisions';
+import {getPrioritizedServices} from '../capacity/has-priority-classes.js';
 import {AccountDirectory} from '../accounts/account-directory.js';
 import {TargetProbe} from '../choice/target-probe.js';
 import type {CallerServer} from '../edge/caller-server.js';
@@ -375,6 +376,7 @@
 				version: plan.version,
 				routeTable: new RouteTable(plan.routes),
 				limits: plan.limits,
+				prioritizedServices: getPrioritizedServices(plan),
 				accounts,
 			});
 		}
--- a/packages/gateway/src/context/make-relay.ts
+++ b/packages/gateway/src/context/make-relay.ts
@@ -2,13 +2,17 @@
 
 import type {Clock, Digest, RandomSource} from '@bilberryscale/core';
 import type {CrashSuspects} from '@bilberryscale/decisions';
+import {FullTargetBehaviour} from '../choice/full-target-behaviour.js';
+import {ReturnSchedules} from '../capacity/return-schedules.js';
 import {AccountCheck} from '../accounts/account-check.js';
 import {LastSlotFactor} from '../choice/last-slot-factor.js';
+import {Spillover} from '../choice/spillover.js';
 import {TargetProber} from '../choice/target-prober.js';
 import {TargetPicker} from '../choice/target-picker.js';
 import type {Forwarder} from '../forwarding/forwarder.js';
 import type {PlanHolder} from '../plan/plan-holder.js';
 import {TrafficSplitter} from '../plan/traffic-splitter.js';
+import {writeSpilloverChange} from '../records/write-spillover-change.js';
 import {RequestRecorder} from '../records/request-recorder.js';
 import type {EventLog} from '../records/event-log.js';
 import type {GatewayMetrics} from '../records/gateway-metrics.js';
@@ -64,7 +68,27 @@
 		dependencies;
 	const {host, dataCentre} = settings.current;
 	const lastSlotFactor = new LastSlotFactor();
+	const fullTargets = new FullTargetBehaviour(clock, (service, limit) => {
+		const {maxQueued} = limit;
+		const isHanging = Number.isFinite(maxQueued);
+		log.write('full targets judged', {
+			service,
+			isHanging,
+			maxQueued: isHanging ? maxQueued : undefined,
+			answered: Math.round(limit.answered),
+			refused: Math.round(limit.refused),
+			hung: Math.round(limit.hung),
+		});
+	});
 	const serviceTimes = new ServiceTimes();
+	const returnSchedules = new ReturnSchedules({
+		clock,
+		random,
+		log,
+		metrics,
+		hasPriorityClasses: (service) =>
+			plans.plan?.prioritizedServices.has(service) ?? false,
+	});
 	const prober = new TargetProber({
 		clock,
 		random,
@@ -75,6 +99,9 @@
 		dataCentre,
 		getProbesPerTargetSecond: () => settings.current.questionsPerTargetSecond,
 		getHostCount,
+		onFarProbes(service, count) {
+			metrics.recordFarProbes(service, count);
+		},
 	});
 	const recorder = new RequestRecorder({
 		log,
@@ -99,7 +126,14 @@
 			clock,
 			registry: targetRegistry,
 			prober,
+			spillover: new Spillover(clock, (service, stage, inputs) => {
+				writeSpilloverChange(log, service, stage, inputs);
+			}),
+			onFarSend(service) {
+				metrics.recordFarSend(service);
+			},
 			lastSlotFactor,
+			fullTargets,
 			dataCentre,
 		}),
 		reader: new RequestReader({
@@ -108,12 +142,21 @@
 			returningCallerDetector: new ReturningCallerDetector(),
 			deadlineHeader: protocol.deadlineHeader,
 			plans,
+			bookReturn: ({exchange, route, service, priority}, remainingMs) =>
+				returnSchedules.book({
+					requestId: exchange.incoming.requestId,
+					service,
+					rank: priority,
+					remainingMs,
+					serviceTimeMs: serviceTimes.getMs(route.name, route.targetLatencyMs),
+				}),
 			accountCheck,
 		}),
 		dispatcher: new AttemptDispatcher({
 			clock,
 			serviceTimes,
 			lastSlotFactor,
+			fullTargets,
 			recorder,
 			protocol,
 			crashSuspects,
@@ -134,6 +177,7 @@
 		}),
 		forwarder: dependencies.forwarder,
 		registry: targetRegistry,
+		returnSchedules,
 		serviceTimes,
 		recorder,
 		isShuttingDown,
--- a/packages/gateway/src/records/gateway-metrics.ts
+++ b/packages/gateway/src/records/gateway-metrics.ts
@@ -67,6 +67,27 @@
 		registers: [this.#registry],
 	});
 
+	readonly #farProbes = new Counter({
+		name: 'bilberryscale_far_probes_total',
+		help: 'Probes of targets in other data centres',
+		labelNames: ['service'],
+		registers: [this.#registry],
+	});
+
+	readonly #farSends = new Counter({
+		name: 'bilberryscale_far_sends_total',
+		help: 'Requests sent to targets in other data centres',
+		labelNames: ['service'],
+		registers: [this.#registry],
+	});
+
+	readonly #returnTimes = new Counter({
+		name: 'bilberryscale_returns_total',
+		help: 'Refused callers by service, priority and the return time that they were promised',
+		labelNames: ['service', 'priority', 'result'],
+		registers: [this.#registry],
+	});
+
 	readonly #accountRefusals = new Counter({
 		name: 'bilberryscale_account_refusals_total',
 		help: 'Requests refused on arrival for their key by reason',
@@ -141,6 +162,36 @@
 		this.#forwards.inc({result});
 	}
 
+	/**
+	 * Records probes of targets in other data centres.
+	 *
+	 * @param service - The service.
+	 * @param count - The number of probes.
+	 */
+	recordFarProbes(service: string, count: number): void {
+		this.#farProbes.inc({service}, count);
+	}
+
+	/**
+	 * Records a request that is sent to a target in another data centre.
+	 *
+	 * @param service - The service.
+	 */
+	recordFarSend(service: string): void {
+		this.#farSends.inc({service});
+	}
+
+	/**
+	 * Records when a refused caller was told to return.
+	 *
+	 * @param service - The service.
+	 * @param priority - The effective priority of its request.
+	 * @param result - The kind of time that it was promised.
+	 */
+	recordReturnTime(service: string, priority: number, result: string): void {
+		this.#returnTimes.inc({service, priority, result});
+	}
+
 	/**
 	 * Records a request that was refused on arrival for its key.
 	 *
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -9,6 +9,7 @@
 } from '@bilberryscale/core';
 import type {Exchange, FilterResult} from '@bilberryscale/daemon/edge';
 import {Err, Ok, type Result} from 'ts-results-es';
+import type {ReturnSchedules} from '../capacity/return-schedules.js';
 import type {AccountCheck} from '../accounts/account-check.js';
 import type {PickedTarget, TargetPicker} from '../choice/target-picker.js';
 import type {Forwarder} from '../forwarding/forwarder.js';
@@ -37,6 +38,7 @@
 	readonly dispatcher: AttemptDispatcher;
 	readonly forwarder: Forwarder;
 	readonly registry: TargetRegistry;
+	readonly returnSchedules: ReturnSchedules;
 	readonly getRetryBudgetLimit: () => RetryBudgetLimit;
 	readonly getHostCount: () => number;
 	readonly recorder: RequestRecorder;
@@ -113,6 +115,7 @@
 	): Promise<FilterResult> {
 		const {clock, reader} = this.#options;
 		this.#getRetryBudget(request.service).addRequest(clock.monotonicMs());
+		this.#options.returnSchedules.addArrival(request);
 		const progress: Progress = {
 			triedTargets: new Set(),
 			refusingTargets: new Set(),
@@ -207,6 +210,7 @@
 		const {id} = picked.state.registration;
 		const checked = accountCheck.recheck(request);
 		if (checked.isErr()) {
+			picked.state.addEnd();
 			picked.state.pool.release(picked.connection, false);
 			picker.wakeFirstWaiting(request.service);
 			return checked;
@@ -220,6 +224,10 @@
 			() => this.#canLeaveStalledTarget(request, executions),
 		);
 		picker.wakeFirstWaiting(request.service);
+		if (result.kind === 'answered') {
+			this.#options.returnSchedules.addDeparture(request.service);
+		}
+
 		if (result.kind === 'refused' && result.status !== misdirectedStatus) {
 			refusingTargets.add(id);
 		}
@@ -311,6 +319,7 @@
 			endsOutOfReach,
 			deadlineMs,
 			receivedAtMs: request.exchange.incoming.receivedAtMs,
+			isReturning: request.isReturning,
 			signal: request.exchange.incoming.signal,
 			targetLatencyMs: route.targetLatencyMs,
 			isRevoked: () => accountCheck.recheck(request).isErr(),
--- a/packages/gateway/src/relay/target-attempt.ts
+++ b/packages/gateway/src/relay/target-attempt.ts
@@ -128,7 +128,6 @@
 				this.#cancel('silent');
 			}) ?? this.#stopWatching;
 		this.#startStallTimer();
-		state.addSend(this.#startedAtMs);
 		connection.dispatch(
 			{
 				method: incoming.method,
@@ -313,6 +312,7 @@
 		this.#stopWatching();
 		const {incoming, state, connection} = this.#options;
 		incoming.signal.removeEventListener('abort', this.#onCallerAbort);
+		state.addEnd();
 		state.pool.release(
 			connection,
 			error === undefined && !this.#isResponseInvalid,
--- a/packages/gateway/test/accounts/account-check.test.ts
+++ b/packages/gateway/test/accounts/account-check.test.ts
@@ -31,6 +31,7 @@
 			headerTimeoutMs: 1,
 			idleTimeoutMs: 1,
 		},
+		prioritizedServices: new Set(),
 		accounts: accounts && AccountDirectory.fromOrThrow(accounts),
 	};
 }
