--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -37,6 +37,7 @@
 import {CrashDetector} from './crash-detector.js';
 import type {GatewaySettings} from './gateway-settings.js';
 import {LiveSettings, type SettingsChange} from './live-settings.js';
+import type {HedgingOptions} from './make-hedged-dispatcher.js';
 import {makeRelay} from './make-relay.js';
 
 /** The settings of a gateway host and its external dependencies. */
@@ -54,6 +55,8 @@
 	readonly prepareItem?: ItemPreparation;
 	readonly callerProtocol: CallerProtocol;
 	readonly targetProtocol: TargetProtocol;
+	/** How hedged requests are sent; undefined for none. */
+	readonly hedging?: HedgingOptions | undefined;
 };
 
 /**
@@ -216,6 +219,7 @@
 			getHostCount,
 			getSnapshotAgeMs: () => this.#feed.ageMs,
 			isShuttingDown,
+			hedging: options.hedging,
 			probe: (state) => {
 				this.#probe(state);
 			},
@@ -264,8 +268,11 @@
 
 	/** Starts the servers, the feed and the gossip. */
 	async start(): Promise<void> {
-		const {settings, log} = this.#options;
-		log.writeState('process started', {dataCentre: settings.dataCentre});
+		const {settings, log, hedging} = this.#options;
+		log.writeState('process started', {
+			dataCentre: settings.dataCentre,
+			...(hedging && {hedgeLimit: hedging.limit}),
+		});
 		void this.#feed.run();
 		await this.#readinessServer.listen(settings.readiness);
 		await this.#metricsServer.listen(settings.metrics);
--- a/packages/gateway/src/context/make-relay.ts
+++ b/packages/gateway/src/context/make-relay.ts
@@ -31,6 +31,10 @@
 import type {TargetProtocol} from '../targets/target-protocol.js';
 import type {TargetState} from '../targets/target-state.js';
 import type {LiveSettings} from './live-settings.js';
+import {
+	makeHedgedDispatcher,
+	type HedgingOptions,
+} from './make-hedged-dispatcher.js';
 
 /** The objects and callbacks that the relay shares with the rest of the host. */
 export type RelayDependencies = {
@@ -49,6 +53,8 @@
 	/** Gets the time since the store confirmed the published state, in milliseconds. */
 	readonly getSnapshotAgeMs: () => number;
 	readonly isShuttingDown: () => boolean;
+	/** How hedged requests are sent; undefined for none. */
+	readonly hedging: HedgingOptions | undefined;
 	/** Probes a target. */
 	readonly probe: (state: TargetState) => void;
 	/** Called when a connection broke while it carried a request; calls back if the target has crashed. */
@@ -115,6 +121,29 @@
 		getPlanVersion: () => plans.plan?.version,
 		getNowMs: () => clock.monotonicMs(),
 	});
+	const dispatcher = new AttemptDispatcher({
+		clock,
+		serviceTimes,
+		lastSlotFactor,
+		fullTargets,
+		recorder,
+		protocol,
+		crashSuspects,
+		silenceDetector: new SilenceDetector({
+			clock,
+			probe,
+			isPaused: isShuttingDown,
+		}),
+		onNotice(state, notice, namesRequest) {
+			targetRegistry.addAvailability(
+				state,
+				notice,
+				namesRequest ? 'attempt' : undefined,
+			);
+		},
+		onConnectionBroken: dependencies.onConnectionBroken,
+		onTargetFailure: dependencies.onFailure,
+	});
 	const accountCheck = new AccountCheck({
 		plans,
 		credentialHeader: protocol.credentialHeader,
@@ -159,29 +188,20 @@
 				}),
 			accountCheck,
 		}),
-		dispatcher: new AttemptDispatcher({
-			clock,
-			serviceTimes,
-			lastSlotFactor,
-			fullTargets,
-			recorder,
-			protocol,
-			crashSuspects,
-			silenceDetector: new SilenceDetector({
-				clock,
-				probe,
-				isPaused: isShuttingDown,
+		dispatcher,
+		hedging:
+			dependencies.hedging &&
+			makeHedgedDispatcher({
+				...dependencies,
+				hedging: dependencies.hedging,
+				dispatcher,
+				prober,
+				lastSlotFactor,
+				serviceTimes,
+				recorder,
+				dataCentre,
+				accountCheck,
 			}),
-			onNotice(state, notice, namesRequest) {
-				targetRegistry.addAvailability(
-					state,
-					notice,
-					namesRequest ? 'attempt' : undefined,
-				);
-			},
-			onConnectionBroken: dependencies.onConnectionBroken,
-			onTargetFailure: dependencies.onFailure,
-		}),
 		forwarder: dependencies.forwarder,
 		registry: targetRegistry,
 		returnSchedules,
