--- a/packages/gateway/src/snapshot/item-replica.ts
+++ b/packages/gateway/src/snapshot/item-replica.ts
@@ -25,8 +25,11 @@
 
 /** How many of the latest changes are kept for peers. */
 const maxChangeLogLength = 500;
-/** How many characters the kept changes may have; a plan with 10,000 accounts has 1.9 million. */
-const maxChangeLogSize = 8_388_608;
+/**
+ * How many characters the kept changes may have. A plan with 10,000 accounts has
+ * 1.9 million, and a compressed response of over 4 MB is not read.
+ */
+const maxChangeLogSize = 2_097_152;
 /** Lower than all revisions of the store. */
 const beforeFirstRevision = -1;
 
