Keep the rate limits of client accounts over all hosts

Cause: a plan may give an account a rate limit, which holds for all hosts together. Change: the allotment gate takes tokens from the account's owner by gossip, and the relay sends a request only with a token.

--- a/packages/core/src/errors/error-kind.ts
+++ b/packages/core/src/errors/error-kind.ts
@@ -9,6 +9,7 @@
 	'body-timeout',
 	'service-unknown',
 	'class-unknown',
+	'rate-limited',
 	'key-invalid',
 	'key-conflict',
 	'key-too-old',
--- a/packages/core/src/errors/error-responses.ts
+++ b/packages/core/src/errors/error-responses.ts
@@ -24,6 +24,11 @@
 	'body-timeout': response(408, 'The body came too slowly'),
 	'service-unknown': response(404, 'The service is unknown'),
 	'class-unknown': response(400, 'The class of caller is unknown'),
+	'rate-limited': response(
+		429,
+		'The account is over its rate limit',
+		shortRetryMs,
+	),
 	'key-invalid': response(400, 'The idempotency key is not a UUIDv7'),
 	'key-conflict': response(422, 'The key was used for another request'),
 	'key-too-old': response(409, 'The key is too old to be run'),
--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -9,6 +9,8 @@
 	type FilterResult,
 } from '@bilberryscale/daemon/edge';
 import {CrashSuspects} from '@bilberryscale/decisions';
+import {AllotmentGate} from '../accounts/allotment-gate.js';
+import {defaultAllotmentBound} from '../accounts/allotment-tolerance.js';
 import {TargetProbe} from '../choice/target-probe.js';
 import type {CallerServer} from '../edge/caller-server.js';
 import {TextServer} from '../edge/text-server.js';
@@ -67,6 +69,7 @@
 	readonly #settings: LiveSettings;
 	readonly #metrics = new GatewayMetrics();
 	readonly #fleet: Fleet;
+	readonly #allotments: AllotmentGate;
 	readonly #crashSuspects = new CrashSuspects();
 	readonly #crashDetector: CrashDetector;
 	readonly #feed: SnapshotFeed;
@@ -129,6 +132,23 @@
 			onLimit: (notice) => {
 				this.#targetRegistry.addRemoteLimit(notice);
 			},
+			onAllotment: (message, sender) => {
+				this.#allotments.receive(message, sender);
+			},
+		});
+		this.#allotments = new AllotmentGate({
+			clock,
+			random,
+			log,
+			metrics: this.#metrics,
+			self: settings.callers.address,
+			getPeers: () => this.#fleet.knownPeers,
+			getSeeds: () => this.#settings.current.seeds.map(({address}) => address),
+			send: (address, message) => {
+				this.#fleet.sendAllotment(address, message);
+			},
+			getBound: () =>
+				this.#settings.current.allotmentBound ?? defaultAllotmentBound,
 		});
 		this.#feed = new SnapshotFeed({
 			clock,
@@ -202,6 +222,7 @@
 			targetRegistry: this.#targetRegistry,
 			forwarder: this.#forwarder,
 			plans: this.#plans,
+			allotments: this.#allotments,
 			crashSuspects: this.#crashSuspects,
 			getHostCount,
 			isShuttingDown,
@@ -301,6 +322,7 @@
 		await this.#sleep(pollIntervalMs);
 		log.writeState('process stopped', {openCalls: this.#openRequestCount});
 		this.#feed.stop();
+		this.#allotments.stop();
 		this.#fleet.stop();
 		this.#pathRecovery.stop();
 		this.#forwarder.close();
@@ -355,6 +377,7 @@
 				emptied: [...drainedDataCentres],
 			});
 			callerServer.setTimeouts(plan.limits);
+			this.#allotments.setAccounts(plan.version, plan.clientAccounts);
 			this.#plans.setPlan({
 				version: plan.version,
 				routeTable: new RouteTable(plan.routes),
--- a/packages/gateway/src/context/gateway-settings.ts
+++ b/packages/gateway/src/context/gateway-settings.ts
@@ -1,6 +1,7 @@
 /** The settings of a gateway host. */
 
 import type {DataCentreId, HostId} from '@bilberryscale/core';
+import type {AllotmentBound} from '../accounts/allotment-tolerance.js';
 import type {RetryBudgetLimit} from '../limits/retry-budget.js';
 
 /** The address and port of a server. */
@@ -29,6 +30,8 @@
 	readonly seeds: readonly Endpoint[];
 	/** The limit of the retry budget. */
 	readonly retryBound: RetryBudgetLimit;
+	/** By how much requests may exceed the rate limits of client accounts; undefined for the default. */
+	readonly allotmentBound?: AllotmentBound;
 	/** Maximum rate of probes from the whole fleet to a target, per second. */
 	readonly questionsPerTargetSecond: number;
 	/** Maximum duration of a shutdown, in milliseconds. */
--- a/packages/gateway/src/context/live-settings.ts
+++ b/packages/gateway/src/context/live-settings.ts
@@ -14,6 +14,7 @@
 const reloadableKeys = new Set<keyof GatewaySettings>([
 	'seeds',
 	'retryBound',
+	'allotmentBound',
 	'questionsPerTargetSecond',
 	'shutdownMs',
 ]);
@@ -48,11 +49,18 @@
 		const changed = keys.filter(
 			(key) => !isDeepStrictEqual(next[key], this.#current[key]),
 		);
-		const {seeds, retryBound, questionsPerTargetSecond, shutdownMs} = next;
+		const {
+			seeds,
+			retryBound,
+			allotmentBound,
+			questionsPerTargetSecond,
+			shutdownMs,
+		} = next;
 		this.#current = {
 			...this.#current,
 			seeds,
 			retryBound,
+			...(allotmentBound !== undefined && {allotmentBound}),
 			questionsPerTargetSecond,
 			shutdownMs,
 		};
--- a/packages/gateway/src/context/make-relay.ts
+++ b/packages/gateway/src/context/make-relay.ts
@@ -2,6 +2,7 @@
 
 import type {Clock, Digest, RandomSource} from '@bilberryscale/core';
 import type {CrashSuspects} from '@bilberryscale/decisions';
+import type {AllotmentGate} from '../accounts/allotment-gate.js';
 import {LastSlotFactor} from '../choice/last-slot-factor.js';
 import {TargetProber} from '../choice/target-prober.js';
 import {TargetPicker} from '../choice/target-picker.js';
@@ -33,6 +34,8 @@
 	readonly targetRegistry: TargetRegistry;
 	readonly forwarder: Forwarder;
 	readonly plans: PlanHolder;
+	/** The rate limits of client accounts. */
+	readonly allotments: AllotmentGate;
 	/** The requests that may have crashed targets. */
 	readonly crashSuspects: CrashSuspects;
 	readonly getHostCount: () => number;
@@ -118,6 +121,7 @@
 			onTargetFailure: dependencies.onFailure,
 		}),
 		forwarder: dependencies.forwarder,
+		allotments: dependencies.allotments,
 		registry: targetRegistry,
 		serviceTimes,
 		recorder,
--- a/packages/gateway/src/fleet/fleet.ts
+++ b/packages/gateway/src/fleet/fleet.ts
@@ -1,6 +1,7 @@
 /** Connects a host to the rest of its fleet: exchanges gossip, reads snapshots from peers and serves its own. */
 
 import type {Clock, DataCentreId, RandomSource} from '@bilberryscale/core';
+import type {AllotmentMessage} from '../accounts/allotment-message.js';
 import type {Endpoint, GatewaySettings} from '../context/gateway-settings.js';
 import type {SnapshotFeed} from '../snapshot/snapshot-feed.js';
 import type {SnapshotSource} from '../snapshot/snapshot-source.js';
@@ -29,6 +30,7 @@
 	readonly onCrash: (notice: CrashNotice) => void;
 	readonly onFailure: (incarnation: TargetIncarnation) => void;
 	readonly onLimit: (notice: LimitNotice) => void;
+	readonly onAllotment: (message: AllotmentMessage, sender: string) => void;
 };
 
 /** Lower bound on the assumed number of hosts, as some may not be discovered yet. */
@@ -155,6 +157,16 @@
 		this.#gossip.broadcastLimit(notice);
 	}
 
+	/**
+	 * Sends a message about rate limits to one host.
+	 *
+	 * @param address - The IP address of the host.
+	 * @param message - The message.
+	 */
+	sendAllotment(address: string, message: AllotmentMessage): void {
+		this.#gossip.sendAllotment(address, message);
+	}
+
 	#getPeer({address}: MemberRecord): PeerReader {
 		const existing = this.#peers.get(address);
 		if (existing !== undefined) {
--- a/packages/gateway/src/fleet/gossip-message.ts
+++ b/packages/gateway/src/fleet/gossip-message.ts
@@ -2,6 +2,12 @@
 
 import {Buffer} from 'node:buffer';
 import {makeId, type DataCentreId, type Digest} from '@bilberryscale/core';
+import {
+	decodeAllotmentMessage,
+	encodeAllotmentParameters,
+	isAllotmentMessage,
+	type AllotmentMessage,
+} from '../accounts/allotment-message.js';
 import type {TargetIncarnation} from '../plan/registered-target.js';
 import type {LimitNotice} from '../targets/limit-notice.js';
 import type {MemberRecord} from './membership.js';
@@ -23,7 +29,8 @@
 	  }
 	| {readonly method: 'crash'; readonly notice: CrashNotice}
 	| {readonly method: 'failure'; readonly incarnation: TargetIncarnation}
-	| {readonly method: 'limit'; readonly notice: LimitNotice};
+	| {readonly method: 'limit'; readonly notice: LimitNotice}
+	| AllotmentMessage;
 
 type JsonRpcNotification = {
 	readonly jsonrpc: '2.0';
@@ -70,8 +77,9 @@
 
 function decodeParameters(
 	method: string,
-	[first, second, third]: readonly unknown[],
+	parameters: readonly unknown[],
 ): GossipMessage | undefined {
+	const [first, second, third] = parameters;
 	switch (method) {
 		case 'members': {
 			return decodeMembers(first, second);
@@ -101,7 +109,7 @@
 		}
 
 		default: {
-			return undefined;
+			return decodeAllotmentMessage(method, parameters);
 		}
 	}
 }
@@ -127,6 +135,10 @@
 }
 
 function encodeParameters(message: GossipMessage): readonly unknown[] {
+	if (isAllotmentMessage(message)) {
+		return encodeAllotmentParameters(message);
+	}
+
 	switch (message.method) {
 		case 'members': {
 			const members = message.members.map(
--- a/packages/gateway/src/fleet/gossip.ts
+++ b/packages/gateway/src/fleet/gossip.ts
@@ -1,7 +1,11 @@
-/** Gossip between hosts over UDP: membership, crashes and limits of targets, and failed requests. */
+/** Gossip between hosts over UDP: membership, crashes and limits of targets, failed requests, and rate limits of client accounts. */
 
 import {createSocket, type Socket} from 'node:dgram';
 import type {Clock, DataCentreId, RandomSource} from '@bilberryscale/core';
+import {
+	isAllotmentMessage,
+	type AllotmentMessage,
+} from '../accounts/allotment-message.js';
 import type {EventLog} from '../records/event-log.js';
 import type {TargetIncarnation} from '../plan/registered-target.js';
 import type {LimitNotice} from '../targets/limit-notice.js';
@@ -29,6 +33,7 @@
 	readonly onCrash: (notice: CrashNotice) => void;
 	readonly onFailure: (incarnation: TargetIncarnation) => void;
 	readonly onLimit: (notice: LimitNotice) => void;
+	readonly onAllotment: (message: AllotmentMessage, sender: string) => void;
 };
 
 /** Mean interval between exchanges of members with another host, in milliseconds. */
@@ -116,6 +121,16 @@
 		}
 	}
 
+	/**
+	 * Sends a message about rate limits to one host.
+	 *
+	 * @param address - The IP address of the host.
+	 * @param message - The message.
+	 */
+	sendAllotment(address: string, message: AllotmentMessage): void {
+		this.#send(address, message);
+	}
+
 	#broadcast(message: GossipMessage): void {
 		const send = () => {
 			for (const {address} of this.#options.membership.getLivePeers()) {
@@ -174,8 +189,15 @@
 	}
 
 	#receive(datagram: Uint8Array, sender: string): void {
-		const {membership, onCrash, onFailure, onLimit, log} = this.#options;
+		const {membership, onCrash, onFailure, onLimit, onAllotment, log} =
+			this.#options;
 		const message = decodeMessage(datagram);
+		if (message !== undefined && isAllotmentMessage(message)) {
+			membership.recordResponse(sender);
+			onAllotment(message, sender);
+			return;
+		}
+
 		switch (message?.method) {
 			case 'members': {
 				this.#logNewMembers(membership.add(message.members));
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,5 +1,9 @@
 /** The gateway: routing, choice of targets by probing, limits and the published snapshot. */
 
+export {
+	defaultAllotmentBound,
+	type AllotmentBound,
+} from './accounts/allotment-tolerance.js';
 export type {CallerProtocol} from '@bilberryscale/daemon/edge';
 export {GatewayHost, type GatewayHostOptions} from './context/gateway-host.js';
 export type {Endpoint, GatewaySettings} from './context/gateway-settings.js';
--- a/packages/gateway/src/records/gateway-metrics.ts
+++ b/packages/gateway/src/records/gateway-metrics.ts
@@ -67,6 +67,39 @@
 		registers: [this.#registry],
 	});
 
+	readonly #allotmentRefusals = new Counter({
+		name: 'bilberryscale_allotment_refusals_total',
+		help: 'Requests over the rate limit of their client account',
+		labelNames: ['account'],
+		registers: [this.#registry],
+	});
+
+	readonly #allotmentGrants = new Counter({
+		name: 'bilberryscale_allotment_granted_total',
+		help: 'Tokens that this host has granted, by client account and role',
+		labelNames: ['account', 'role'],
+		registers: [this.#registry],
+	});
+
+	readonly #allotmentAllowed = new Counter({
+		name: 'bilberryscale_allotment_allowed_total',
+		help: 'Tokens that the rate allowed while this host granted it, by client account',
+		labelNames: ['account'],
+		registers: [this.#registry],
+	});
+
+	readonly #allotmentRedirects = new Counter({
+		name: 'bilberryscale_allotment_redirects_total',
+		help: 'Token requests for which another host has to be asked',
+		registers: [this.#registry],
+	});
+
+	readonly #silentHosts = new Counter({
+		name: 'bilberryscale_silent_hosts_total',
+		help: 'Hosts that have left messages about rate limits unanswered',
+		registers: [this.#registry],
+	});
+
 	/** Gets the content type of the exported text. */
 	get contentType(): string {
 		return this.#registry.contentType;
@@ -134,6 +167,46 @@
 		this.#forwards.inc({result});
 	}
 
+	/**
+	 * Records a request that was refused because of the rate limit of its client account.
+	 *
+	 * @param account - The name of the account.
+	 */
+	recordAllotmentRefusal(account: string): void {
+		this.#allotmentRefusals.inc({account});
+	}
+
+	/**
+	 * Records tokens that this host has granted.
+	 *
+	 * @param account - The name of the account.
+	 * @param role - Why this host grants them.
+	 * @param count - The number of tokens.
+	 */
+	recordAllotmentGrant(account: string, role: string, count: number): void {
+		this.#allotmentGrants.inc({account, role}, count);
+	}
+
+	/**
+	 * Records tokens that the rate of an account allowed.
+	 *
+	 * @param account - The name of the account.
+	 * @param count - The number of tokens.
+	 */
+	recordAllotmentAllowed(account: string, count: number): void {
+		this.#allotmentAllowed.inc({account}, count);
+	}
+
+	/** Records a token request for which another host has to be asked. */
+	recordAllotmentRedirect(): void {
+		this.#allotmentRedirects.inc();
+	}
+
+	/** Records that another host has left a message about rate limits unanswered. */
+	recordSilentHost(): void {
+		this.#silentHosts.inc();
+	}
+
 	/**
 	 * Exports all metrics.
 	 *
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -9,6 +9,8 @@
 } from '@bilberryscale/core';
 import type {Exchange, FilterResult} from '@bilberryscale/daemon/edge';
 import {Err, Ok, type Result} from 'ts-results-es';
+import type {AllotmentGate} from '../accounts/allotment-gate.js';
+import {AllotmentPermit} from '../accounts/allotment-permit.js';
 import type {PickedTarget, TargetPicker} from '../choice/target-picker.js';
 import type {Forwarder} from '../forwarding/forwarder.js';
 import {RetryBudget, type RetryBudgetLimit} from '../limits/retry-budget.js';
@@ -17,6 +19,7 @@
 import type {TargetRegistry} from '../targets/target-registry.js';
 import type {RequestReader, RoutedRequest} from './request-reader.js';
 import type {AttemptDispatcher} from './attempt-dispatcher.js';
+import {pickWithPermit} from './pick-with-permit.js';
 import {
 	describeResult,
 	pickBetterResult,
@@ -34,6 +37,8 @@
 	readonly serviceTimes: ServiceTimes;
 	readonly dispatcher: AttemptDispatcher;
 	readonly forwarder: Forwarder;
+	/** The rate limits of client accounts. */
+	readonly allotments: AllotmentGate;
 	readonly registry: TargetRegistry;
 	readonly getRetryBudgetLimit: () => RetryBudgetLimit;
 	readonly getHostCount: () => number;
@@ -46,6 +51,8 @@
 	readonly triedTargets: Set<TargetId>;
 	/** The targets that have refused the request without running it. */
 	readonly refusingTargets: Set<TargetId>;
+	/** The permission under the rate limit of its client account; undefined without a limit. */
+	readonly permit: AllotmentPermit | undefined;
 	attempts: number;
 	/** The number of attempts in which a target may have run the request. */
 	executions: number;
@@ -94,21 +101,50 @@
 		const blockedFailure = this.#options.dispatcher.getBlockedFailure(request);
 		const outcome =
 			blockedFailure === undefined
-				? await this.#sendWithRetries(request, forwardedAttempts === undefined)
+				? await this.#sendUnderLimit(request, forwardedAttempts === undefined)
 				: Err(blockedFailure);
 		this.#options.recorder.recordCompletion(exchange, request.route, outcome);
 		return outcome;
 	}
 
+	/** Sends a request within the rate limit of its client account, which the host that received it from the caller checks. */
+	async #sendUnderLimit(
+		request: RoutedRequest,
+		isFromCaller: boolean,
+	): Promise<FilterResult> {
+		const permit = isFromCaller ? this.#makePermit(request) : undefined;
+		const refusal =
+			permit?.isScarce === true ? await permit.getRefusal() : undefined;
+		const outcome =
+			refusal === undefined
+				? await this.#sendWithRetries(request, isFromCaller, permit)
+				: Err(refusal);
+		if (outcome.isErr() && outcome.error.ran === 'not-run') {
+			permit?.giveBack();
+		}
+
+		return outcome;
+	}
+
+	#makePermit({account, exchange}: RoutedRequest): AllotmentPermit | undefined {
+		const {clock, allotments} = this.#options;
+		const {requestId} = exchange.incoming;
+		return account === undefined || account.ratePerSecond <= 0
+			? undefined
+			: new AllotmentPermit({clock, gate: allotments, account, requestId});
+	}
+
 	async #sendWithRetries(
 		request: RoutedRequest,
 		canForward: boolean,
+		permit: AllotmentPermit | undefined,
 	): Promise<FilterResult> {
 		const {clock, reader} = this.#options;
 		this.#getRetryBudget(request.service).addRequest(clock.monotonicMs());
 		const progress: Progress = {
 			triedTargets: new Set(),
 			refusingTargets: new Set(),
+			permit,
 			attempts: 0,
 			executions: 0,
 			best: undefined,
@@ -213,13 +249,18 @@
 	 */
 	async #forward(
 		request: RoutedRequest,
-		{executions}: Progress,
+		{executions, permit}: Progress,
 		canForward: boolean,
 	): Promise<Result<AttemptResult, Failure> | undefined> {
 		if (!canForward) {
 			return Err(notRunFailure('no-target', 'This host reaches no target.'));
 		}
 
+		const refusal = await permit?.hold();
+		if (refusal !== undefined) {
+			return Err(refusal);
+		}
+
 		const result = await this.#options.forwarder.forward(
 			request,
 			request.route.maxAttempts - executions,
@@ -269,24 +310,27 @@
 
 	async #pick(
 		request: RoutedRequest,
-		{triedTargets, refusingTargets}: Progress,
+		{triedTargets, refusingTargets, permit}: Progress,
 		endsOutOfReach: boolean,
 	): Promise<Result<PickedTarget, Failure>> {
 		const {picker} = this.#options;
 		const {route, service, deadlineMs} = request;
 		const isTargetLimitReached = triedTargets.size >= route.maxAttempts;
-		return picker.pick({
-			service,
-			isIdempotent: route.isIdempotent,
-			serviceTimeMs: this.#getServiceTimeMs(route),
-			triedTargets,
-			allowedTargets: isTargetLimitReached ? refusingTargets : undefined,
-			endsOutOfReach,
-			deadlineMs,
-			receivedAtMs: request.exchange.incoming.receivedAtMs,
-			signal: request.exchange.incoming.signal,
-			targetLatencyMs: route.targetLatencyMs,
-		});
+		const {signal} = request.exchange.incoming;
+		return pickWithPermit(permit, signal, async (pickSignal) =>
+			picker.pick({
+				service,
+				isIdempotent: route.isIdempotent,
+				serviceTimeMs: this.#getServiceTimeMs(route),
+				triedTargets,
+				allowedTargets: isTargetLimitReached ? refusingTargets : undefined,
+				endsOutOfReach,
+				deadlineMs,
+				receivedAtMs: request.exchange.incoming.receivedAtMs,
+				signal: pickSignal,
+				targetLatencyMs: route.targetLatencyMs,
+			}),
+		);
 	}
 
 	#getServiceTimeMs({name, targetLatencyMs}: Route): number {
--- a/packages/gateway/src/targets/get-rendezvous-rank.ts
+++ b/packages/gateway/src/targets/get-rendezvous-rank.ts
@@ -1,18 +1,14 @@
-/** Ranks pairs of hosts and targets for rendezvous hashing. */
+/** Ranks hosts for a key, such as a target, for rendezvous hashing. */
 
 import {createHash} from 'node:crypto';
-import type {TargetId} from '@bilberryscale/core';
 
 /**
- * Gets the rank of a host and a target for each other.
+ * Gets the rank of a host for a key.
  *
  * @param host - The name or the address of the host.
- * @param target - The target.
+ * @param key - What hosts are ranked for: a target or a client account.
  * @returns An evenly distributed number, the same on all hosts; the lowest rank wins.
  */
-export function getRendezvousRank(host: string, target: TargetId): number {
-	return createHash('sha256')
-		.update(`${host} ${target}`)
-		.digest()
-		.readUInt32BE(0);
+export function getRendezvousRank(host: string, key: string): number {
+	return createHash('sha256').update(`${host} ${key}`).digest().readUInt32BE(0);
 }
