--- a/packages/gateway/src/accounts/allotment-gate.ts
+++ b/packages/gateway/src/accounts/allotment-gate.ts
@@ -181,6 +181,7 @@
 	/** Stops the timers. */
 	stop(): void {
 		this.#exchange.stop();
+		this.#reach.stop();
 		this.#pauses.stop();
 	}
 
@@ -262,7 +263,10 @@
 	receive(message: AllotmentMessage, sender: string): void {
 		const {send} = this.#options;
 		this.#directory.add(sender);
-		this.#contacts.recordMessage(sender);
+		if (isReply(message)) {
+			this.#contacts.recordReply(sender);
+		}
+
 		switch (message.method) {
 			case 'token-request': {
 				if (!this.#pauses.isReadingStale) {
@@ -431,3 +435,12 @@
 		});
 	}
 }
+
+/** Only replies prove that messages get there and back. */
+function isReply({method}: AllotmentMessage): boolean {
+	return (
+		method === 'token-reply' ||
+		method === 'contact-reply' ||
+		method === 'hosts-reply'
+	);
+}
--- a/packages/gateway/src/accounts/allotment-owner.ts
+++ b/packages/gateway/src/accounts/allotment-owner.ts
@@ -8,7 +8,7 @@
 	fallbackLeaseMs,
 	getFallbackLimit,
 	getLeaseMs,
-	toleratesTwoOwners,
+	toleratesOwners,
 	type AccountLimit,
 	type AllotmentBound,
 } from './allotment-tolerance.js';
@@ -50,11 +50,17 @@
 };
 
 /** How long better hosts must be silent before this one grants their whole limit, in milliseconds; they stop granting it within 4 s of losing the others. */
-const takeoverMs = 8000;
+const takeoverMs = 6000;
 /** How many other hosts must have found the better hosts silent too, so that one broken link makes no second owner. */
 const minFallbackAskers = 2;
 /** Share of the hosts that may be down before an owner grants less than the limit, as a factor; part of the tolerance covers it. */
 const reachAllowance = 1.1;
+/** An account that stays within its bound with so many owners at once is granted in full, whatever hosts are reached. */
+const usualOwnerCount = 2;
+/** The same while hosts are silent, as the fleet may be in more than two parts. */
+const partitionOwnerCount = 4;
+/** So many silent hosts suggest a partition; a single one was probably restarted. */
+const minSuspectedHosts = 3;
 /** The level of a new bucket as a share of the burst; hosts may have spent the burst before a restart. */
 const newBucketShare = 0.5;
 /** How long a reply is kept for a request that is sent again, in milliseconds. */
@@ -240,10 +246,14 @@
 		state: AccountState,
 		nowMs: number,
 	): {readonly bucket: TokenBucket; readonly validMs: number} {
-		const {getBound, getReachShare, metrics} = this.#options;
+		const {getBound, getReachShare, contacts, metrics} = this.#options;
 		const {limit, bucket} = state;
 		const bound = getBound();
-		const factor = toleratesTwoOwners(limit, bound)
+		const ownerCount =
+			contacts.silentCount < minSuspectedHosts
+				? usualOwnerCount
+				: partitionOwnerCount;
+		const factor = toleratesOwners(ownerCount, limit, bound)
 			? 1
 			: Math.min(1, reachAllowance * getReachShare());
 		bucket.configure(limit.ratePerSecond * factor, limit.burst * factor, nowMs);
--- a/packages/gateway/src/accounts/allotment-tolerance.ts
+++ b/packages/gateway/src/accounts/allotment-tolerance.ts
@@ -25,19 +25,19 @@
 };
 
 /*
- * The shares add up to 0.96: a token of the owner may be used later than it was granted, while fallback owners and
+ * The shares add up to 0.98: a token of the owner may be used later than it was granted, while fallback owners and
  * hosts without any owner admit requests too.
  */
 /** Share for tokens of the owner that are used after the end of the window in which they were granted. */
-const leaseShare = 0.3;
+const leaseShare = 0.2;
 /** Share of the first fallback owner. */
-const firstFallbackShare = 0.36;
+const firstFallbackShare = 0.44;
 /** Each further fallback owner gets this share of the one before it. */
 const fallbackDecay = 0.3;
 /** Share of all hosts that reach no owner. */
 const isolatedShare = 0.15;
 /** Maximum time from a grant to the use of its tokens, in milliseconds; a lease lasts for 250 ms of requests. */
-const maxLeaseMs = 400;
+const maxLeaseMs = 300;
 /** Lower bound on the validity of a grant, in milliseconds; a shorter one would expire on its way. */
 const minLeaseMs = 50;
 /** Validity of a grant of a fallback owner, in milliseconds; it has no share for late use. */
@@ -116,17 +116,22 @@
 }
 
 /**
- * Checks whether two owners at once, each of which grants the whole limit, stay within the bound.
+ * Checks whether several owners at once, each of which grants the whole limit, stay within the bound.
  *
+ * @param ownerCount - How many owners there may be.
  * @param limit - The limit of the account.
  * @param bound - The bound.
  * @returns Whether they do, which holds for small accounts.
  */
-export function toleratesTwoOwners(
+export function toleratesOwners(
+	ownerCount: number,
 	limit: AccountLimit,
 	bound: AllotmentBound,
 ): boolean {
 	const {ratePerSecond, burst} = limit;
 	const perWindow = (ratePerSecond * bound.windowMs) / msPerSecond + burst;
-	return perWindow <= (1 - leaseShare) * getTolerance(limit, bound);
+	return (
+		(ownerCount - 1) * perWindow <=
+		(1 - leaseShare) * getTolerance(limit, bound)
+	);
 }
--- a/packages/gateway/src/accounts/host-contacts.ts
+++ b/packages/gateway/src/accounts/host-contacts.ts
@@ -43,8 +43,13 @@
 		this.#options = options;
 	}
 
+	/** Gets how many hosts count as silent. */
+	get silentCount(): number {
+		return this.#silences.size;
+	}
+
 	/**
-	 * Checks whether a host has left messages unanswered and was not heard from since.
+	 * Checks whether a host has left messages unanswered and has answered none since.
 	 *
 	 * @param address - Its address.
 	 * @returns Whether it counts as silent.
@@ -69,11 +74,11 @@
 	}
 
 	/**
-	 * Records that a message of a host has arrived.
+	 * Records that a host has answered a message.
 	 *
 	 * @param address - Its address.
 	 */
-	recordMessage(address: string): void {
+	recordReply(address: string): void {
 		this.#checkedAtMs.delete(address);
 		if (this.#silences.delete(address)) {
 			this.#options.log.write('host answers again', {address});
--- a/packages/gateway/src/accounts/host-reach.ts
+++ b/packages/gateway/src/accounts/host-reach.ts
@@ -23,8 +23,10 @@
 const roundMs = 500;
 /** Checks in a round. */
 const checksPerRound = 4;
-/** Rounds that count: 4 s, half of the time after which another host takes over the limit. */
+/** Rounds that count: 4 s, less than the time after which another host takes over the limit. */
 const roundCount = 8;
+/** So many rounds without a missing answer end a partition: earlier rounds do not count any more. */
+const recoveryRounds = 3;
 /** Checks stop when the share was not used for so long, in milliseconds. */
 const idleMs = 10_000;
 /** Shares that differ by less are not reported. */
@@ -71,6 +73,11 @@
 		}
 	}
 
+	/** Stops the checks. */
+	stop(): void {
+		this.#cancel?.();
+	}
+
 	/** Drops all rounds, as this host was paused and has missed answers itself. */
 	clear(): void {
 		this.#rounds = [];
@@ -112,6 +119,14 @@
 			return;
 		}
 
+		const latest = this.#rounds.slice(-recoveryRounds);
+		if (
+			latest.length === recoveryRounds &&
+			latest.every(({unanswered}) => unanswered.size === 0)
+		) {
+			this.#rounds = latest;
+		}
+
 		this.#startRound();
 		const share = this.#share;
 		if (Math.abs(share - this.#reportedShare) >= reportedDifference) {
--- a/packages/gateway/src/accounts/token-bucket.ts
+++ b/packages/gateway/src/accounts/token-bucket.ts
@@ -89,6 +89,10 @@
 	 */
 	reserveReturnMs(nowMs: number): number {
 		this.#refill(nowMs);
+		if (this.#ratePerSecond <= 0) {
+			return maxReturnMs;
+		}
+
 		const intervalMs = msPerSecond / this.#ratePerSecond;
 		const nextTokenAtMs = nowMs + Math.max(0, 1 - this.#level) * intervalMs;
 		const returnAtMs = Math.max(
