--- a/packages/gateway/src/accounts/allotment-permit.ts
+++ b/packages/gateway/src/accounts/allotment-permit.ts
@@ -12,7 +12,7 @@
 /** The request and where its tokens come from. */
 export type AllotmentPermitOptions = {
 	readonly clock: Clock;
-	readonly gate: AllotmentGate;
+	readonly gate: Pick<AllotmentGate, 'take' | 'giveBack' | 'isScarce'>;
 	readonly account: ClientAccount;
 	readonly requestId: string;
 };
--- a/packages/gateway/test/fleet/gossip-message.test.ts
+++ b/packages/gateway/test/fleet/gossip-message.test.ts
@@ -7,6 +7,7 @@
 	encodeMessage,
 	type GossipMessage,
 } from '../../src/fleet/gossip-message.js';
+import type {ClientAccountName} from '../../src/plan/client-account.js';
 import type {TargetIncarnation} from '../../src/plan/registered-target.js';
 import {east} from '../fixtures.js';
 
@@ -40,6 +41,45 @@
 		});
 	});
 
+	describe('allotment messages', () => {
+		function doTest(name: string, input: GossipMessage): void {
+			it(name, () => {
+				assert.equal(decodeMessage(encodeMessage(input)), input);
+			});
+		}
+
+		const account = makeId<ClientAccountName>('a');
+		const limit = {planVersion: 3, ratePerSecond: 5.5, burst: 7};
+		const request = {ask: 1, account, needed: 1, wanted: 4, limit};
+		const reply = {ask: 1, granted: 2, validMs: 300, retryAfterMs: 0};
+		doTest('round-trip a token request', {
+			method: 'token-request',
+			...request,
+			skipped: ['10.0.0.1'],
+		});
+		doTest('round-trip a grant', {
+			method: 'token-reply',
+			...reply,
+			owner: undefined,
+		});
+		doTest('round-trip a redirect', {
+			method: 'token-reply',
+			...reply,
+			owner: '10.0.0.2',
+		});
+		doTest('round-trip a return', {method: 'token-return', account, count: 1});
+		doTest('round-trip a check', {method: 'contact-check', check: 5});
+		doTest('round-trip its reply', {method: 'contact-reply', check: 5});
+		doTest('round-trip a request for hosts', {method: 'hosts-request'});
+		doTest('round-trip hosts', {
+			method: 'hosts-reply',
+			hosts: [
+				['10.0.0.1', 4],
+				['10.0.0.2', 0],
+			],
+		});
+	});
+
 	describe('decodeMessage', () => {
 		function doTest(name: string, input: string): void {
 			it(name, () => {
@@ -60,6 +100,22 @@
 			'rejects invalid parameters',
 			'{"jsonrpc":"2.0","method":"crash","params":[1]}',
 		);
+		// Guards against numbers that would empty a bucket or never let a token expire.
+		for (const [method, parameters] of [
+			['token-request', '[1,"a",2000,2000,3,5,7]'],
+			['token-request', '[1,"a",0.5,1,3,5,7]'],
+			['token-request', '[1,"a",1,1,3,-5,7]'],
+			['token-request', '[1,"a",1,1,3,5,7,8]'],
+			['token-reply', '[1,1,null,0]'],
+			['token-return', '["a",-1]'],
+			['contact-check', '["1"]'],
+		]) {
+			doTest(
+				`rejects ${method} ${parameters}`,
+				`{"jsonrpc":"2.0","method":"${method}","params":${parameters}}`,
+			);
+		}
+
 		for (const parameters of [
 			'["a",-1,"probe"]',
 			'["a","1","probe"]',
