--- a/packages/gateway/src/accounts/allotment-permit.ts
+++ b/packages/gateway/src/accounts/allotment-permit.ts
@@ -132,7 +132,7 @@
 		const {name, ratePerSecond} = this.#options.account;
 		const {decidedBy, retryAfterMs} = this.#decision;
 		return notRunFailure(
-			'rate-limited',
+			'account-rate-exceeded',
 			`Account "${name}" is over its ${ratePerSecond} requests per second, ${decidedBy === undefined ? 'and no host that keeps its limit answers' : `says host ${decidedBy}`}.`,
 			retryAfterMs,
 		);
--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -11,6 +11,8 @@
 import {CrashSuspects} from '@bilberryscale/decisions';
 import {AllotmentGate} from '../accounts/allotment-gate.js';
 import {defaultAllotmentBound} from '../accounts/allotment-tolerance.js';
+import {getPrioritizedServices} from '../capacity/has-priority-classes.js';
+import {AccountDirectory} from '../accounts/account-directory.js';
 import {TargetProbe} from '../choice/target-probe.js';
 import type {CallerServer} from '../edge/caller-server.js';
 import {TextServer} from '../edge/text-server.js';
@@ -20,7 +22,11 @@
 import {PathRecovery} from '../forwarding/path-recovery.js';
 import {LimitShares} from '../limits/limit-shares.js';
 import {SnapshotFeed} from '../snapshot/snapshot-feed.js';
-import type {ItemDecoder, SnapshotSource} from '../snapshot/snapshot-source.js';
+import type {
+	ItemDecoder,
+	ItemPreparation,
+	SnapshotSource,
+} from '../snapshot/snapshot-source.js';
 import type {RoutingSnapshot} from '../plan/routing-snapshot.js';
 import {PlanHolder} from '../plan/plan-holder.js';
 import {RouteTable} from '../plan/route-table.js';
@@ -46,6 +52,8 @@
 	/** The reader of the store with the published items. */
 	readonly store: SnapshotSource;
 	readonly decode: ItemDecoder;
+	/** Decodes large items ahead; undefined if the decoder never takes long. */
+	readonly prepareItem?: ItemPreparation;
 	readonly callerProtocol: CallerProtocol;
 	readonly targetProtocol: TargetProtocol;
 };
@@ -156,6 +164,7 @@
 			log,
 			metrics: this.#metrics,
 			decode,
+			prepareItem: options.prepareItem,
 			address: settings.callers.address,
 			getSources: (hasSnapshot) => this.#fleet.getSources(hasSnapshot),
 			getHostCount: () => this.#fleet.hostCount,
@@ -209,6 +218,7 @@
 			metrics: this.#metrics,
 			localAddress: settings.callers.address,
 			port: settings.forwardingPort,
+			hasAccounts: () => this.#plans.plan?.accounts !== undefined,
 			getPeers: () => this.#fleet.getShuffledPeers(),
 			isShuttingDown,
 		});
@@ -225,6 +235,7 @@
 			allotments: this.#allotments,
 			crashSuspects: this.#crashSuspects,
 			getHostCount,
+			getSnapshotAgeMs: () => this.#feed.ageMs,
 			isShuttingDown,
 			probe: (state) => {
 				this.#probe(state);
@@ -369,12 +380,18 @@
 		this.#targetCount = targets.size;
 		this.#targetRegistry.setSnapshot(snapshot);
 		if (plan !== undefined && plan.version !== previousPlan?.version) {
+			const accounts =
+				plan.accountDirectory ??
+				(plan.clientAccounts &&
+					AccountDirectory.fromOrThrow(plan.clientAccounts));
 			log.writeState('plan in force', {
 				version: plan.version,
 				former: previousPlan?.version,
 				routes: plan.routes.length,
 				targets: targets.size,
 				emptied: [...drainedDataCentres],
+				accounts: accounts?.accountCount,
+				keys: accounts?.keyCount,
 			});
 			callerServer.setTimeouts(plan.limits);
 			this.#allotments.setAccounts(plan.version, plan.clientAccounts);
@@ -382,6 +399,8 @@
 				version: plan.version,
 				routeTable: new RouteTable(plan.routes),
 				limits: plan.limits,
+				prioritizedServices: getPrioritizedServices(plan),
+				accounts,
 			});
 		}
 
--- a/packages/gateway/src/context/live-settings.ts
+++ b/packages/gateway/src/context/live-settings.ts
@@ -16,6 +16,7 @@
 	'retryBound',
 	'allotmentBound',
 	'questionsPerTargetSecond',
+	'maxAccountsAgeMs',
 	'shutdownMs',
 ]);
 
@@ -56,12 +57,14 @@
 			questionsPerTargetSecond,
 			shutdownMs,
 		} = next;
+		const {maxAccountsAgeMs} = next;
 		this.#current = {
 			...this.#current,
 			seeds,
 			retryBound,
 			...(allotmentBound !== undefined && {allotmentBound}),
 			questionsPerTargetSecond,
+			maxAccountsAgeMs,
 			shutdownMs,
 		};
 		return {
--- a/packages/gateway/src/context/make-relay.ts
+++ b/packages/gateway/src/context/make-relay.ts
@@ -3,12 +3,16 @@
 import type {Clock, Digest, RandomSource} from '@bilberryscale/core';
 import type {CrashSuspects} from '@bilberryscale/decisions';
 import type {AllotmentGate} from '../accounts/allotment-gate.js';
+import {ReturnSchedules} from '../capacity/return-schedules.js';
+import {AccountCheck} from '../accounts/account-check.js';
 import {LastSlotFactor} from '../choice/last-slot-factor.js';
+import {Spillover} from '../choice/spillover.js';
 import {TargetProber} from '../choice/target-prober.js';
 import {TargetPicker} from '../choice/target-picker.js';
 import type {Forwarder} from '../forwarding/forwarder.js';
 import type {PlanHolder} from '../plan/plan-holder.js';
 import {TrafficSplitter} from '../plan/traffic-splitter.js';
+import {writeSpilloverChange} from '../records/write-spillover-change.js';
 import {RequestRecorder} from '../records/request-recorder.js';
 import type {EventLog} from '../records/event-log.js';
 import type {GatewayMetrics} from '../records/gateway-metrics.js';
@@ -39,6 +43,8 @@
 	/** The requests that may have crashed targets. */
 	readonly crashSuspects: CrashSuspects;
 	readonly getHostCount: () => number;
+	/** Gets the time since the store confirmed the published state, in milliseconds. */
+	readonly getSnapshotAgeMs: () => number;
 	readonly isShuttingDown: () => boolean;
 	/** Probes a target. */
 	readonly probe: (state: TargetState) => void;
@@ -65,6 +71,14 @@
 	const {host, dataCentre} = settings.current;
 	const lastSlotFactor = new LastSlotFactor();
 	const serviceTimes = new ServiceTimes();
+	const returnSchedules = new ReturnSchedules({
+		clock,
+		random,
+		log,
+		metrics,
+		hasPriorityClasses: (service) =>
+			plans.plan?.prioritizedServices.has(service) ?? false,
+	});
 	const prober = new TargetProber({
 		clock,
 		random,
@@ -75,6 +89,9 @@
 		dataCentre,
 		getProbesPerTargetSecond: () => settings.current.questionsPerTargetSecond,
 		getHostCount,
+		onFarProbes(service, count) {
+			metrics.recordFarProbes(service, count);
+		},
 	});
 	const recorder = new RequestRecorder({
 		log,
@@ -82,12 +99,29 @@
 		getPlanVersion: () => plans.plan?.version,
 		getNowMs: () => clock.monotonicMs(),
 	});
+	const accountCheck = new AccountCheck({
+		plans,
+		credentialHeader: protocol.credentialHeader,
+		getMaxAgeMs: () => settings.current.maxAccountsAgeMs,
+		getAgeMs: dependencies.getSnapshotAgeMs,
+		onRefusal(incoming, refusal, plan) {
+			const ageMs = dependencies.getSnapshotAgeMs();
+			recorder.recordAccountRefusal(incoming, refusal, plan, ageMs);
+		},
+	});
 	return new Relay({
 		clock,
+		accountCheck,
 		picker: new TargetPicker({
 			clock,
 			registry: targetRegistry,
 			prober,
+			spillover: new Spillover(clock, (service, stage, inputs) => {
+				writeSpilloverChange(log, service, stage, inputs);
+			}),
+			onFarSend(service) {
+				metrics.recordFarSend(service);
+			},
 			lastSlotFactor,
 			dataCentre,
 		}),
@@ -97,6 +131,15 @@
 			returningCallerDetector: new ReturningCallerDetector(),
 			deadlineHeader: protocol.deadlineHeader,
 			plans,
+			bookReturn: ({exchange, route, service, priority}, remainingMs) =>
+				returnSchedules.book({
+					requestId: exchange.incoming.requestId,
+					service,
+					rank: priority,
+					remainingMs,
+					serviceTimeMs: serviceTimes.getMs(route.name, route.targetLatencyMs),
+				}),
+			accountCheck,
 		}),
 		dispatcher: new AttemptDispatcher({
 			clock,
@@ -123,6 +166,7 @@
 		forwarder: dependencies.forwarder,
 		allotments: dependencies.allotments,
 		registry: targetRegistry,
+		returnSchedules,
 		serviceTimes,
 		recorder,
 		isShuttingDown,
--- a/packages/gateway/test/accounts/allotment-permit.test.ts
+++ b/packages/gateway/test/accounts/allotment-permit.test.ts
@@ -62,7 +62,7 @@
 		it('tells when to return after a refusal', async () => {
 			const {permit} = makePermit(0);
 			const refusal = await permit.hold();
-			assert.is(refusal?.kind, 'rate-limited');
+			assert.is(refusal?.kind, 'account-rate-exceeded');
 			assert.is(refusal?.ran, 'not-run');
 			assert.is(refusal?.retryAfterMs, 70);
 		});
@@ -110,7 +110,7 @@
 			isAborted = pickSignal.aborted;
 			return Ok(picked);
 		});
-		assert.is(result.unwrapErr().kind, 'rate-limited');
+		assert.is(result.unwrapErr().kind, 'account-rate-exceeded');
 		await settle();
 		await settle();
 		assert.ok(isAborted);
