Check few hosts while all answer, and fetch fewer lists of hosts after a start

Cause: at the usual demand, checks of reached hosts were half of all messages, and a start of 312 hosts took 12,000 lists. Change: one check in half a second until an answer is missing; quick list requests end with the first list.

--- a/packages/gateway/src/accounts/host-list-exchange.ts
+++ b/packages/gateway/src/accounts/host-list-exchange.ts
@@ -16,11 +16,10 @@
 	readonly send: (address: string, message: HostsRequest | HostsReply) => void;
 };
 
-/**
- * Pauses before the requests after a start, in milliseconds. The first ones repeat lost datagrams; the last ones bring
- * hosts that have started later.
- */
-const startPausesMs = [0, 40, 80, 380, 500, 1000, 1500, 1500];
+/** Pauses before the requests for the first list, in milliseconds; datagrams can be lost. */
+const firstPausesMs = [0, 40, 80];
+/** Pauses before the requests that bring hosts which have started later, in milliseconds. */
+const startPausesMs = [...firstPausesMs, 400, 600, 1000, 2000];
 /** Mean interval of later requests, in milliseconds. */
 const laterIntervalMs = 60_000;
 /** Time after which a host without any list decides with what it knows, in milliseconds. */
@@ -33,6 +32,7 @@
 	readonly #options: HostListExchangeOptions;
 	#requestCount = 0;
 	#isStarted = false;
+	#isReady = false;
 	#hasList = false;
 	readonly #waiting: Array<() => void> = [];
 	#cancel: CancelFunction = () => undefined;
@@ -68,7 +68,7 @@
 	 * @param action - The action; it runs at once if there is nothing to wait for.
 	 */
 	whenReady(action: () => void): void {
-		if (this.#hasList || this.#getSeeds().length === 0) {
+		if (this.#isReady || this.#getSeeds().length === 0) {
 			action();
 		} else {
 			this.#waiting.push(action);
@@ -103,7 +103,13 @@
 			this.#options.directory.add(address, ageSeconds);
 		}
 
-		this.#endWait();
+		if (!this.#hasList) {
+			this.#hasList = true;
+			this.#requestCount = Math.max(this.#requestCount, firstPausesMs.length);
+			this.#cancel();
+			this.#schedule();
+			this.#endWait();
+		}
 	}
 
 	#schedule(): void {
@@ -135,7 +141,7 @@
 	}
 
 	#endWait(): void {
-		this.#hasList = true;
+		this.#isReady = true;
 		for (const action of this.#waiting.splice(0)) {
 			action();
 		}
--- a/packages/gateway/src/accounts/host-reach.ts
+++ b/packages/gateway/src/accounts/host-reach.ts
@@ -21,8 +21,12 @@
 
 /** Interval between rounds of checks, in milliseconds. */
 const roundMs = 500;
-/** Checks in a round. */
-const checksPerRound = 4;
+/** Checks in a round while all are answered. */
+const usualChecks = 1;
+/** Checks in a round after a missing answer, which a partition or a lost datagram may have caused. */
+const suspiciousChecks = 4;
+/** Checks in the first round, which decides alone for half a second. */
+const firstChecks = 8;
 /** Rounds that count: 4 s, less than the time after which another host takes over the limit. */
 const roundCount = 8;
 /** So many rounds without a missing answer end a partition: earlier rounds do not count any more. */
@@ -94,11 +98,21 @@
 		return sentCount === 0 ? 1 : 1 - missedCount / sentCount;
 	}
 
+	#getCheckCount(): number {
+		if (this.#rounds.length === 0) {
+			return firstChecks;
+		}
+
+		return this.#rounds.every(({unanswered}) => unanswered.size === 0)
+			? usualChecks
+			: suspiciousChecks;
+	}
+
 	#startRound(): void {
 		const {clock, random, getHosts, sendCheck} = this.#options;
 		const hosts = getHosts();
 		const unanswered = new Set<number>();
-		const sentCount = hosts.length === 0 ? 0 : checksPerRound;
+		const sentCount = hosts.length === 0 ? 0 : this.#getCheckCount();
 		this.#rounds.push({unanswered, sentCount});
 		this.#rounds = this.#rounds.slice(-roundCount - 1);
 		for (let sent = 0; sent < sentCount; sent++) {
--- a/packages/gateway/test/accounts/allotment-gate.test.ts
+++ b/packages/gateway/test/accounts/allotment-gate.test.ts
@@ -70,6 +70,15 @@
 			assert.is(fleet.messageCount, messageCount, 'no message without a limit');
 		});
 
+		it('redirects hosts that do not know the owner', async () => {
+			// Guards against hosts that ask whom they take for the owner and get a part of the tolerance for good.
+			const fleet = new GateFleet(114, mixed);
+			fleet.carries = ({method}) => method !== 'hosts-reply';
+			await fleet.run(10, (a, b) => (a * 7919 + b * 104_729) % 10 !== 0);
+			assertBound(fleet);
+			assertAdmitted(fleet, 5000, 10_000);
+		});
+
 		it('keeps the bound where a tenth of the links between hosts is broken', async () => {
 			// Guards against a second owner because one host does not reach the first.
 			const fleet = new GateFleet(114, mixed);
--- a/packages/gateway/test/accounts/gate-fleet.ts
+++ b/packages/gateway/test/accounts/gate-fleet.ts
@@ -117,6 +117,8 @@
 	byteCount = 0;
 	/** Whether a datagram gets from one host to another; a test replaces it. */
 	reaches: (from: number, to: number) => boolean = () => true;
+	/** Whether messages of a kind arrive at all; a test replaces it. */
+	carries: (message: AllotmentMessage) => boolean = () => true;
 	/** How many times its rate an account asks for; a test replaces it. */
 	getDemand: (account: ClientAccount) => number = () => 1 / 1.6;
 	/** The share of requests by host; a test replaces it. */
@@ -291,6 +293,7 @@
 		if (
 			to === -1 ||
 			!this.reaches(from, to) ||
+			!this.carries(message) ||
 			this.random() < lossShare ||
 			this.hosts[from]!.clock.isFrozen
 		) {
