Merge the rate limits of client accounts over all hosts

Cause: no host knew how much of an account's allotment the others had used. Change: an owner by rendezvous hashing grants tokens to the hosts; a fallback owner and a part of the tolerance bridge its loss.

--- a/packages/gateway/src/context/make-relay.ts
+++ b/packages/gateway/src/context/make-relay.ts
@@ -8,6 +8,7 @@
 } from '@bilberryscale/core';
 import type {CrashSuspects} from '@bilberryscale/decisions';
 import {FullTargetBehaviour} from '../choice/full-target-behaviour.js';
+import type {AllotmentGate} from '../accounts/allotment-gate.js';
 import {ReturnSchedules} from '../capacity/return-schedules.js';
 import {AccountCheck} from '../accounts/account-check.js';
 import {LastSlotFactor} from '../choice/last-slot-factor.js';
@@ -47,6 +48,8 @@
 	readonly targetRegistry: TargetRegistry;
 	readonly forwarder: Forwarder;
 	readonly plans: PlanHolder;
+	/** The rate limits of client accounts. */
+	readonly allotments: AllotmentGate;
 	/** The requests that may have crashed targets. */
 	readonly crashSuspects: CrashSuspects;
 	readonly getHostCount: () => number;
@@ -203,6 +206,7 @@
 				accountCheck,
 			}),
 		forwarder: dependencies.forwarder,
+		allotments: dependencies.allotments,
 		registry: targetRegistry,
 		returnSchedules,
 		serviceTimes,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,5 +1,9 @@
 /** The gateway: routing, choice of targets by probing, limits and the published snapshot. */
 
+export {
+	defaultAllotmentBound,
+	type AllotmentBound,
+} from './accounts/allotment-tolerance.js';
 export type {CallerProtocol} from '@bilberryscale/daemon/edge';
 export {AccountDirectory} from './accounts/account-directory.js';
 export {getKeyDigest} from './accounts/get-key-digest.js';
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -9,6 +9,8 @@
 } from '@bilberryscale/core';
 import type {Exchange, FilterResult} from '@bilberryscale/daemon/edge';
 import {Err, Ok, type Result} from 'ts-results-es';
+import type {AllotmentGate} from '../accounts/allotment-gate.js';
+import {AllotmentPermit} from '../accounts/allotment-permit.js';
 import type {ReturnSchedules} from '../capacity/return-schedules.js';
 import type {AccountCheck} from '../accounts/account-check.js';
 import type {PickedTarget, TargetPicker} from '../choice/target-picker.js';
@@ -24,6 +26,7 @@
 	SentCopy,
 } from './hedged-dispatcher.js';
 import type {AttemptDispatcher} from './attempt-dispatcher.js';
+import {pickWithPermit} from './pick-with-permit.js';
 import {
 	describeResult,
 	pickBetterResult,
@@ -42,6 +45,8 @@
 	readonly serviceTimes: ServiceTimes;
 	readonly dispatcher: AttemptDispatcher;
 	readonly forwarder: Forwarder;
+	/** The rate limits of client accounts. */
+	readonly allotments: AllotmentGate;
 	readonly registry: TargetRegistry;
 	readonly returnSchedules: ReturnSchedules;
 	/** Sends second copies of idempotent requests; undefined if the operator has set no limit for them. */
@@ -57,6 +62,8 @@
 	readonly triedTargets: Set<TargetId>;
 	/** The targets that have refused the request without running it. */
 	readonly refusingTargets: Set<TargetId>;
+	/** The permission under the rate limit of its client account; undefined without a limit. */
+	readonly permit: AllotmentPermit | undefined;
 	attempts: number;
 	/** The number of attempts in which a target may have run the request. */
 	executions: number;
@@ -107,7 +114,7 @@
 		const blockedFailure = this.#options.dispatcher.getBlockedFailure(request);
 		const outcome =
 			blockedFailure === undefined
-				? await this.#sendWithRetries(request, forwardedAttempts === undefined)
+				? await this.#sendUnderLimit(request, forwardedAttempts === undefined)
 				: Err(blockedFailure);
 		this.#options.recorder.recordCompletion(
 			exchange,
@@ -118,9 +125,37 @@
 		return outcome;
 	}
 
+	/** Sends a request within the rate limit of its client account, which the host that received it from the caller checks. */
+	async #sendUnderLimit(
+		request: RoutedRequest,
+		isFromCaller: boolean,
+	): Promise<FilterResult> {
+		const permit = isFromCaller ? this.#makePermit(request) : undefined;
+		const refusal =
+			permit?.isScarce === true ? await permit.getRefusal() : undefined;
+		const outcome =
+			refusal === undefined
+				? await this.#sendWithRetries(request, isFromCaller, permit)
+				: Err(refusal);
+		if (outcome.isErr() && outcome.error.ran === 'not-run') {
+			permit?.giveBack();
+		}
+
+		return outcome;
+	}
+
+	#makePermit({account, exchange}: RoutedRequest): AllotmentPermit | undefined {
+		const {clock, allotments} = this.#options;
+		const {requestId} = exchange.incoming;
+		return account === undefined || account.ratePerSecond <= 0
+			? undefined
+			: new AllotmentPermit({clock, gate: allotments, account, requestId});
+	}
+
 	async #sendWithRetries(
 		request: RoutedRequest,
 		canForward: boolean,
+		permit: AllotmentPermit | undefined,
 	): Promise<FilterResult> {
 		const {clock, reader} = this.#options;
 		this.#getRetryBudget(request.service).addRequest(clock.monotonicMs());
@@ -133,6 +168,7 @@
 		const progress: Progress = {
 			triedTargets: new Set(),
 			refusingTargets: new Set(),
+			permit,
 			attempts: 0,
 			executions: 0,
 			best: undefined,
@@ -288,13 +324,18 @@
 	 */
 	async #forward(
 		request: RoutedRequest,
-		{executions}: Progress,
+		{executions, permit}: Progress,
 		canForward: boolean,
 	): Promise<Result<AttemptResult, Failure> | undefined> {
 		if (!canForward) {
 			return Err(notRunFailure('no-target', 'This host reaches no target.'));
 		}
 
+		const refusal = await permit?.hold();
+		if (refusal !== undefined) {
+			return Err(refusal);
+		}
+
 		const checked = this.#options.accountCheck.recheck(request);
 		if (checked.isErr()) {
 			return checked;
@@ -349,26 +390,29 @@
 
 	async #pick(
 		request: RoutedRequest,
-		{triedTargets, refusingTargets}: Progress,
+		{triedTargets, refusingTargets, permit}: Progress,
 		endsOutOfReach: boolean,
 	): Promise<Result<PickedTarget, Failure>> {
 		const {picker, accountCheck} = this.#options;
 		const {route, service, deadlineMs} = request;
 		const isTargetLimitReached = triedTargets.size >= route.maxAttempts;
-		const picked = await picker.pick({
-			service,
-			isIdempotent: route.isIdempotent,
-			serviceTimeMs: this.#getServiceTimeMs(route),
-			triedTargets,
-			allowedTargets: isTargetLimitReached ? refusingTargets : undefined,
-			endsOutOfReach,
-			deadlineMs,
-			receivedAtMs: request.exchange.incoming.receivedAtMs,
-			isReturning: request.isReturning,
-			signal: request.exchange.incoming.signal,
-			targetLatencyMs: route.targetLatencyMs,
-			isRevoked: () => accountCheck.recheck(request).isErr(),
-		});
+		const {signal} = request.exchange.incoming;
+		const picked = await pickWithPermit(permit, signal, async (pickSignal) =>
+			picker.pick({
+				service,
+				isIdempotent: route.isIdempotent,
+				serviceTimeMs: this.#getServiceTimeMs(route),
+				triedTargets,
+				allowedTargets: isTargetLimitReached ? refusingTargets : undefined,
+				endsOutOfReach,
+				deadlineMs,
+				receivedAtMs: request.exchange.incoming.receivedAtMs,
+				isReturning: request.isReturning,
+				signal: pickSignal,
+				targetLatencyMs: route.targetLatencyMs,
+				isRevoked: () => accountCheck.recheck(request).isErr(),
+			}),
+		);
 		const checked = accountCheck.recheck(request);
 		return picked.isErr() && checked.isErr() ? checked : picked;
 	}
