Order waiting requests by priority and account, and leave slots free for urgent ones

Change: a wait queue by rank and account, an estimate of utilization and demand shared by gossip, and slots that less urgent requests leave free on the same targets at all hosts.

--- a/packages/decisions/src/dispatch/class-queue.ts
+++ b/packages/decisions/src/dispatch/class-queue.ts
@@ -9,8 +9,6 @@
 export class ClassQueue {
 	/** The weight of the class in fair queueing. */
 	weight: number;
-	/** The virtual start time (start tag) of the next call of the class. */
-	startTag = 0;
 	#calls: WaitingCall[] = [];
 	#head = 0;
 	#size = 0;
--- a/packages/decisions/src/dispatch/fair-queue.ts
+++ b/packages/decisions/src/dispatch/fair-queue.ts
@@ -5,6 +5,7 @@
 import {BinaryHeap} from '../utils/binary-heap.js';
 import type {Call} from './call.js';
 import {ClassQueue} from './class-queue.js';
+import {StartTags} from './start-tags.js';
 import type {WaitingCall} from './waiting-call.js';
 
 /**
@@ -22,7 +23,7 @@
 		({expiresAtMs}) => expiresAtMs,
 	);
 
-	#virtualTime = 0;
+	readonly #startTags = new StartTags<CallerClass>();
 
 	/**
 	 * @param classes - The caller classes and their weights.
@@ -59,7 +60,7 @@
 		const waiting = {call, enqueuedAtMs: nowMs, expiresAtMs, isRemoved: false};
 		const classQueue = this.#getClassQueue(call.callerClass);
 		if (classQueue.size === 0) {
-			classQueue.startTag = Math.max(classQueue.startTag, this.#virtualTime);
+			this.#startTags.activate(call.callerClass);
 		}
 
 		classQueue.push(waiting);
@@ -75,8 +76,7 @@
 			return undefined;
 		}
 
-		this.#virtualTime = classQueue.startTag;
-		classQueue.startTag += 1 / classQueue.weight;
+		this.#startTags.charge(waiting.call.callerClass, classQueue.weight);
 		this.#waitingCalls.delete(waiting.call);
 		return waiting.call;
 	}
@@ -175,12 +175,12 @@
 
 	#getNextClassQueue(): ClassQueue | undefined {
 		let next: ClassQueue | undefined;
-		for (const classQueue of this.#classQueues.values()) {
-			if (
-				classQueue.size > 0 &&
-				(!next || classQueue.startTag < next.startTag)
-			) {
+		let nextTag = Number.POSITIVE_INFINITY;
+		for (const [name, classQueue] of this.#classQueues) {
+			const tag = this.#startTags.get(name);
+			if (classQueue.size > 0 && tag < nextTag) {
 				next = classQueue;
+				nextTag = tag;
 			}
 		}
 
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -45,6 +45,7 @@
 	Wait,
 } from './dispatch/call.js';
 export {FairQueue} from './dispatch/fair-queue.js';
+export {StartTags} from './dispatch/start-tags.js';
 export {
 	CrashSuspects,
 	type CrashIncident,
--- a/packages/gateway/src/choice/admission.ts
+++ b/packages/gateway/src/choice/admission.ts
@@ -12,6 +12,8 @@
 	readonly serviceTimeMs: number;
 	/** The expected latency at the best target, in milliseconds; infinite if there is none. */
 	readonly bestLatencyMs: number;
+	/** Time until the targets are checked again, in milliseconds; 40 if undefined. */
+	readonly recheckMs?: number;
 	/** Whether that target would start the request without queueing it. */
 	readonly hasFreeSlot: boolean;
 };
@@ -25,7 +27,7 @@
 const toleratedExcessMs = 70;
 /** Safety margin, as a share of the latency target. */
 const latencyMargin = 0.1;
-/** Assumed time until the targets are checked again, in milliseconds. */
+/** Usual time until the targets are checked again, in milliseconds. */
 const recheckIntervalMs = 40;
 
 /**
@@ -47,6 +49,7 @@
 		serviceTimeMs,
 		bestLatencyMs,
 		hasFreeSlot,
+		recheckMs = recheckIntervalMs,
 	} = context;
 	if (remainingMs <= 0) {
 		return 'refuse';
@@ -58,10 +61,9 @@
 
 	const latencyBudgetMs = targetLatencyMs * (1 - latencyMargin);
 	const isOnTimeAfterRecheck =
-		ageMs + recheckIntervalMs + bestLatencyMs <= latencyBudgetMs;
+		ageMs + recheckMs + bestLatencyMs <= latencyBudgetMs;
 	const isNearOptimalOnTimeAfterRecheck =
-		ageMs + recheckIntervalMs + serviceTimeMs * nearOptimalFactor <=
-		latencyBudgetMs;
+		ageMs + recheckMs + serviceTimeMs * nearOptimalFactor <= latencyBudgetMs;
 	const isOnTimeNow = ageMs + bestLatencyMs <= latencyBudgetMs;
 	if (
 		isOnTimeAfterRecheck ||
@@ -76,3 +78,25 @@
 
 	return hasFreeSlot && bestLatencyMs <= remainingMs ? 'take' : 'refuse';
 }
+
+/**
+ * Gets when a request must start at a near-optimal target to be on time.
+ *
+ * @param request - When it arrived, its latency target and its typical service time, in milliseconds.
+ * @returns The latest useful time, on the monotonic clock, in milliseconds.
+ */
+export function getLatestStartMs({
+	receivedAtMs,
+	targetLatencyMs,
+	serviceTimeMs,
+}: {
+	readonly receivedAtMs: number;
+	readonly targetLatencyMs: number;
+	readonly serviceTimeMs: number;
+}): number {
+	return (
+		receivedAtMs +
+		targetLatencyMs * (1 - latencyMargin) -
+		serviceTimeMs * nearOptimalFactor
+	);
+}
--- a/packages/gateway/src/choice/pick-request.ts
+++ b/packages/gateway/src/choice/pick-request.ts
@@ -1,6 +1,7 @@
 /** The view of a request that target selection works with. */
 
 import type {ServiceName, TargetId} from '@bilberryscale/core';
+import type {ClientAccountName} from '../plan/client-account.js';
 
 /** A request that needs a target. */
 export type PickRequest = {
@@ -20,6 +21,12 @@
 	readonly targetLatencyMs: number;
 	/** When the response must be complete, on the monotonic clock, in milliseconds. */
 	readonly deadlineMs: number;
+	/** The priority; 0 is the highest. */
+	readonly priority: number;
+	/** The client account; undefined if the plan has none or the route is public. */
+	readonly account?: ClientAccountName;
+	/** Whether the caller probably repeats a request that was refused. */
+	readonly isReturning: boolean;
 	/** Aborts when the caller disconnects. */
 	readonly signal: AbortSignal;
 };
--- a/packages/gateway/src/choice/target-picker.ts
+++ b/packages/gateway/src/choice/target-picker.ts
@@ -9,9 +9,20 @@
 } from '@bilberryscale/core';
 import type {Connection} from '@bilberryscale/daemon/edge';
 import {Err, Ok, type Result} from 'ts-results-es';
+import type {GatewayMetrics} from '../records/gateway-metrics.js';
 import type {TargetRegistry} from '../targets/target-registry.js';
 import type {TargetState} from '../targets/target-state.js';
-import {decideAdmission, type AdmissionDecision} from './admission.js';
+import {
+	PriorityWaitQueue,
+	type QueuedRequest,
+	type WaitEnd,
+} from '../capacity/priority-wait-queue.js';
+import type {ServiceCapacity} from '../capacity/service-capacity.js';
+import {
+	decideAdmission,
+	getLatestStartMs,
+	type AdmissionDecision,
+} from './admission.js';
 import {
 	getCostMs,
 	getExpectedLatencyMs,
@@ -25,13 +36,27 @@
 	probeScopes,
 	type TargetProber,
 } from './target-prober.js';
-import {WaitQueue} from './wait-queue.js';
 
 /** The dependencies of a picker. */
 export type TargetPickerOptions = {
 	readonly clock: Clock;
-	readonly registry: TargetRegistry;
-	readonly prober: TargetProber;
+	readonly registry: Pick<
+		TargetRegistry,
+		| 'getLimitWaitMs'
+		| 'getOpenTargets'
+		| 'getPauseMs'
+		| 'isOutOfReach'
+		| 'pathMonitor'
+	>;
+	readonly prober: Pick<TargetProber, 'probe'>;
+	readonly capacity: Pick<
+		ServiceCapacity,
+		'addRequest' | 'getReservedSlots' | 'isPrioritized'
+	>;
+	readonly metrics: Pick<
+		GatewayMetrics,
+		'recordRankRefusal' | 'recordWaitingCount'
+	>;
 	readonly lastSlotFactor: LastSlotFactor;
 	/** The data centre of this host. */
 	readonly dataCentre: DataCentreId;
@@ -59,6 +84,10 @@
 const reprobeCount = 3;
 /** Maximum age of a load report that a pick may rely on, in milliseconds. */
 const maxReportAgeMs = 15;
+/** Maximum number of preceding requests that a request lets check the targets before it takes one. */
+const maxWokenPreceding = 4;
+/** Time for preceding requests to take a target, in milliseconds. */
+const precedenceMs = 1;
 /** Maximum age of the load report of a target with a limit, in milliseconds; it counts as idle without one, as it gets few requests. */
 const maxLimitedReportAgeMs = 1000;
 /** Maximum wait for a load report before targets are probed again, in milliseconds. */
@@ -71,14 +100,19 @@
 /** Probes targets and picks the one with the lowest cost. */
 export class TargetPicker {
 	readonly #options: TargetPickerOptions;
-	readonly #waitQueue: WaitQueue;
+	readonly #waitQueue: PriorityWaitQueue;
 
 	/**
 	 * @param options - The dependencies.
 	 */
 	constructor(options: TargetPickerOptions) {
 		this.#options = options;
-		this.#waitQueue = new WaitQueue(options.clock);
+		this.#waitQueue = new PriorityWaitQueue({
+			clock: options.clock,
+			onWaitingCount(service, rank, count) {
+				options.metrics.recordWaitingCount(service, rank, count);
+			},
+		});
 	}
 
 	/**
@@ -88,6 +122,31 @@
 	 * @returns The target with a connection, or the reason why there is none.
 	 */
 	async pick(request: PickRequest): Promise<Result<PickedTarget, Failure>> {
+		const {capacity, metrics} = this.#options;
+		const {service, priority, serviceTimeMs, triedTargets} = request;
+		if (triedTargets.size === 0) {
+			capacity.addRequest(service, priority, serviceTimeMs);
+		}
+
+		const queued = this.#makeQueuedRequest(request);
+		this.#waitQueue.open(queued);
+		let isServed = false;
+		try {
+			const result = await this.#pickInTurn(request, queued);
+			isServed = result.isOk();
+			return result;
+		} finally {
+			this.#waitQueue.close(queued, isServed);
+			if (!isServed) {
+				metrics.recordRankRefusal(service, priority);
+			}
+		}
+	}
+
+	async #pickInTurn(
+		request: PickRequest,
+		queued: QueuedRequest,
+	): Promise<Result<PickedTarget, Failure>> {
 		const {clock} = this.#options;
 		const startedAtMs = clock.monotonicMs();
 		let probedCount = 0;
@@ -105,9 +164,21 @@
 			}
 		}
 
+		let lastEnd: WaitEnd | undefined;
+		let hasYielded = false;
 		for (;;) {
 			const best = this.#findBest(request);
 			const decision = this.#decideAdmission(request, best);
+			if (
+				decision === 'take' &&
+				!hasYielded &&
+				this.#waitQueue.wakePreceding(queued, maxWokenPreceding) > 0
+			) {
+				hasYielded = true;
+				lastEnd = await this.#waitQueue.wait(queued, precedenceMs);
+				continue;
+			}
+
 			if (decision === 'take' && best !== undefined) {
 				const connection = this.#acquireConnection(best.state, request);
 				if (connection !== undefined) {
@@ -124,19 +195,19 @@
 				this.#options.registry.isOutOfReach(request.service);
 			if (
 				decision === 'refuse' ||
+				lastEnd === 'late' ||
 				isOutOfReach ||
 				this.#isUnservable(request)
 			) {
 				return Err(this.#describeRefusal(request, best, probedCount));
 			}
 
-			const wasWoken = await this.#waitQueue.wait(
-				request.service,
-				reprobeIntervalMs,
-			);
-			probedCount += wasWoken
-				? 0
-				: await this.#options.prober.probe(request, reprobeCount, 'any');
+			hasYielded = false;
+			lastEnd = await this.#waitQueue.wait(queued, reprobeIntervalMs);
+			probedCount +=
+				lastEnd === 'recheck'
+					? await this.#options.prober.probe(request, reprobeCount, 'any')
+					: 0;
 		}
 	}
 
@@ -150,6 +221,25 @@
 		this.#waitQueue.wakeFirst(service);
 	}
 
+	/**
+	 * Without different priorities, requests wait in the order of arrival until the
+	 * next check refuses them.
+	 */
+	#makeQueuedRequest(request: PickRequest): QueuedRequest {
+		const {service, priority, account, isReturning, receivedAtMs} = request;
+		const isPrioritized = this.#options.capacity.isPrioritized(service);
+		return {
+			service,
+			rank: priority,
+			account,
+			isReturning: isPrioritized && isReturning,
+			position: isPrioritized ? receivedAtMs : 0,
+			usefulUntilMs: isPrioritized
+				? getLatestStartMs(request)
+				: Number.POSITIVE_INFINITY,
+		};
+	}
+
 	/** Checks whether a target is known that the request would take without a wait. */
 	#hasAcceptableTarget(request: PickRequest): boolean {
 		const best = this.#findBest(request);
@@ -159,10 +249,19 @@
 	}
 
 	#decideAdmission(
-		{receivedAtMs, deadlineMs, targetLatencyMs, serviceTimeMs}: PickRequest,
+		request: PickRequest,
 		best: Candidate | undefined,
 	): AdmissionDecision {
-		const nowMs = this.#options.clock.monotonicMs();
+		const {receivedAtMs, deadlineMs, targetLatencyMs, serviceTimeMs} = request;
+		const {clock, capacity} = this.#options;
+		const nowMs = clock.monotonicMs();
+		// The queue ends a wait at the latest useful time, so a request may wait until then.
+		const recheckMs = capacity.isPrioritized(request.service)
+			? Math.max(
+					0,
+					Math.min(reprobeIntervalMs, getLatestStartMs(request) - nowMs),
+				)
+			: undefined;
 		return decideAdmission({
 			ageMs: nowMs - receivedAtMs,
 			remainingMs: deadlineMs - nowMs,
@@ -170,6 +269,7 @@
 			serviceTimeMs,
 			bestLatencyMs: best?.expectedMs ?? Number.POSITIVE_INFINITY,
 			hasFreeSlot: best !== undefined && best.state.load < best.state.slots,
+			...(recheckMs !== undefined && {recheckMs}),
 		});
 	}
 
@@ -219,7 +319,10 @@
 		const nowMs = clock.monotonicMs();
 		let best: Candidate | undefined;
 		for (const state of registry.getOpenTargets(request.service)) {
-			if (!this.#isUsable(state, request, nowMs)) {
+			if (
+				!this.#isUsable(state, request, nowMs) ||
+				!this.#leavesReserve(state, request)
+			) {
 				continue;
 			}
 
@@ -260,6 +363,19 @@
 		);
 	}
 
+	/** Checks whether the slots that more urgent requests need stay free at a target. */
+	#leavesReserve(
+		{registration, load, slots}: TargetState,
+		{service, priority}: PickRequest,
+	): boolean {
+		const reserved = this.#options.capacity.getReservedSlots(
+			service,
+			priority,
+			registration.id,
+		);
+		return reserved === 0 || load + 1 + reserved <= slots;
+	}
+
 	#getCondition(state: TargetState, nowMs: number): TargetCondition {
 		const hasCurrentLoad =
 			!state.availability.limit.isInForce ||
--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -28,6 +28,8 @@
 import type {TargetProtocol} from '../targets/target-protocol.js';
 import type {TargetState} from '../targets/target-state.js';
 import type {Relay} from '../relay/relay.js';
+import {getServiceRanks} from '../capacity/get-service-ranks.js';
+import {ServiceCapacity} from '../capacity/service-capacity.js';
 import {CrashDetector} from './crash-detector.js';
 import type {GatewaySettings} from './gateway-settings.js';
 import {LiveSettings, type SettingsChange} from './live-settings.js';
@@ -71,6 +73,7 @@
 	readonly #crashDetector: CrashDetector;
 	readonly #feed: SnapshotFeed;
 	readonly #targetRegistry;
+	readonly #capacity: ServiceCapacity;
 	readonly #plans: PlanHolder;
 	readonly #pathRecovery: PathRecovery;
 	readonly #forwarder: Forwarder;
@@ -129,6 +132,10 @@
 			onLimit: (notice) => {
 				this.#targetRegistry.addRemoteLimit(notice);
 			},
+			getCapacity: () => this.#capacity.getRecords(),
+			onCapacity: (records) => {
+				this.#capacity.addRecords(records);
+			},
 		});
 		this.#feed = new SnapshotFeed({
 			clock,
@@ -174,6 +181,13 @@
 				this.#pathRecovery.start();
 			},
 		});
+		this.#capacity = new ServiceCapacity({
+			clock,
+			log,
+			metrics: this.#metrics,
+			getTargets: (service) => this.#targetRegistry.getOpenTargets(service),
+			getHostCount,
+		});
 		this.#pathRecovery = new PathRecovery({
 			clock,
 			random,
@@ -200,6 +214,7 @@
 			settings: this.#settings,
 			protocol: options.targetProtocol,
 			targetRegistry: this.#targetRegistry,
+			capacity: this.#capacity,
 			forwarder: this.#forwarder,
 			plans: this.#plans,
 			crashSuspects: this.#crashSuspects,
@@ -355,6 +370,7 @@
 				emptied: [...drainedDataCentres],
 			});
 			callerServer.setTimeouts(plan.limits);
+			this.#capacity.setRanks(getServiceRanks(plan));
 			this.#plans.setPlan({
 				version: plan.version,
 				routeTable: new RouteTable(plan.routes),
--- a/packages/gateway/src/context/make-relay.ts
+++ b/packages/gateway/src/context/make-relay.ts
@@ -2,6 +2,7 @@
 
 import type {Clock, Digest, RandomSource} from '@bilberryscale/core';
 import type {CrashSuspects} from '@bilberryscale/decisions';
+import type {ServiceCapacity} from '../capacity/service-capacity.js';
 import {LastSlotFactor} from '../choice/last-slot-factor.js';
 import {TargetProber} from '../choice/target-prober.js';
 import {TargetPicker} from '../choice/target-picker.js';
@@ -31,6 +32,7 @@
 	readonly settings: LiveSettings;
 	readonly protocol: TargetProtocol;
 	readonly targetRegistry: TargetRegistry;
+	readonly capacity: ServiceCapacity;
 	readonly forwarder: Forwarder;
 	readonly plans: PlanHolder;
 	/** The requests that may have crashed targets. */
@@ -85,6 +87,8 @@
 			clock,
 			registry: targetRegistry,
 			prober,
+			capacity: dependencies.capacity,
+			metrics,
 			lastSlotFactor,
 			dataCentre,
 		}),
--- a/packages/gateway/src/fleet/fleet.ts
+++ b/packages/gateway/src/fleet/fleet.ts
@@ -1,6 +1,7 @@
 /** Connects a host to the rest of its fleet: exchanges gossip, reads snapshots from peers and serves its own. */
 
 import type {Clock, DataCentreId, RandomSource} from '@bilberryscale/core';
+import type {CapacityRecord} from '../capacity/capacity-record.js';
 import type {Endpoint, GatewaySettings} from '../context/gateway-settings.js';
 import type {SnapshotFeed} from '../snapshot/snapshot-feed.js';
 import type {SnapshotSource} from '../snapshot/snapshot-source.js';
@@ -29,6 +30,9 @@
 	readonly onCrash: (notice: CrashNotice) => void;
 	readonly onFailure: (incarnation: TargetIncarnation) => void;
 	readonly onLimit: (notice: LimitNotice) => void;
+	/** Gets the estimates of capacity that are sent to other hosts. */
+	readonly getCapacity: () => readonly CapacityRecord[];
+	readonly onCapacity: (records: readonly CapacityRecord[]) => void;
 };
 
 /** Lower bound on the assumed number of hosts, as some may not be discovered yet. */
--- a/packages/gateway/src/fleet/gossip-message.ts
+++ b/packages/gateway/src/fleet/gossip-message.ts
@@ -2,6 +2,11 @@
 
 import {Buffer} from 'node:buffer';
 import {makeId, type DataCentreId, type Digest} from '@bilberryscale/core';
+import {
+	decodeCapacityRecords,
+	encodeCapacityRecords,
+	type CapacityRecord,
+} from '../capacity/capacity-record.js';
 import type {TargetIncarnation} from '../plan/registered-target.js';
 import type {LimitNotice} from '../targets/limit-notice.js';
 import type {MemberRecord} from './membership.js';
@@ -20,6 +25,8 @@
 			readonly members: readonly MemberRecord[];
 			/** Whether the receiver should reply with its own members. */
 			readonly wantsReply: boolean;
+			/** The estimates of the sender; older hosts send none and ignore them. */
+			readonly capacity?: readonly CapacityRecord[];
 	  }
 	| {readonly method: 'crash'; readonly notice: CrashNotice}
 	| {readonly method: 'failure'; readonly incarnation: TargetIncarnation}
@@ -74,7 +81,7 @@
 ): GossipMessage | undefined {
 	switch (method) {
 		case 'members': {
-			return decodeMembers(first, second);
+			return decodeMembers(first, second, third);
 		}
 
 		case 'crash': {
@@ -137,7 +144,10 @@
 					heartbeat,
 				],
 			);
-			return [members, message.wantsReply];
+			const {wantsReply, capacity = []} = message;
+			return capacity.length === 0
+				? [members, wantsReply]
+				: [members, wantsReply, encodeCapacityRecords(capacity)];
 		}
 
 		case 'crash': {
@@ -158,15 +168,18 @@
 function decodeMembers(
 	members: unknown,
 	wantsReply: unknown,
+	capacityParameter: unknown,
 ): GossipMessage | undefined {
 	if (!Array.isArray(members)) {
 		return undefined;
 	}
 
+	const capacity = decodeCapacityRecords(capacityParameter);
 	return {
 		method: 'members',
 		members: members.flatMap((member) => decodeMember(member)),
 		wantsReply: wantsReply === true,
+		...(capacity.length > 0 && {capacity}),
 	};
 }
 
--- a/packages/gateway/src/fleet/gossip.ts
+++ b/packages/gateway/src/fleet/gossip.ts
@@ -4,6 +4,7 @@
 import type {Clock, DataCentreId, RandomSource} from '@bilberryscale/core';
 import type {EventLog} from '../records/event-log.js';
 import type {TargetIncarnation} from '../plan/registered-target.js';
+import type {CapacityRecord} from '../capacity/capacity-record.js';
 import type {LimitNotice} from '../targets/limit-notice.js';
 import {
 	decodeMessage,
@@ -29,6 +30,9 @@
 	readonly onCrash: (notice: CrashNotice) => void;
 	readonly onFailure: (incarnation: TargetIncarnation) => void;
 	readonly onLimit: (notice: LimitNotice) => void;
+	/** Gets the estimates that are sent along with members. */
+	readonly getCapacity: () => readonly CapacityRecord[];
+	readonly onCapacity: (records: readonly CapacityRecord[]) => void;
 };
 
 /** Mean interval between exchanges of members with another host, in milliseconds. */
@@ -170,7 +174,8 @@
 		const members = this.#options.membership.sampleRecords(
 			randomMembersPerMessage,
 		);
-		this.#send(address, {method: 'members', members, wantsReply});
+		const capacity = this.#options.getCapacity();
+		this.#send(address, {method: 'members', members, wantsReply, capacity});
 	}
 
 	#receive(datagram: Uint8Array, sender: string): void {
@@ -179,6 +184,7 @@
 		switch (message?.method) {
 			case 'members': {
 				this.#logNewMembers(membership.add(message.members));
+				this.#options.onCapacity(message.capacity ?? []);
 				if (message.wantsReply) {
 					this.#sendMembers(sender, false);
 				}
--- a/packages/gateway/src/records/gateway-metrics.ts
+++ b/packages/gateway/src/records/gateway-metrics.ts
@@ -1,6 +1,6 @@
 /** Prometheus counters and histograms of the gateway. */
 
-import {Counter, Histogram, Registry} from 'prom-client';
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 
 /** Upper bounds of the latency buckets, in seconds. */
 const latencyBucketsSeconds = [
@@ -67,6 +67,27 @@
 		registers: [this.#registry],
 	});
 
+	readonly #waitingRequests = new Gauge({
+		name: 'bilberryscale_waiting_requests',
+		help: 'Requests that wait at this host for a target, by service and priority',
+		labelNames: ['service', 'priority'],
+		registers: [this.#registry],
+	});
+
+	readonly #rankRefusals = new Counter({
+		name: 'bilberryscale_refusals_total',
+		help: 'Requests for which no target was found in time, by service and priority',
+		labelNames: ['service', 'priority'],
+		registers: [this.#registry],
+	});
+
+	readonly #utilization = new Gauge({
+		name: 'bilberryscale_service_utilization',
+		help: 'Estimated share of the slots in use, for services with several priorities',
+		labelNames: ['service'],
+		registers: [this.#registry],
+	});
+
 	/** Gets the content type of the exported text. */
 	get contentType(): string {
 		return this.#registry.contentType;
@@ -134,6 +155,37 @@
 		this.#forwards.inc({result});
 	}
 
+	/**
+	 * Records how many requests wait for a target.
+	 *
+	 * @param service - Their service.
+	 * @param priority - Their priority.
+	 * @param count - The number of requests.
+	 */
+	recordWaitingCount(service: string, priority: number, count: number): void {
+		this.#waitingRequests.set({service, priority}, count);
+	}
+
+	/**
+	 * Records a request for which no target was found in time.
+	 *
+	 * @param service - Its service.
+	 * @param priority - Its priority.
+	 */
+	recordRankRefusal(service: string, priority: number): void {
+		this.#rankRefusals.inc({service, priority});
+	}
+
+	/**
+	 * Records the estimated utilization of a service.
+	 *
+	 * @param service - The service.
+	 * @param utilization - The share of its slots in use, from 0 to 1.
+	 */
+	recordUtilization(service: string, utilization: number): void {
+		this.#utilization.set({service}, utilization);
+	}
+
 	/**
 	 * Exports all metrics.
 	 *
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -286,6 +286,9 @@
 			receivedAtMs: request.exchange.incoming.receivedAtMs,
 			signal: request.exchange.incoming.signal,
 			targetLatencyMs: route.targetLatencyMs,
+			priority: request.priority,
+			...(request.account && {account: request.account.name}),
+			isReturning: request.isReturning,
 		});
 	}
 
--- a/packages/gateway/test/choice/target-prober.test.ts
+++ b/packages/gateway/test/choice/target-prober.test.ts
@@ -83,6 +83,8 @@
 					receivedAtMs: nowMs,
 					targetLatencyMs: 600,
 					deadlineMs: nowMs + 2500,
+					priority: 0,
+					isReturning: false,
 					signal: new AbortController().signal,
 				},
 				8,
