Model a burst of patient requests beside urgent ones, and queue patient ones without probes

Cause: in a model of 16 targets and 6 hosts, slots that became free were found by the probes of several hosts at once; all but one of their requests were shed, and the reserved slots filled up by such races. Change: in a shortage, less urgent requests wait behind those of their host without probes; the response at a slot wakes the next one. A third of the targets' slots stays free at some targets rather than one slot at many. Urgent requests avoid the last slots that others contest, and full targets.

--- a/packages/gateway/src/capacity/priority-wait-queue.ts
+++ b/packages/gateway/src/capacity/priority-wait-queue.ts
@@ -137,6 +137,16 @@
 		return count;
 	}
 
+	/**
+	 * Checks whether a request of a more urgent or the same rank waits.
+	 *
+	 * @param request - A request that does not wait itself.
+	 * @returns Whether one does.
+	 */
+	hasPreceding({service, rank}: QueuedRequest): boolean {
+		return this.#getFirst(service, rank + 1) !== undefined;
+	}
+
 	/** Gets the first waiting request of the most urgent rank, among the ranks before a given one. */
 	#getFirst(
 		service: ServiceName,
--- a/packages/gateway/src/capacity/rank-queue.ts
+++ b/packages/gateway/src/capacity/rank-queue.ts
@@ -23,7 +23,7 @@
  * is charged for each request that a target takes.
  */
 export class RankQueue {
-	readonly #tags = new StartTags<Flow>();
+	#tags = new StartTags<Flow>();
 	readonly #openCounts = new Map<Flow, number>();
 	readonly #waiters = new Map<Flow, Waiter[]>();
 	#size = 0;
@@ -61,11 +61,19 @@
 		const count = (this.#openCounts.get(account) ?? 1) - 1;
 		if (count === 0) {
 			this.#openCounts.delete(account);
+			this.#endBusyPeriod();
 		} else {
 			this.#openCounts.set(account, count);
 		}
 	}
 
+	/** Forgets what accounts were served once no request is open, as start-time fair queueing does. */
+	#endBusyPeriod(): void {
+		if (this.#openCounts.size === 0) {
+			this.#tags = new StartTags();
+		}
+	}
+
 	/**
 	 * Adds a waiting request.
 	 *
--- a/packages/gateway/src/capacity/service-capacity.ts
+++ b/packages/gateway/src/capacity/service-capacity.ts
@@ -3,7 +3,7 @@
 import type {Clock, ServiceName, TargetId} from '@bilberryscale/core';
 import {
 	decideReservation,
-	getReservedSlots,
+	getReservedDepth,
 	type RankReservation,
 } from '../choice/rank-admission.js';
 import type {EventLog} from '../records/event-log.js';
@@ -32,11 +32,18 @@
 	readonly getHostCount: () => number;
 };
 
+/** A request as far as its rank goes. */
+export type RankedRequest = {
+	readonly service: ServiceName;
+	/** 0 is the most urgent. */
+	readonly priority: number;
+};
+
 type ServiceState = {
 	/** The most urgent rank first. */
 	readonly ranks: readonly number[];
 	readonly reservations: Map<number, RankReservation>;
-	/** The reserved slots per target in the last log line, by rank. */
+	/** The share of the targets with a reservation in the last log line, by rank. */
 	readonly logged: Map<number, number>;
 	decidedAtMs: number;
 };
@@ -47,8 +54,9 @@
 const learningMs = 5000;
 /** Demand assumed in that time, in slots of the whole service. */
 const assumedDemand = 0.1;
-/** Difference from the last logged number of reserved slots per target that is logged again. */
+/** Difference from the last logged share of the targets that is logged again. */
 const loggedDifference = 0.2;
+const idleReservation: RankReservation = {isActive: false, targetShare: 0};
 /** Number of ranks of targets kept beyond which all are computed again; it exceeds the targets of a large deployment. */
 const maxPlaces = 10_000;
 
@@ -117,24 +125,58 @@
 	}
 
 	/**
-	 * Gets how many slots of a target must stay free when a request takes one.
+	 * Checks whether a request may take a slot of a target, so that slots stay free
+	 * for more urgent ones. All hosts leave the same targets' slots free, as those
+	 * that one host leaves would be taken by another.
+	 *
+	 * @param request - The service and the priority of the request.
+	 * @param target - The target and its load.
+	 * @param mayContest - Whether it may also be sent to a full target, and to the last
+	 * slot of one where less urgent requests leave none and are likely to come at the same time.
+	 * @returns Whether it may; true if the service has only one priority.
+	 */
+	canTake(
+		{service, priority}: RankedRequest,
+		target: SharedTarget & {readonly load: number},
+		mayContest: boolean,
+	): boolean {
+		const state = this.#services.get(service);
+		if (state === undefined) {
+			return true;
+		}
+
+		this.#decide(service, state);
+		const {slots, load} = target;
+		const place = this.#getPlace(target.registration.id);
+		const {targetShare} = state.reservations.get(priority) ?? idleReservation;
+		const freeSlots = slots - load;
+		if (place < targetShare) {
+			return freeSlots > getReservedDepth(slots);
+		}
+
+		const contested = getContested(state, priority);
+		if (contested === undefined || mayContest) {
+			return true;
+		}
+
+		return freeSlots > (place < contested.targetShare ? 0 : 1);
+	}
+
+	/**
+	 * Checks whether requests leave slots free, since the service is short of capacity.
 	 *
 	 * @param service - The service.
-	 * @param rank - The priority of the request.
-	 * @param id - The target.
-	 * @returns The number of slots; 0 if the service has only one priority.
+	 * @param rank - The priority of the requests.
+	 * @returns Whether they do; false if the service has only one priority.
 	 */
-	getReservedSlots(service: ServiceName, rank: number, id: TargetId): number {
+	isShort(service: ServiceName, rank: number): boolean {
 		const state = this.#services.get(service);
 		if (state === undefined) {
-			return 0;
+			return false;
 		}
 
 		this.#decide(service, state);
-		const {slotsPerTarget = 0} = state.reservations.get(rank) ?? {};
-		return slotsPerTarget === 0
-			? 0
-			: getReservedSlots(slotsPerTarget, this.#getPlace(id));
+		return state.reservations.get(rank)?.isActive ?? false;
 	}
 
 	/**
@@ -180,6 +222,7 @@
 		metrics.recordUtilization(service, estimate.utilization);
 		const targets = getTargets(service);
 		const slots = targets.reduce((sum, target) => sum + target.slots, 0);
+		const slotsPerTarget = targets.length === 0 ? 0 : slots / targets.length;
 		const isLearning = nowMs - this.#startedAtMs < learningMs;
 		let urgentDemand = 0;
 		for (const [index, rank] of state.ranks.entries()) {
@@ -189,16 +232,18 @@
 				lessUrgentCount: state.ranks.length - 1 - index,
 				urgentDemand: Math.max(minDemand, urgentDemand),
 				targetCount: targets.length,
-				slotsPerTarget: targets.length === 0 ? 0 : slots / targets.length,
+				slotsPerTarget,
 				wasActive: state.reservations.get(rank)?.isActive ?? false,
 			});
 			state.reservations.set(rank, reservation);
 			if (isLogged(reservation, state.logged.get(rank) ?? 0)) {
-				state.logged.set(rank, reservation.slotsPerTarget);
+				state.logged.set(rank, reservation.targetShare);
 				this.#options.log.writeState('rank admission changed', {
 					service,
 					rank,
-					reservedSlotsPerTarget: round(reservation.slotsPerTarget),
+					reservedTargetShare: round(reservation.targetShare),
+					reservedSlots:
+						reservation.targetShare > 0 ? getReservedDepth(slotsPerTarget) : 0,
 					utilization: round(estimate.utilization),
 					urgentDemand: round(urgentDemand),
 					targets: targets.length,
@@ -234,13 +279,25 @@
 	return new Map([...(byRank ?? [])].filter(([rank]) => ranks.includes(rank)));
 }
 
+/** Gets the reservation of the least urgent rank, if that rank is below the given one and leaves slots free. */
+function getContested(
+	{ranks, reservations}: ServiceState,
+	priority: number,
+): RankReservation | undefined {
+	const leastUrgent = ranks.at(-1)!;
+	const reservation = reservations.get(leastUrgent);
+	return priority < leastUrgent && reservation?.isActive === true
+		? reservation
+		: undefined;
+}
+
 function isLogged(
-	{slotsPerTarget}: RankReservation,
-	loggedSlotsPerTarget: number,
+	{targetShare}: RankReservation,
+	loggedShare: number,
 ): boolean {
-	return slotsPerTarget === 0 || loggedSlotsPerTarget === 0
-		? slotsPerTarget !== loggedSlotsPerTarget
-		: Math.abs(slotsPerTarget - loggedSlotsPerTarget) >= loggedDifference;
+	return targetShare === 0 || loggedShare === 0
+		? targetShare !== loggedShare
+		: Math.abs(targetShare - loggedShare) >= loggedDifference;
 }
 
 /** Rounds to three decimals. */
--- a/packages/gateway/src/choice/admission.ts
+++ b/packages/gateway/src/choice/admission.ts
@@ -14,6 +14,8 @@
 	readonly bestLatencyMs: number;
 	/** Time until the targets are checked again, in milliseconds; 40 if undefined. */
 	readonly recheckMs?: number;
+	/** Whether others wait for any free slot, so that none is left for a better one. */
+	readonly isShort?: boolean;
 	/** Whether that target would start the request without queueing it. */
 	readonly hasFreeSlot: boolean;
 };
@@ -50,6 +52,7 @@
 		bestLatencyMs,
 		hasFreeSlot,
 		recheckMs = recheckIntervalMs,
+		isShort = false,
 	} = context;
 	if (remainingMs <= 0) {
 		return 'refuse';
@@ -60,11 +63,15 @@
 	}
 
 	const latencyBudgetMs = targetLatencyMs * (1 - latencyMargin);
+	const isOnTimeNow = ageMs + bestLatencyMs <= latencyBudgetMs;
+	if (isShort && isOnTimeNow && hasFreeSlot) {
+		return 'take';
+	}
+
 	const isOnTimeAfterRecheck =
 		ageMs + recheckMs + bestLatencyMs <= latencyBudgetMs;
 	const isNearOptimalOnTimeAfterRecheck =
 		ageMs + recheckMs + serviceTimeMs * nearOptimalFactor <= latencyBudgetMs;
-	const isOnTimeNow = ageMs + bestLatencyMs <= latencyBudgetMs;
 	if (
 		isOnTimeAfterRecheck ||
 		(!isOnTimeNow && isNearOptimalOnTimeAfterRecheck)
--- a/packages/gateway/src/choice/rank-admission.ts
+++ b/packages/gateway/src/choice/rank-admission.ts
@@ -1,4 +1,4 @@
-/** Decides how many slots of each target requests of a rank leave free for more urgent ones. */
+/** Decides which slots requests of a rank leave free for more urgent ones. */
 
 /** A service as the requests of one rank see it. */
 export type RankContext = {
@@ -19,8 +19,8 @@
 export type RankReservation = {
 	/** Whether the utilization calls for it. */
 	readonly isActive: boolean;
-	/** The mean number of slots of a target that stay free. */
-	readonly slotsPerTarget: number;
+	/** The share of the targets that keep {@link getReservedDepth} slots free, from 0 to 1. */
+	readonly targetShare: number;
 };
 
 /** Utilization from which on the least urgent rank leaves slots free. */
@@ -30,18 +30,19 @@
 const maxActivationUtilization = 0.9;
 /** Difference between the thresholds at which a reservation begins and ends. */
 const hysteresis = 0.15;
-/** Share of the targets that keep a slot free beyond the demand, so that an urgent request finds one of them among 12 probed. */
+/** Share of the targets that keep slots free beyond the demand, so that an urgent request finds one of them among 12 probed. */
 const searchMargin = 0.25;
+/** Maximum share of the slots that the margin leaves free. */
+const maxMarginSlotShare = 0.1;
 /** Demand from which on the margin is kept in full, in slots of the whole service; below, urgent requests are rare. */
 const fullMarginDemand = 0.1;
-/** Slots reserved for each slot of demand, since demand rises faster than it is learnt. */
-const demandFactor = 1.3;
-/** Maximum share of the slots that stay free. */
-const maxReservedShare = 0.1;
+/** Share of a target's slots that stay free there: work on the last slots takes up to 1.7 times as long, and two hosts may take one slot at once. */
+const reservedDepthShare = 1 / 3;
 
 /**
- * Decides whether requests of a rank leave slots free, and how many. The most
- * urgent rank has no more urgent demand and leaves none.
+ * Decides whether requests of a rank leave slots free, and at how many targets:
+ * the demand of more urgent requests plus a margin. The most urgent rank has no
+ * more urgent demand and leaves none.
  *
  * @param context - The service as the rank sees it.
  * @returns The reservation.
@@ -55,33 +56,27 @@
 	);
 	const isActive =
 		urgentDemand > 0 &&
+		targetCount > 0 &&
 		utilization >= activation - (wasActive ? hysteresis : 0);
-	if (!isActive || targetCount === 0) {
-		return {isActive: false, slotsPerTarget: 0};
+	if (!isActive) {
+		return {isActive, targetShare: 0};
 	}
 
-	const margin = searchMargin * Math.min(1, urgentDemand / fullMarginDemand);
-	return {
-		isActive: true,
-		slotsPerTarget: Math.min(
-			maxReservedShare * slotsPerTarget,
-			margin + (demandFactor * urgentDemand) / targetCount,
-		),
-	};
+	const depth = getReservedDepth(slotsPerTarget);
+	const margin =
+		Math.min(searchMargin, (maxMarginSlotShare * slotsPerTarget) / depth) *
+		Math.min(1, urgentDemand / fullMarginDemand);
+	const demandShare = urgentDemand / (depth * targetCount);
+	return {isActive, targetShare: Math.min(1, margin + demandShare)};
 }
 
 /**
- * Gets the slots of one target that stay free. All hosts leave the same targets'
- * slots free, as those that one host leaves would be taken by another.
+ * Gets the number of slots that stay free at a target with a reservation. A few
+ * targets keep several slots free rather than each a single one.
  *
- * @param slotsPerTarget - The mean number of slots of a target that stay free.
- * @param place - The fixed place of the target among all, from 0 to 1.
- * @returns The number of slots.
+ * @param slots - The number of slots of the target.
+ * @returns The number of slots that stay free.
  */
-export function getReservedSlots(
-	slotsPerTarget: number,
-	place: number,
-): number {
-	const whole = Math.floor(slotsPerTarget);
-	return whole + (place < slotsPerTarget - whole ? 1 : 0);
+export function getReservedDepth(slots: number): number {
+	return Math.max(1, Math.round(slots * reservedDepthShare));
 }
--- a/packages/gateway/src/choice/target-picker.ts
+++ b/packages/gateway/src/choice/target-picker.ts
@@ -51,7 +51,7 @@
 	readonly prober: Pick<TargetProber, 'probe'>;
 	readonly capacity: Pick<
 		ServiceCapacity,
-		'addRequest' | 'getReservedSlots' | 'isPrioritized'
+		'addRequest' | 'canTake' | 'isPrioritized' | 'isShort'
 	>;
 	readonly metrics: Pick<
 		GatewayMetrics,
@@ -92,6 +92,8 @@
 const maxLimitedReportAgeMs = 1000;
 /** Maximum wait for a load report before targets are probed again, in milliseconds. */
 const reprobeIntervalMs = 45;
+/** The same for requests that leave slots free in a shortage: the response to the last request at a slot wakes the next one. */
+const shortReprobeIntervalMs = 300;
 /** Minimum time between two requests of this host to a cold target, in milliseconds. */
 const coldSendIntervalMs = 1000;
 /** Maximum idle time of a reused connection, in milliseconds; shorter for requests that cannot be repeated if it is lost. */
@@ -150,7 +152,7 @@
 		const {clock} = this.#options;
 		const startedAtMs = clock.monotonicMs();
 		let probedCount = 0;
-		for (const scope of probeScopes) {
+		for (const scope of this.#mustQueue(queued) ? [] : probeScopes) {
 			probedCount += await this.#options.prober.probe(
 				request,
 				maxProbeCount,
@@ -189,23 +191,21 @@
 				}
 			}
 
-			const isOutOfReach =
-				request.endsOutOfReach &&
-				best === undefined &&
-				this.#options.registry.isOutOfReach(request.service);
 			if (
 				decision === 'refuse' ||
 				lastEnd === 'late' ||
-				isOutOfReach ||
-				this.#isUnservable(request)
+				this.#isUnservable(request, best)
 			) {
 				return Err(this.#describeRefusal(request, best, probedCount));
 			}
 
 			hasYielded = false;
-			lastEnd = await this.#waitQueue.wait(queued, reprobeIntervalMs);
+			lastEnd = await this.#waitQueue.wait(
+				queued,
+				this.#getRecheckIntervalMs(request),
+			);
 			probedCount +=
-				lastEnd === 'recheck'
+				lastEnd === 'recheck' && !this.#mustQueue(queued)
 					? await this.#options.prober.probe(request, reprobeCount, 'any')
 					: 0;
 		}
@@ -240,6 +240,25 @@
 		};
 	}
 
+	/**
+	 * Checks whether a request waits behind others without probes of its own. In a
+	 * shortage, probes would find slots that the host of the last request there
+	 * gives to its next one, and two requests would be sent to one slot.
+	 */
+	#mustQueue(queued: QueuedRequest): boolean {
+		const {service, rank} = queued;
+		return (
+			this.#options.capacity.isShort(service, rank) &&
+			this.#waitQueue.hasPreceding(queued)
+		);
+	}
+
+	#getRecheckIntervalMs({service, priority}: PickRequest): number {
+		return this.#options.capacity.isShort(service, priority)
+			? shortReprobeIntervalMs
+			: reprobeIntervalMs;
+	}
+
 	/** Checks whether a target is known that the request would take without a wait. */
 	#hasAcceptableTarget(request: PickRequest): boolean {
 		const best = this.#findBest(request);
@@ -269,17 +288,27 @@
 			serviceTimeMs,
 			bestLatencyMs: best?.expectedMs ?? Number.POSITIVE_INFINITY,
 			hasFreeSlot: best !== undefined && best.state.load < best.state.slots,
+			isShort: capacity.isShort(request.service, request.priority),
 			...(recheckMs !== undefined && {recheckMs}),
 		});
 	}
 
 	/**
-	 * Checks whether the caller has disconnected or no open target is eligible.
+	 * Checks whether the caller has disconnected, this host reaches no target and
+	 * another one may, or no open target is eligible.
 	 * A target with a limit is not if its next request would be late.
 	 */
-	#isUnservable(request: PickRequest): boolean {
+	#isUnservable(request: PickRequest, best: Candidate | undefined): boolean {
 		const {registry, clock} = this.#options;
 		const {service, receivedAtMs, targetLatencyMs, serviceTimeMs} = request;
+		if (
+			request.endsOutOfReach &&
+			best === undefined &&
+			registry.isOutOfReach(service)
+		) {
+			return true;
+		}
+
 		const nowMs = clock.monotonicMs();
 		const maxWaitMs = Math.max(
 			0,
@@ -315,13 +344,15 @@
 	}
 
 	#findBest(request: PickRequest): Candidate | undefined {
-		const {registry, clock} = this.#options;
+		const {registry, clock, capacity} = this.#options;
 		const nowMs = clock.monotonicMs();
+		const mayContest =
+			nowMs >= (request.receivedAtMs + getLatestStartMs(request)) / 2;
 		let best: Candidate | undefined;
 		for (const state of registry.getOpenTargets(request.service)) {
 			if (
 				!this.#isUsable(state, request, nowMs) ||
-				!this.#leavesReserve(state, request)
+				!capacity.canTake(request, state, mayContest)
 			) {
 				continue;
 			}
@@ -363,19 +394,6 @@
 		);
 	}
 
-	/** Checks whether the slots that more urgent requests need stay free at a target. */
-	#leavesReserve(
-		{registration, load, slots}: TargetState,
-		{service, priority}: PickRequest,
-	): boolean {
-		const reserved = this.#options.capacity.getReservedSlots(
-			service,
-			priority,
-			registration.id,
-		);
-		return reserved === 0 || load + 1 + reserved <= slots;
-	}
-
 	#getCondition(state: TargetState, nowMs: number): TargetCondition {
 		const hasCurrentLoad =
 			!state.availability.limit.isInForce ||
@@ -400,11 +418,11 @@
 	}
 
 	#describeRefusal(
-		{service}: PickRequest,
+		{service, priority}: PickRequest,
 		best: Candidate | undefined,
 		probedCount: number,
 	): Failure {
-		const {registry, clock} = this.#options;
+		const {registry, clock, capacity} = this.#options;
 		const openCount = registry.getOpenTargets(service).length;
 		const pauseMs = registry.getPauseMs(service);
 		if (openCount === 0 && pauseMs !== undefined) {
@@ -424,6 +442,13 @@
 			);
 		}
 
+		if (best === undefined && capacity.isShort(service, priority)) {
+			return notRunFailure(
+				'over-capacity',
+				`No slot of ${openCount} open targets of "${service}" became free in time beyond those left to more urgent requests.`,
+			);
+		}
+
 		return best === undefined
 			? notRunFailure(
 					'no-target',
--- a/packages/gateway/src/context/make-relay.ts
+++ b/packages/gateway/src/context/make-relay.ts
@@ -92,6 +92,7 @@
 			lastSlotFactor,
 			dataCentre,
 		}),
+		capacity: dependencies.capacity,
 		reader: new RequestReader({
 			clock,
 			trafficSplitter: new TrafficSplitter(random),
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -9,6 +9,7 @@
 } from '@bilberryscale/core';
 import type {Exchange, FilterResult} from '@bilberryscale/daemon/edge';
 import {Err, Ok, type Result} from 'ts-results-es';
+import type {ServiceCapacity} from '../capacity/service-capacity.js';
 import type {PickedTarget, TargetPicker} from '../choice/target-picker.js';
 import type {Forwarder} from '../forwarding/forwarder.js';
 import {RetryBudget, type RetryBudgetLimit} from '../limits/retry-budget.js';
@@ -31,6 +32,7 @@
 	readonly clock: Clock;
 	readonly picker: TargetPicker;
 	readonly reader: RequestReader;
+	readonly capacity: Pick<ServiceCapacity, 'isShort'>;
 	readonly serviceTimes: ServiceTimes;
 	readonly dispatcher: AttemptDispatcher;
 	readonly forwarder: Forwarder;
@@ -54,6 +56,8 @@
 
 /** Share of the retry budget that is reserved for returning callers. */
 const returningCallerShare = 0.6;
+/** The same while less urgent requests of the service leave slots to urgent ones, which would otherwise find the budget used up. */
+const urgentRequestShare = 0.85;
 /** Retry delay for callers whose request was refused by targets with free capacity, in milliseconds. */
 const refusedRetryAfterMs = 40;
 /** Maximum attempts beyond the route's limit, to targets that refused the request at random before. */
@@ -241,13 +245,17 @@
 	 * left to returning callers, because a refused caller retries once and gives up after a second refusal.
 	 */
 	#takeRetry(
-		{service, isReturning}: RoutedRequest,
+		{service, isReturning, priority}: RoutedRequest,
 		best: AttemptResult,
 	): boolean {
+		const {clock, capacity} = this.#options;
 		const isFirstRefusal = best.kind === 'refused' && !isReturning;
+		const reservedShare = capacity.isShort(service, priority)
+			? urgentRequestShare
+			: returningCallerShare;
 		return this.#getRetryBudget(service).take(
-			this.#options.clock.monotonicMs(),
-			isFirstRefusal ? returningCallerShare : 0,
+			clock.monotonicMs(),
+			isFirstRefusal ? reservedShare : 0,
 		);
 	}
 
--- /dev/null
+++ b/packages/gateway/test/capacity/burst-model.test.ts
@@ -0,0 +1,300 @@
+/**
+ * Load: a burst of the least urgent requests (work 640 ms, latency target 3 s) to
+ * several times the capacity of a service, beside urgent ones (work 100 ms,
+ * latency target 250 ms), at several hosts that decide independently. Guards
+ * against urgent requests that find all slots held by less urgent work, and
+ * against slots that stay idle while requests wait.
+ */
+
+import {makeSeededRandom, ManualClock} from '@bilberryscale/core';
+import {describe, it} from '@bilberryscale/testing';
+import * as assert from 'uvu/assert';
+import {ServiceCapacity} from '../../src/capacity/service-capacity.js';
+import {LastSlotFactor} from '../../src/choice/last-slot-factor.js';
+import {TargetPicker} from '../../src/choice/target-picker.js';
+import {GatewayMetrics} from '../../src/records/gateway-metrics.js';
+import type {ConnectionPool} from '../../src/targets/connection-pool.js';
+import {PathMonitor} from '../../src/targets/path-monitor.js';
+import {TargetState} from '../../src/targets/target-state.js';
+import {east, makeRegisteredTarget, makeTestLog, reading} from '../fixtures.js';
+
+type RequestClass = {
+	readonly rank: number;
+	readonly workMs: number;
+	readonly targetLatencyMs: number;
+	readonly perSecond: number;
+};
+
+const slots = 6;
+const targetCount = 16;
+const hostCount = 6;
+const oneWayMs = 2;
+/** Requests that arrive between these times count, in milliseconds. */
+const counted = {fromMs: 2000, untilMs: 5000};
+const endMs = 8000;
+/** A target that is full sheds a request, which is then sent to another one. */
+const maxAttempts = 3;
+
+/** The targets as numbers of running requests, and the real decision modules of hosts. */
+class Model {
+	readonly clock = new ManualClock();
+	readonly random = makeSeededRandom(3);
+	readonly running = Array.from({length: targetCount}, () => 0);
+	readonly hosts = Array.from({length: hostCount}, () => this.#makeHost());
+
+	constructor(ranks: readonly number[]) {
+		for (const {capacity} of this.hosts) {
+			capacity.setRanks(new Map([[reading, ranks]]));
+		}
+	}
+
+	pick<Item>(items: readonly Item[]): Item {
+		return items[Math.floor(this.random() * items.length)]!;
+	}
+
+	async sleep(durationMs: number): Promise<void> {
+		return new Promise((resolve) => {
+			this.clock.schedule(durationMs, resolve);
+		});
+	}
+
+	/** Gets whether a request was completed on time. */
+	async run({rank, workMs, targetLatencyMs}: RequestClass): Promise<boolean> {
+		const {states, picker, lastSlotFactor, report} = this.pick(this.hosts);
+		const receivedAtMs = this.clock.monotonicMs();
+		const triedTargets = new Set<TargetState['registration']['id']>();
+		while (triedTargets.size < maxAttempts) {
+			const picked = await picker.pick({
+				service: reading,
+				isIdempotent: true,
+				serviceTimeMs: workMs,
+				triedTargets,
+				allowedTargets: undefined,
+				endsOutOfReach: false,
+				receivedAtMs,
+				targetLatencyMs,
+				deadlineMs: receivedAtMs + 2 * targetLatencyMs,
+				priority: rank,
+				isReturning: false,
+				signal: new AbortController().signal,
+			});
+			if (picked.isErr()) {
+				return false;
+			}
+
+			const {state} = picked.value;
+			const target = states.indexOf(state);
+			triedTargets.add(state.registration.id);
+			state.addSend(this.clock.monotonicMs());
+			await this.sleep(oneWayMs);
+			const hasSlot = this.running[target]! < slots;
+			if (hasSlot) {
+				const load = ++this.running[target]!;
+				const factor = 1 + 3.5 * Math.max(0, load / slots - 0.8);
+				await this.sleep(workMs * factor);
+				this.running[target]!--;
+				lastSlotFactor.add(reading, load === slots, factor);
+			}
+
+			await report([target]);
+			picker.wakeFirstWaiting(reading);
+			if (hasSlot) {
+				return this.clock.monotonicMs() - receivedAtMs <= targetLatencyMs;
+			}
+		}
+
+		return false;
+	}
+
+	#makeHost() {
+		const {clock, random, running} = this;
+		const pool = {acquire: () => ({})} as unknown as ConnectionPool;
+		const states = running.map((_, index) => {
+			const registration = makeRegisteredTarget(`i-${index}`, {slots});
+			return new TargetState({registration, pool, nowMs: 0});
+		});
+		const metrics = new GatewayMetrics();
+		const lastSlotFactor = new LastSlotFactor();
+		const getTargets = () => states;
+		const getHostCount = () => hostCount;
+		const {log} = makeTestLog(clock);
+		const options = {clock, log, metrics, getTargets, getHostCount};
+		const capacity = new ServiceCapacity(options);
+		const report = async (indexes: readonly number[]) => {
+			const loads = indexes.map((index) => running[index]!);
+			await this.sleep(oneWayMs);
+			const receivedAtMs = clock.monotonicMs();
+			const fields = {waiting: 0, slots, slowdownFactor: 1, receivedAtMs};
+			for (const [position, index] of indexes.entries()) {
+				states[index]!.addReport({...fields, running: loads[position]!});
+			}
+		};
+
+		const picker = new TargetPicker({
+			...options,
+			capacity,
+			lastSlotFactor,
+			dataCentre: east,
+			registry: {
+				getOpenTargets: getTargets,
+				getPauseMs: () => undefined,
+				getLimitWaitMs: () => undefined,
+				isOutOfReach: () => false,
+				pathMonitor: new PathMonitor({
+					...options,
+					getTargetCount: () => targetCount,
+					onLost: () => undefined,
+				}),
+			},
+			prober: {
+				probe: async (_request, maxCount, scope) => {
+					const count = {subset: 4, near: maxCount, far: 0, any: maxCount};
+					const indexes = running.map((_, index) => index);
+					const keys = indexes.map(() => random());
+					indexes.sort((a, b) => keys[a]! - keys[b]!);
+					await this.sleep(oneWayMs);
+					await report(indexes.slice(0, count[scope]));
+					return count[scope];
+				},
+			},
+		});
+		return {states, capacity, picker, lastSlotFactor, report};
+	}
+}
+
+/** Gets the on-time share of each class, and the share of busy slots while requests wait. */
+async function simulate(classes: readonly RequestClass[], ranks: number[]) {
+	const model = new Model(ranks);
+	const {clock, random, running, hosts} = model;
+	const counts = classes.map(() => ({onTime: 0, total: 0}));
+	const busyShares: number[] = [];
+	let openCount = 0;
+	const start = async (requestClass: RequestClass, index: number) => {
+		const nowMs = clock.monotonicMs();
+		openCount++;
+		const isOnTime = await model.run(requestClass);
+		openCount--;
+		if (nowMs >= counted.fromMs && nowMs < counted.untilMs) {
+			counts[index]!.total++;
+			counts[index]!.onTime += isOnTime ? 1 : 0;
+		}
+	};
+
+	for (let nowMs = 1; nowMs < endMs; nowMs++) {
+		clock.advance(1);
+		await new Promise(setImmediate);
+		for (const [index, requestClass] of classes.entries()) {
+			if (random() < requestClass.perSecond / 1000) {
+				void start(requestClass, index);
+			}
+		}
+
+		if (nowMs % 1500 === 0) {
+			for (const {capacity} of hosts) {
+				const other = model.pick(hosts).capacity;
+				const records = capacity.getRecords();
+				capacity.addRecords(other.getRecords());
+				other.addRecords(records);
+			}
+		}
+
+		const busy = running.reduce((sum, load) => sum + load, 0);
+		if (nowMs >= counted.fromMs && openCount - busy > hostCount) {
+			busyShares.push(busy / (targetCount * slots));
+		}
+	}
+
+	const busySum = busyShares.reduce((sum, share) => sum + share, 0);
+	return {
+		onTimeShares: counts.map(({onTime, total}) => onTime / total),
+		busyShare: busySum / busyShares.length,
+	};
+}
+
+const urgent = {rank: 0, workMs: 100, targetLatencyMs: 250};
+const medium = {rank: 1, workMs: 220, targetLatencyMs: 800};
+const patient = {rank: 2, workMs: 640, targetLatencyMs: 3000};
+
+const sharedRanks = [0, 1, 2];
+
+describe('a burst of the least urgent requests', () => {
+	/** The slots take about 140 patient or 800 urgent requests a second. */
+	const loads = [
+		{urgentPerSecond: 12, patientPerSecond: 300},
+		{urgentPerSecond: 25, patientPerSecond: 550},
+		{urgentPerSecond: 100, patientPerSecond: 100},
+		{urgentPerSecond: 100, patientPerSecond: 500},
+	];
+	async function simulateBurst(
+		urgentPerSecond: number,
+		patientPerSecond: number,
+		ranks: number[],
+	) {
+		const classes = [
+			{...urgent, perSecond: urgentPerSecond},
+			{...patient, perSecond: patientPerSecond},
+		];
+		const {onTimeShares, busyShare} = await simulate(classes, ranks);
+		return {urgentShare: onTimeShares[0]!, busyShare};
+	}
+
+	for (const {urgentPerSecond, patientPerSecond} of loads) {
+		it(`leaves ${urgentPerSecond} urgent requests/s 0.95 of their on-time share beside ${patientPerSecond}, with 0.9 of the slots busy`, async () => {
+			const alone = await simulateBurst(urgentPerSecond, 0, sharedRanks);
+			const shared = await simulateBurst(
+				urgentPerSecond,
+				patientPerSecond,
+				sharedRanks,
+			);
+			const message = JSON.stringify({alone, shared});
+			assert.ok(shared.urgentShare >= 0.95 * alone.urgentShare, message);
+			assert.ok(shared.busyShare > 0.9, message);
+		});
+	}
+
+	it('harms urgent requests if the service has one priority, so the model shows the fault', async () => {
+		const {urgentShare} = await simulateBurst(100, 300, [1]);
+		assert.ok(urgentShare < 0.75, `${urgentShare}`);
+	});
+
+	for (const perSecond of [200, 300]) {
+		describe(`${perSecond} urgent requests/s, a fifth to a third of the slots`, () => {
+			it('keep 0.95 of their on-time share', async () => {
+				const alone = await simulateBurst(perSecond, 0, sharedRanks);
+				const shared = await simulateBurst(perSecond, 300, sharedRanks);
+				const message = JSON.stringify({alone, shared});
+				assert.ok(shared.urgentShare >= 0.95 * alone.urgentShare, message);
+			});
+
+			it('leave 0.9 of the slots busy', async () => {
+				const {busyShare} = await simulateBurst(perSecond, 300, sharedRanks);
+				assert.ok(busyShare > 0.9, `${busyShare}`);
+			});
+		});
+	}
+
+	it('serves ranks in their order beside a medium one', async () => {
+		const {onTimeShares} = await simulate(
+			[
+				{...urgent, perSecond: 100},
+				{...medium, perSecond: 100},
+				{...patient, perSecond: 300},
+			],
+			sharedRanks,
+		);
+		const message = onTimeShares.join(' ');
+		assert.ok(onTimeShares[0]! >= 0.95, message);
+		assert.ok(onTimeShares[1]! > onTimeShares[2]!, message);
+	});
+
+	it('sends patient requests at once while the service has room', async () => {
+		const {onTimeShares} = await simulate(
+			[
+				{...urgent, perSecond: 12},
+				{...patient, perSecond: 60},
+			],
+			sharedRanks,
+		);
+		assert.equal(onTimeShares, [1, 1]);
+	});
+});
