Test the picker and the capacity control, and name a refusal at the latest useful time

Cause: a request refused at its latest useful time was reported as no-target, since the load reports are older than 15 ms then. Change: it is over-capacity if targets respond.

--- a/packages/gateway/src/choice/target-picker.ts
+++ b/packages/gateway/src/choice/target-picker.ts
@@ -196,7 +196,8 @@
 				lastEnd === 'late' ||
 				this.#isUnservable(request, best)
 			) {
-				return Err(this.#describeRefusal(request, best, probedCount));
+				const isLate = lastEnd === 'late';
+				return Err(this.#describeRefusal(request, best, probedCount, isLate));
 			}
 
 			hasYielded = false;
@@ -421,6 +422,7 @@
 		{service, priority}: PickRequest,
 		best: Candidate | undefined,
 		probedCount: number,
+		isLate: boolean,
 	): Failure {
 		const {registry, clock, capacity} = this.#options;
 		const openCount = registry.getOpenTargets(service).length;
@@ -442,10 +444,13 @@
 			);
 		}
 
-		if (best === undefined && capacity.isShort(service, priority)) {
+		const isFull =
+			(isLate && !registry.isOutOfReach(service)) ||
+			capacity.isShort(service, priority);
+		if (best === undefined && isFull) {
 			return notRunFailure(
 				'over-capacity',
-				`No slot of ${openCount} open targets of "${service}" became free in time beyond those left to more urgent requests.`,
+				`No slot of ${openCount} open targets of "${service}" became free in time for priority ${priority}.`,
 			);
 		}
 
--- /dev/null
+++ b/packages/gateway/test/choice/target-picker.test.ts
@@ -0,0 +1,145 @@
+/**
+ * Load: targets of a service that are all full. Guards against requests that wait
+ * on although they can no longer be on time, and against a change for services
+ * whose requests all have one priority.
+ */
+
+import {ManualClock} from '@bilberryscale/core';
+import {describe, it} from '@bilberryscale/testing';
+import * as assert from 'uvu/assert';
+import {ServiceCapacity} from '../../src/capacity/service-capacity.js';
+import {LastSlotFactor} from '../../src/choice/last-slot-factor.js';
+import {TargetPicker} from '../../src/choice/target-picker.js';
+import {GatewayMetrics} from '../../src/records/gateway-metrics.js';
+import type {ConnectionPool} from '../../src/targets/connection-pool.js';
+import {PathMonitor} from '../../src/targets/path-monitor.js';
+import {TargetState} from '../../src/targets/target-state.js';
+import {east, makeRegisteredTarget, makeTestLog, reading} from '../fixtures.js';
+
+const slots = 6;
+
+/** Makes a picker for one target, whose load each probe reports. */
+function makePicker(ranks: readonly number[], getLoad: () => number) {
+	const clock = new ManualClock();
+	const state = new TargetState({
+		registration: makeRegisteredTarget('i-1', {slots}),
+		pool: {acquire: () => ({})} as unknown as ConnectionPool,
+		nowMs: 0,
+	});
+	const {log} = makeTestLog(clock);
+	const metrics = new GatewayMetrics();
+	const getTargets = () => [state];
+	const getHostCount = () => 1;
+	const options = {clock, log, metrics, getTargets, getHostCount};
+	const capacity = new ServiceCapacity(options);
+	capacity.setRanks(new Map([[reading, ranks]]));
+	const picker = new TargetPicker({
+		...options,
+		capacity,
+		lastSlotFactor: new LastSlotFactor(),
+		dataCentre: east,
+		registry: {
+			getOpenTargets: getTargets,
+			getPauseMs: () => undefined,
+			getLimitWaitMs: () => undefined,
+			isOutOfReach: () => false,
+			pathMonitor: new PathMonitor({
+				...options,
+				getTargetCount: () => 1,
+				onLost: () => undefined,
+			}),
+		},
+		prober: {
+			async probe() {
+				state.addReport({
+					receivedAtMs: clock.monotonicMs(),
+					running: getLoad(),
+					waiting: 0,
+					slots,
+					slowdownFactor: 1,
+				});
+				return 1;
+			},
+		},
+	});
+	/** Gets the name of a request when it is sent or refused, and the time. */
+	const ends: string[] = [];
+	const pick = async (name: string, priority: number) => {
+		const result = await picker.pick({
+			service: reading,
+			isIdempotent: true,
+			serviceTimeMs: 100,
+			triedTargets: new Set(),
+			allowedTargets: undefined,
+			endsOutOfReach: false,
+			receivedAtMs: clock.monotonicMs(),
+			targetLatencyMs: 250,
+			deadlineMs: clock.monotonicMs() + 1000,
+			priority,
+			isReturning: false,
+			signal: new AbortController().signal,
+		});
+		if (result.isOk()) {
+			state.addSend(clock.monotonicMs());
+		}
+
+		const end = result.isOk() ? 'sent' : result.error.kind;
+		ends.push(`${name} ${end} ${clock.monotonicMs()}`);
+	};
+
+	const advance = async (durationMs: number) => {
+		for (let step = 0; step < durationMs; step++) {
+			await new Promise(setImmediate);
+			clock.advance(1);
+		}
+
+		await new Promise(setImmediate);
+	};
+
+	return {picker, pick, advance, ends};
+}
+
+describe('TargetPicker', () => {
+	describe('pick, all targets full', () => {
+		it('refuses a request at the moment when it can no longer be on time', async () => {
+			const {pick, advance, ends} = makePicker([0, 2], () => 3 * slots);
+			void pick('a', 0);
+			await advance(300);
+			// On time until 0.9 x 250 ms less 1.15 x 100 ms of service, in steps of 1 ms.
+			assert.equal(ends, ['a over-capacity 111']);
+		});
+
+		it('refuses a request of the only priority at a recheck, as before', async () => {
+			const {pick, advance, ends} = makePicker([1], () => 3 * slots);
+			void pick('a', 1);
+			await advance(300);
+			assert.equal(ends, ['a over-capacity 90']);
+		});
+	});
+
+	describe('pick, one slot becomes free', () => {
+		it('sends the more urgent request although it arrived later', async () => {
+			let load = 3 * slots;
+			const {pick, advance, ends} = makePicker([0, 2], () => load);
+			void pick('patient', 2);
+			await advance(10);
+			void pick('urgent', 0);
+			await advance(10);
+			load = slots - 1;
+			await advance(60);
+			assert.is(ends[0]?.startsWith('urgent sent'), true, ends.join(', '));
+		});
+
+		it('sends the first request of the only priority', async () => {
+			let load = 3 * slots;
+			const {pick, advance, ends} = makePicker([1], () => load);
+			void pick('first', 1);
+			await advance(10);
+			void pick('second', 1);
+			await advance(10);
+			load = slots - 1;
+			await advance(60);
+			assert.is(ends[0], 'first sent 45', ends.join(', '));
+		});
+	});
+});
