--- a/packages/gateway/src/capacity/get-service-ranks.ts
+++ b/packages/gateway/src/capacity/get-service-ranks.ts
@@ -23,7 +23,7 @@
 	];
 	for (const {weightedServices, priority, isPublic} of routes) {
 		const priorities =
-			isPublic === true || clientAccounts === undefined
+			isPublic === true || accountPriorities.length === 0
 				? [priority]
 				: accountPriorities.map(
 						(accountPriority) => accountPriority ?? priority,
--- a/packages/gateway/src/choice/admission.ts
+++ b/packages/gateway/src/choice/admission.ts
@@ -62,7 +62,7 @@
 		return 'take';
 	}
 
-	const latencyBudgetMs = targetLatencyMs * (1 - latencyMargin);
+	const latencyBudgetMs = getLatencyBudgetMs(targetLatencyMs);
 	const isOnTimeNow = ageMs + bestLatencyMs <= latencyBudgetMs;
 	if (isShort && isOnTimeNow && hasFreeSlot) {
 		return 'take';
@@ -71,7 +71,8 @@
 	const isOnTimeAfterRecheck =
 		ageMs + recheckMs + bestLatencyMs <= latencyBudgetMs;
 	const isNearOptimalOnTimeAfterRecheck =
-		ageMs + recheckMs + serviceTimeMs * nearOptimalFactor <= latencyBudgetMs;
+		ageMs + recheckMs + getNearOptimalLatencyMs(serviceTimeMs) <=
+		latencyBudgetMs;
 	if (
 		isOnTimeAfterRecheck ||
 		(!isOnTimeNow && isNearOptimalOnTimeAfterRecheck)
@@ -103,7 +104,27 @@
 }): number {
 	return (
 		receivedAtMs +
-		targetLatencyMs * (1 - latencyMargin) -
-		serviceTimeMs * nearOptimalFactor
+		getLatencyBudgetMs(targetLatencyMs) -
+		getNearOptimalLatencyMs(serviceTimeMs)
 	);
 }
+
+/**
+ * Gets the time within which a request is planned to be answered.
+ *
+ * @param targetLatencyMs - The latency target of the route, in milliseconds.
+ * @returns The latency target without the safety margin, in milliseconds.
+ */
+export function getLatencyBudgetMs(targetLatencyMs: number): number {
+	return targetLatencyMs * (1 - latencyMargin);
+}
+
+/**
+ * Gets the longest latency that counts as near optimal.
+ *
+ * @param serviceTimeMs - The typical service time of the route, in milliseconds.
+ * @returns The latency, in milliseconds.
+ */
+export function getNearOptimalLatencyMs(serviceTimeMs: number): number {
+	return serviceTimeMs * nearOptimalFactor;
+}
--- a/packages/gateway/src/choice/target-picker.ts
+++ b/packages/gateway/src/choice/target-picker.ts
@@ -29,16 +29,17 @@
 	type TargetCondition,
 	type RequestProfile,
 } from './target-cost.js';
+import type {FullTargetBehaviour} from './full-target-behaviour.js';
 import type {LastSlotFactor} from './last-slot-factor.js';
 import {isEligible, type PickRequest} from './pick-request.js';
 import {
-	maxProbeCount,
-	probeScopes,
-	type TargetProber,
-} from './target-prober.js';
+	TargetSearch,
+	type TargetSearchOptions,
+	type TargetSide,
+} from './target-search.js';
 
 /** The dependencies of a picker. */
-export type TargetPickerOptions = {
+export type TargetPickerOptions = TargetSearchOptions & {
 	readonly clock: Clock;
 	readonly registry: Pick<
 		TargetRegistry,
@@ -48,7 +49,6 @@
 		| 'isOutOfReach'
 		| 'pathMonitor'
 	>;
-	readonly prober: Pick<TargetProber, 'probe'>;
 	readonly capacity: Pick<
 		ServiceCapacity,
 		'addRequest' | 'canTake' | 'isPrioritized' | 'isShort'
@@ -58,6 +58,7 @@
 		'recordRankRefusal' | 'recordWaitingCount'
 	>;
 	readonly lastSlotFactor: LastSlotFactor;
+	readonly fullTargets: FullTargetBehaviour;
 	/** The data centre of this host. */
 	readonly dataCentre: DataCentreId;
 };
@@ -66,6 +67,8 @@
 export type PickedTarget = {
 	readonly state: TargetState;
 	readonly connection: Connection;
+	/** The estimated number of requests that it held without this one. */
+	readonly load: number;
 	/** The expected latency, in milliseconds. */
 	readonly expectedMs: number;
 	/** The number of targets probed for the request. */
@@ -80,8 +83,6 @@
 	readonly expectedMs: number;
 };
 
-/** The number of targets probed again while a request waits. */
-const reprobeCount = 3;
 /** Maximum age of a load report that a pick may rely on, in milliseconds. */
 const maxReportAgeMs = 15;
 /** Maximum number of preceding requests that a request lets check the targets before it takes one. */
@@ -151,19 +152,11 @@
 	): Promise<Result<PickedTarget, Failure>> {
 		const {clock} = this.#options;
 		const startedAtMs = clock.monotonicMs();
-		let probedCount = 0;
-		for (const scope of this.#mustQueue(queued) ? [] : probeScopes) {
-			probedCount += await this.#options.prober.probe(
-				request,
-				maxProbeCount,
-				scope,
-			);
-			if (
-				this.#hasAcceptableTarget(request) ||
-				(request.endsOutOfReach && this.#options.registry.pathMonitor.isLost)
-			) {
-				break;
-			}
+		const search = new TargetSearch(this.#options, request, (side) =>
+			this.#hasAcceptableTarget(request, side),
+		);
+		if (!this.#mustQueue(queued)) {
+			await search.run();
 		}
 
 		let lastEnd: WaitEnd | undefined;
@@ -184,10 +177,21 @@
 			if (decision === 'take' && best !== undefined) {
 				const connection = this.#acquireConnection(best.state, request);
 				if (connection !== undefined) {
-					best.state.availability.limit.addSend(clock.monotonicMs());
-					const waitedMs = clock.monotonicMs() - startedAtMs;
 					const {state, expectedMs} = best;
-					return Ok({state, connection, expectedMs, probedCount, waitedMs});
+					const {load} = state;
+					state.availability.limit.addSend(clock.monotonicMs());
+					state.addSend(clock.monotonicMs());
+					const waitedMs = clock.monotonicMs() - startedAtMs;
+					const {probedCount} = search;
+					search.end(state);
+					return Ok({
+						state,
+						connection,
+						load,
+						expectedMs,
+						probedCount,
+						waitedMs,
+					});
 				}
 			}
 
@@ -196,8 +200,11 @@
 				lastEnd === 'late' ||
 				this.#isUnservable(request, best)
 			) {
+				search.end(undefined);
 				const isLate = lastEnd === 'late';
-				return Err(this.#describeRefusal(request, best, probedCount, isLate));
+				return Err(
+					this.#describeRefusal(request, best, search.probedCount, isLate),
+				);
 			}
 
 			hasYielded = false;
@@ -205,10 +212,9 @@
 				queued,
 				this.#getRecheckIntervalMs(request),
 			);
-			probedCount +=
-				lastEnd === 'recheck' && !this.#mustQueue(queued)
-					? await this.#options.prober.probe(request, reprobeCount, 'any')
-					: 0;
+			if (lastEnd === 'recheck' && !this.#mustQueue(queued)) {
+				await search.recheck();
+			}
 		}
 	}
 
@@ -261,8 +267,8 @@
 	}
 
 	/** Checks whether a target is known that the request would take without a wait. */
-	#hasAcceptableTarget(request: PickRequest): boolean {
-		const best = this.#findBest(request);
+	#hasAcceptableTarget(request: PickRequest, side: TargetSide): boolean {
+		const best = this.#findBest(request, side);
 		return (
 			best !== undefined && this.#decideAdmission(request, best) === 'take'
 		);
@@ -295,8 +301,8 @@
 	}
 
 	/**
-	 * Checks whether the caller has disconnected, this host reaches no target and
-	 * another one may, or no open target is eligible.
+	 * Checks whether the caller has disconnected, its key was removed, this host
+	 * reaches no target and another one may, or no open target is eligible.
 	 * A target with a limit is not if its next request would be late.
 	 */
 	#isUnservable(request: PickRequest, best: Candidate | undefined): boolean {
@@ -317,6 +323,7 @@
 		);
 		return (
 			request.signal.aborted ||
+			request.isRevoked?.() === true ||
 			registry
 				.getOpenTargets(service)
 				.every(
@@ -344,14 +351,20 @@
 		);
 	}
 
-	#findBest(request: PickRequest): Candidate | undefined {
+	#findBest(
+		request: PickRequest,
+		side: TargetSide = 'any',
+	): Candidate | undefined {
 		const {registry, clock, capacity} = this.#options;
 		const nowMs = clock.monotonicMs();
 		const mayContest =
 			nowMs >= (request.receivedAtMs + getLatestStartMs(request)) / 2;
 		let best: Candidate | undefined;
 		for (const state of registry.getOpenTargets(request.service)) {
+			const isOnSide =
+				side === 'any' || this.#isNear(state) === (side === 'near');
 			if (
+				!isOnSide ||
 				!this.#isUsable(state, request, nowMs) ||
 				!capacity.canTake(request, state, mayContest)
 			) {
@@ -383,7 +396,11 @@
 		const isReady = limit.isInForce
 			? limit.canSend(nowMs)
 			: getReportAgeMs(state, nowMs) <= maxReportAgeMs;
-		if (!isReady || !isEligible(request, state.registration.id)) {
+		if (
+			!isReady ||
+			!isEligible(request, state.registration.id) ||
+			this.#mayHang(state, request.service)
+		) {
 			return false;
 		}
 
@@ -395,6 +412,17 @@
 		);
 	}
 
+	/** Checks whether a request might find a full queue at a target and get no response. */
+	#mayHang(state: TargetState, service: ServiceName): boolean {
+		const {fullTargets, hasCapacityManagement} = this.#options;
+		if (!hasCapacityManagement(service)) {
+			return false;
+		}
+
+		const {maxQueued} = fullTargets.get(service);
+		return Math.max(state.load, state.outstanding) >= state.slots + maxQueued;
+	}
+
 	#getCondition(state: TargetState, nowMs: number): TargetCondition {
 		const hasCurrentLoad =
 			!state.availability.limit.isInForce ||
@@ -406,10 +434,14 @@
 			isHealthy: state.health?.isHealthy ?? true,
 			isCold: state.isCold(nowMs),
 			failureRate: state.getFailureRate(nowMs),
-			isNear: state.registration.dataCentre === this.#options.dataCentre,
+			isNear: this.#isNear(state),
 		};
 	}
 
+	#isNear({registration}: TargetState): boolean {
+		return registration.dataCentre === this.#options.dataCentre;
+	}
+
 	#getProfile(
 		{slots}: TargetState,
 		{service, serviceTimeMs, isIdempotent}: PickRequest,
--- a/packages/gateway/src/context/make-relay.ts
+++ b/packages/gateway/src/context/make-relay.ts
@@ -1,14 +1,24 @@
 /** Wires up the relay, which forwards requests from callers to targets. */
 
-import type {Clock, Digest, RandomSource} from '@bilberryscale/core';
+import type {
+	Clock,
+	Digest,
+	RandomSource,
+	ServiceName,
+} from '@bilberryscale/core';
 import type {CrashSuspects} from '@bilberryscale/decisions';
 import type {ServiceCapacity} from '../capacity/service-capacity.js';
+import {FullTargetBehaviour} from '../choice/full-target-behaviour.js';
+import {ReturnSchedules} from '../capacity/return-schedules.js';
+import {AccountCheck} from '../accounts/account-check.js';
 import {LastSlotFactor} from '../choice/last-slot-factor.js';
+import {Spillover} from '../choice/spillover.js';
 import {TargetProber} from '../choice/target-prober.js';
 import {TargetPicker} from '../choice/target-picker.js';
 import type {Forwarder} from '../forwarding/forwarder.js';
 import type {PlanHolder} from '../plan/plan-holder.js';
 import {TrafficSplitter} from '../plan/traffic-splitter.js';
+import {writeSpilloverChange} from '../records/write-spillover-change.js';
 import {RequestRecorder} from '../records/request-recorder.js';
 import type {EventLog} from '../records/event-log.js';
 import type {GatewayMetrics} from '../records/gateway-metrics.js';
@@ -38,6 +48,8 @@
 	/** The requests that may have crashed targets. */
 	readonly crashSuspects: CrashSuspects;
 	readonly getHostCount: () => number;
+	/** Gets the time since the store confirmed the published state, in milliseconds. */
+	readonly getSnapshotAgeMs: () => number;
 	readonly isShuttingDown: () => boolean;
 	/** Probes a target. */
 	readonly probe: (state: TargetState) => void;
@@ -63,7 +75,28 @@
 		dependencies;
 	const {host, dataCentre} = settings.current;
 	const lastSlotFactor = new LastSlotFactor();
+	const fullTargets = new FullTargetBehaviour(clock, (service, limit) => {
+		const {maxQueued} = limit;
+		const isHanging = Number.isFinite(maxQueued);
+		log.write('full targets judged', {
+			service,
+			isHanging,
+			maxQueued: isHanging ? maxQueued : undefined,
+			answered: Math.round(limit.answered),
+			refused: Math.round(limit.refused),
+			hung: Math.round(limit.hung),
+		});
+	});
 	const serviceTimes = new ServiceTimes();
+	const hasPriorityClasses = (service: ServiceName) =>
+		plans.plan?.prioritizedServices.has(service) ?? false;
+	const returnSchedules = new ReturnSchedules({
+		clock,
+		random,
+		log,
+		metrics,
+		hasPriorityClasses,
+	});
 	const prober = new TargetProber({
 		clock,
 		random,
@@ -74,6 +107,9 @@
 		dataCentre,
 		getProbesPerTargetSecond: () => settings.current.questionsPerTargetSecond,
 		getHostCount,
+		onFarProbes(service, count) {
+			metrics.recordFarProbes(service, count);
+		},
 	});
 	const recorder = new RequestRecorder({
 		log,
@@ -81,15 +117,34 @@
 		getPlanVersion: () => plans.plan?.version,
 		getNowMs: () => clock.monotonicMs(),
 	});
+	const accountCheck = new AccountCheck({
+		plans,
+		credentialHeader: protocol.credentialHeader,
+		getMaxAgeMs: () => settings.current.maxAccountsAgeMs,
+		getAgeMs: dependencies.getSnapshotAgeMs,
+		onRefusal(incoming, refusal, plan) {
+			const ageMs = dependencies.getSnapshotAgeMs();
+			recorder.recordAccountRefusal(incoming, refusal, plan, ageMs);
+		},
+	});
 	return new Relay({
 		clock,
+		accountCheck,
 		picker: new TargetPicker({
 			clock,
 			registry: targetRegistry,
 			prober,
 			capacity: dependencies.capacity,
 			metrics,
+			spillover: new Spillover(clock, (service, stage, inputs) => {
+				writeSpilloverChange(log, service, stage, inputs);
+			}),
+			hasCapacityManagement: hasPriorityClasses,
+			onFarSend(service) {
+				metrics.recordFarSend(service);
+			},
 			lastSlotFactor,
+			fullTargets,
 			dataCentre,
 		}),
 		capacity: dependencies.capacity,
@@ -99,11 +154,21 @@
 			returningCallerDetector: new ReturningCallerDetector(),
 			deadlineHeader: protocol.deadlineHeader,
 			plans,
+			bookReturn: ({exchange, route, service, priority}, remainingMs) =>
+				returnSchedules.book({
+					requestId: exchange.incoming.requestId,
+					service,
+					rank: priority,
+					remainingMs,
+					serviceTimeMs: serviceTimes.getMs(route.name, route.targetLatencyMs),
+				}),
+			accountCheck,
 		}),
 		dispatcher: new AttemptDispatcher({
 			clock,
 			serviceTimes,
 			lastSlotFactor,
+			fullTargets,
 			recorder,
 			protocol,
 			crashSuspects,
@@ -124,6 +189,7 @@
 		}),
 		forwarder: dependencies.forwarder,
 		registry: targetRegistry,
+		returnSchedules,
 		serviceTimes,
 		recorder,
 		isShuttingDown,
--- a/packages/gateway/src/fleet/fleet.ts
+++ b/packages/gateway/src/fleet/fleet.ts
@@ -159,7 +159,7 @@
 		this.#gossip.broadcastLimit(notice);
 	}
 
-	#getPeer({address}: MemberRecord): PeerReader {
+	#getPeer({address, dataCentre}: MemberRecord): PeerReader {
 		const existing = this.#peers.get(address);
 		if (existing !== undefined) {
 			return existing;
@@ -174,6 +174,7 @@
 			onResponse: () => {
 				this.#membership.recordResponse(address);
 			},
+			isFar: dataCentre !== settings.dataCentre,
 		});
 		this.#peers.set(address, peer);
 		return peer;
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -10,6 +10,8 @@
 import type {Exchange, FilterResult} from '@bilberryscale/daemon/edge';
 import {Err, Ok, type Result} from 'ts-results-es';
 import type {ServiceCapacity} from '../capacity/service-capacity.js';
+import type {ReturnSchedules} from '../capacity/return-schedules.js';
+import type {AccountCheck} from '../accounts/account-check.js';
 import type {PickedTarget, TargetPicker} from '../choice/target-picker.js';
 import type {Forwarder} from '../forwarding/forwarder.js';
 import {RetryBudget, type RetryBudgetLimit} from '../limits/retry-budget.js';
@@ -33,10 +35,12 @@
 	readonly picker: TargetPicker;
 	readonly reader: RequestReader;
 	readonly capacity: Pick<ServiceCapacity, 'isShort'>;
+	readonly accountCheck: AccountCheck;
 	readonly serviceTimes: ServiceTimes;
 	readonly dispatcher: AttemptDispatcher;
 	readonly forwarder: Forwarder;
 	readonly registry: TargetRegistry;
+	readonly returnSchedules: ReturnSchedules;
 	readonly getRetryBudgetLimit: () => RetryBudgetLimit;
 	readonly getHostCount: () => number;
 	readonly recorder: RequestRecorder;
@@ -100,7 +104,12 @@
 			blockedFailure === undefined
 				? await this.#sendWithRetries(request, forwardedAttempts === undefined)
 				: Err(blockedFailure);
-		this.#options.recorder.recordCompletion(exchange, request.route, outcome);
+		this.#options.recorder.recordCompletion(
+			exchange,
+			request.route,
+			outcome,
+			request.account?.name,
+		);
 		return outcome;
 	}
 
@@ -110,6 +119,7 @@
 	): Promise<FilterResult> {
 		const {clock, reader} = this.#options;
 		this.#getRetryBudget(request.service).addRequest(clock.monotonicMs());
+		this.#options.returnSchedules.addArrival(request);
 		const progress: Progress = {
 			triedTargets: new Set(),
 			refusingTargets: new Set(),
@@ -130,6 +140,10 @@
 
 			const attempt = await this.#attempt(request, progress, canForward);
 			if (attempt.isErr()) {
+				if (progress.executions === 0 && isAccountFailure(attempt.error)) {
+					return attempt;
+				}
+
 				return best === undefined
 					? Err(reader.addRetryAfter(request, attempt.error))
 					: this.#buildResult(
@@ -172,7 +186,7 @@
 
 		const picked = await this.#pick(request, progress, !wasLost);
 		if (picked.isOk()) {
-			return Ok(await this.#send(request, picked.value, progress));
+			return this.#send(request, picked.value, progress);
 		}
 
 		if (wasLost || !registry.isOutOfReach(request.service)) {
@@ -187,26 +201,42 @@
 		const pickedAfterAll = await this.#pick(request, progress, false);
 		return pickedAfterAll.isErr()
 			? pickedAfterAll
-			: Ok(await this.#send(request, pickedAfterAll.value, progress));
+			: this.#send(request, pickedAfterAll.value, progress);
 	}
 
+	/** Sends a request to a picked target, unless its key is no longer valid. */
 	async #send(
 		request: RoutedRequest,
 		picked: PickedTarget,
 		{triedTargets, refusingTargets, attempts, executions}: Progress,
-	): Promise<AttemptResult> {
-		const {dispatcher, picker} = this.#options;
+	): Promise<Result<AttemptResult, Failure>> {
+		const {dispatcher, picker, accountCheck} = this.#options;
 		const {id} = picked.state.registration;
+		const checked = accountCheck.recheck(request);
+		if (checked.isErr()) {
+			picked.state.addEnd();
+			picked.state.pool.release(picked.connection, false);
+			picker.wakeFirstWaiting(request.service);
+			return checked;
+		}
+
 		triedTargets.add(id);
-		const result = await dispatcher.send(request, picked, attempts + 1, () =>
-			this.#canLeaveStalledTarget(request, executions),
+		const result = await dispatcher.send(
+			checked.value,
+			picked,
+			attempts + 1,
+			() => this.#canLeaveStalledTarget(request, executions),
 		);
 		picker.wakeFirstWaiting(request.service);
+		if (result.kind === 'answered') {
+			this.#options.returnSchedules.addDeparture(request.service);
+		}
+
 		if (result.kind === 'refused' && result.status !== misdirectedStatus) {
 			refusingTargets.add(id);
 		}
 
-		return result;
+		return Ok(result);
 	}
 
 	/**
@@ -224,8 +254,13 @@
 			return Err(notRunFailure('no-target', 'This host reaches no target.'));
 		}
 
+		const checked = this.#options.accountCheck.recheck(request);
+		if (checked.isErr()) {
+			return checked;
+		}
+
 		const result = await this.#options.forwarder.forward(
-			request,
+			checked.value,
 			request.route.maxAttempts - executions,
 		);
 		if (result?.kind !== 'refused') {
@@ -280,10 +315,10 @@
 		{triedTargets, refusingTargets}: Progress,
 		endsOutOfReach: boolean,
 	): Promise<Result<PickedTarget, Failure>> {
-		const {picker} = this.#options;
+		const {picker, accountCheck} = this.#options;
 		const {route, service, deadlineMs} = request;
 		const isTargetLimitReached = triedTargets.size >= route.maxAttempts;
-		return picker.pick({
+		const picked = await picker.pick({
 			service,
 			isIdempotent: route.isIdempotent,
 			serviceTimeMs: this.#getServiceTimeMs(route),
@@ -292,12 +327,15 @@
 			endsOutOfReach,
 			deadlineMs,
 			receivedAtMs: request.exchange.incoming.receivedAtMs,
+			isReturning: request.isReturning,
 			signal: request.exchange.incoming.signal,
 			targetLatencyMs: route.targetLatencyMs,
 			priority: request.priority,
 			...(request.account && {account: request.account.name}),
-			isReturning: request.isReturning,
+			isRevoked: () => accountCheck.recheck(request).isErr(),
 		});
+		const checked = accountCheck.recheck(request);
+		return picked.isErr() && checked.isErr() ? checked : picked;
 	}
 
 	#getServiceTimeMs({name, targetLatencyMs}: Route): number {
@@ -362,6 +400,11 @@
 	}
 }
 
+/** Checks whether a request was refused because of its client account, which a retry does not change. */
+function isAccountFailure({kind}: Failure): boolean {
+	return kind === 'account-unknown' || kind === 'accounts-outdated';
+}
+
 function limitAttempts(
 	request: RoutedRequest,
 	attempts: number | undefined,
