--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -19,6 +19,11 @@
 import type {RequestRecorder} from '../records/request-recorder.js';
 import type {TargetRegistry} from '../targets/target-registry.js';
 import type {RequestReader, RoutedRequest} from './request-reader.js';
+import type {
+	HedgedDispatcher,
+	SentCopies,
+	SentCopy,
+} from './hedged-dispatcher.js';
 import type {AttemptDispatcher} from './attempt-dispatcher.js';
 import {
 	describeResult,
@@ -41,6 +46,8 @@
 	readonly forwarder: Forwarder;
 	readonly registry: TargetRegistry;
 	readonly returnSchedules: ReturnSchedules;
+	/** Sends second copies of idempotent requests; undefined if the operator has set no limit for them. */
+	readonly hedging: HedgedDispatcher | undefined;
 	readonly getRetryBudgetLimit: () => RetryBudgetLimit;
 	readonly getHostCount: () => number;
 	readonly recorder: RequestRecorder;
@@ -62,6 +69,8 @@
 const returningCallerShare = 0.6;
 /** The same while less urgent requests of the service leave slots to urgent ones, which would otherwise find the budget used up. */
 const urgentRequestShare = 0.85;
+/** Share of the retry budget that hedges leave to retries. */
+const retryShare = 0.6;
 /** Retry delay for callers whose request was refused by targets with free capacity, in milliseconds. */
 const refusedRetryAfterMs = 40;
 /** Maximum attempts beyond the route's limit, to targets that refused the request at random before. */
@@ -120,6 +129,11 @@
 		const {clock, reader} = this.#options;
 		this.#getRetryBudget(request.service).addRequest(clock.monotonicMs());
 		this.#options.returnSchedules.addArrival(request);
+		if (canForward) {
+			// A forwarded request counts at the host of its caller.
+			this.#options.hedging?.addRequest(request.service);
+		}
+
 		const progress: Progress = {
 			triedTargets: new Set(),
 			refusingTargets: new Set(),
@@ -144,6 +158,7 @@
 					return attempt;
 				}
 
+				this.#options.hedging?.addRefusal(request.service);
 				return best === undefined
 					? Err(reader.addRetryAfter(request, attempt.error))
 					: this.#buildResult(
@@ -208,10 +223,9 @@
 	async #send(
 		request: RoutedRequest,
 		picked: PickedTarget,
-		{triedTargets, refusingTargets, attempts, executions}: Progress,
+		progress: Progress,
 	): Promise<Result<AttemptResult, Failure>> {
-		const {dispatcher, picker, accountCheck} = this.#options;
-		const {id} = picked.state.registration;
+		const {picker, accountCheck} = this.#options;
 		const checked = accountCheck.recheck(request);
 		if (checked.isErr()) {
 			picked.state.addEnd();
@@ -220,25 +234,56 @@
 			return checked;
 		}
 
-		triedTargets.add(id);
-		const result = await dispatcher.send(
+		progress.triedTargets.add(picked.state.registration.id);
+		const [{target, result}, ...others] = await this.#sendCopies(
 			checked.value,
 			picked,
-			attempts + 1,
-			() => this.#canLeaveStalledTarget(request, executions),
+			progress,
 		);
 		picker.wakeFirstWaiting(request.service);
 		if (result.kind === 'answered') {
 			this.#options.returnSchedules.addDeparture(request.service);
 		}
 
-		if (result.kind === 'refused' && result.status !== misdirectedStatus) {
-			refusingTargets.add(id);
+		addRefusingTarget(progress, {target, result});
+		for (const other of others) {
+			progress.triedTargets.add(other.target);
+			progress.attempts++;
+			progress.executions += mayHaveRun(other.result) ? 1 : 0;
+			addRefusingTarget(progress, other);
 		}
 
 		return Ok(result);
 	}
 
+	/** Sends a request to a picked target and, if hedging is on, perhaps to another one. */
+	async #sendCopies(
+		request: RoutedRequest,
+		picked: PickedTarget,
+		{triedTargets, attempts, executions}: Progress,
+	): Promise<SentCopies> {
+		const {dispatcher, hedging, clock} = this.#options;
+		const attempt = attempts + 1;
+		const canRetry = () => this.#canLeaveStalledTarget(request, executions);
+		if (hedging === undefined) {
+			const target = picked.state.registration.id;
+			const result = await dispatcher.send(request, picked, attempt, {
+				canRetry,
+			});
+			return [{target, result}];
+		}
+
+		const budget = this.#getRetryBudget(request.service);
+		return hedging.send(request, picked, {
+			attempt,
+			executions,
+			triedTargets,
+			canRetry,
+			canTakeRetry: () => budget.canTake(clock.monotonicMs(), retryShare),
+			takeRetry: () => budget.take(clock.monotonicMs(), retryShare),
+		});
+	}
+
 	/**
 	 * Sends a request through another host. A request that another host has
 	 * forwarded is refused instead, so that no two hosts send it to each other.
@@ -400,6 +445,16 @@
 	}
 }
 
+/** Remembers a target that has refused a request without running it. */
+function addRefusingTarget(
+	{refusingTargets}: Progress,
+	{target, result}: SentCopy,
+): void {
+	if (result.kind === 'refused' && result.status !== misdirectedStatus) {
+		refusingTargets.add(target);
+	}
+}
+
 /** Checks whether a request was refused because of its client account, which a retry does not change. */
 function isAccountFailure({kind}: Failure): boolean {
 	return kind === 'account-unknown' || kind === 'accounts-outdated';
