--- a/packages/gateway/src/choice/target-picker.ts
+++ b/packages/gateway/src/choice/target-picker.ts
@@ -9,9 +9,20 @@
 } from '@bilberryscale/core';
 import type {Connection} from '@bilberryscale/daemon/edge';
 import {Err, Ok, type Result} from 'ts-results-es';
+import type {GatewayMetrics} from '../records/gateway-metrics.js';
 import type {TargetRegistry} from '../targets/target-registry.js';
 import type {TargetState} from '../targets/target-state.js';
-import {decideAdmission, type AdmissionDecision} from './admission.js';
+import {
+	PriorityWaitQueue,
+	type QueuedRequest,
+	type WaitEnd,
+} from '../capacity/priority-wait-queue.js';
+import type {ServiceCapacity} from '../capacity/service-capacity.js';
+import {
+	decideAdmission,
+	getLatestStartMs,
+	type AdmissionDecision,
+} from './admission.js';
 import {
 	getCostMs,
 	getExpectedLatencyMs,
@@ -26,12 +37,26 @@
 	type TargetSearchOptions,
 	type TargetSide,
 } from './target-search.js';
-import {WaitQueue} from './wait-queue.js';
 
 /** The dependencies of a picker. */
 export type TargetPickerOptions = TargetSearchOptions & {
 	readonly clock: Clock;
-	readonly registry: TargetRegistry;
+	readonly registry: Pick<
+		TargetRegistry,
+		| 'getLimitWaitMs'
+		| 'getOpenTargets'
+		| 'getPauseMs'
+		| 'isOutOfReach'
+		| 'pathMonitor'
+	>;
+	readonly capacity: Pick<
+		ServiceCapacity,
+		'addRequest' | 'canTake' | 'isPrioritized' | 'isShort'
+	>;
+	readonly metrics: Pick<
+		GatewayMetrics,
+		'recordRankRefusal' | 'recordWaitingCount'
+	>;
 	readonly lastSlotFactor: LastSlotFactor;
 	readonly fullTargets: FullTargetBehaviour;
 	/** The data centre of this host. */
@@ -60,10 +85,16 @@
 
 /** Maximum age of a load report that a pick may rely on, in milliseconds. */
 const maxReportAgeMs = 15;
+/** Maximum number of preceding requests that a request lets check the targets before it takes one. */
+const maxWokenPreceding = 4;
+/** Time for preceding requests to take a target, in milliseconds. */
+const precedenceMs = 1;
 /** Maximum age of the load report of a target with a limit, in milliseconds; it counts as idle without one, as it gets few requests. */
 const maxLimitedReportAgeMs = 1000;
 /** Maximum wait for a load report before targets are probed again, in milliseconds. */
 const reprobeIntervalMs = 45;
+/** The same for requests that leave slots free in a shortage: the response to the last request at a slot wakes the next one. */
+const shortReprobeIntervalMs = 300;
 /** Minimum time between two requests of this host to a cold target, in milliseconds. */
 const coldSendIntervalMs = 1000;
 /** Maximum idle time of a reused connection, in milliseconds; shorter for requests that cannot be repeated if it is lost. */
@@ -72,14 +103,19 @@
 /** Probes targets and picks the one with the lowest cost. */
 export class TargetPicker {
 	readonly #options: TargetPickerOptions;
-	readonly #waitQueue: WaitQueue;
+	readonly #waitQueue: PriorityWaitQueue;
 
 	/**
 	 * @param options - The dependencies.
 	 */
 	constructor(options: TargetPickerOptions) {
 		this.#options = options;
-		this.#waitQueue = new WaitQueue(options.clock);
+		this.#waitQueue = new PriorityWaitQueue({
+			clock: options.clock,
+			onWaitingCount(service, rank, count) {
+				options.metrics.recordWaitingCount(service, rank, count);
+			},
+		});
 	}
 
 	/**
@@ -89,16 +125,55 @@
 	 * @returns The target with a connection, or the reason why there is none.
 	 */
 	async pick(request: PickRequest): Promise<Result<PickedTarget, Failure>> {
+		const {capacity, metrics} = this.#options;
+		const {service, priority, serviceTimeMs, triedTargets} = request;
+		if (triedTargets.size === 0) {
+			capacity.addRequest(service, priority, serviceTimeMs);
+		}
+
+		const queued = this.#makeQueuedRequest(request);
+		this.#waitQueue.open(queued);
+		let isServed = false;
+		try {
+			const result = await this.#pickInTurn(request, queued);
+			isServed = result.isOk();
+			return result;
+		} finally {
+			this.#waitQueue.close(queued, isServed);
+			if (!isServed) {
+				metrics.recordRankRefusal(service, priority);
+			}
+		}
+	}
+
+	async #pickInTurn(
+		request: PickRequest,
+		queued: QueuedRequest,
+	): Promise<Result<PickedTarget, Failure>> {
 		const {clock} = this.#options;
 		const startedAtMs = clock.monotonicMs();
 		const search = new TargetSearch(this.#options, request, (side) =>
 			this.#hasAcceptableTarget(request, side),
 		);
-		await search.run();
+		if (!this.#mustQueue(queued)) {
+			await search.run();
+		}
 
+		let lastEnd: WaitEnd | undefined;
+		let hasYielded = false;
 		for (;;) {
 			const best = this.#findBest(request);
 			const decision = this.#decideAdmission(request, best);
+			if (
+				decision === 'take' &&
+				!hasYielded &&
+				this.#waitQueue.wakePreceding(queued, maxWokenPreceding) > 0
+			) {
+				hasYielded = true;
+				lastEnd = await this.#waitQueue.wait(queued, precedenceMs);
+				continue;
+			}
+
 			if (decision === 'take' && best !== undefined) {
 				const connection = this.#acquireConnection(best.state, request);
 				if (connection !== undefined) {
@@ -120,24 +195,24 @@
 				}
 			}
 
-			const isOutOfReach =
-				request.endsOutOfReach &&
-				best === undefined &&
-				this.#options.registry.isOutOfReach(request.service);
 			if (
 				decision === 'refuse' ||
-				isOutOfReach ||
-				this.#isUnservable(request)
+				lastEnd === 'late' ||
+				this.#isUnservable(request, best)
 			) {
 				search.end(undefined);
-				return Err(this.#describeRefusal(request, best, search.probedCount));
+				const isLate = lastEnd === 'late';
+				return Err(
+					this.#describeRefusal(request, best, search.probedCount, isLate),
+				);
 			}
 
-			const wasWoken = await this.#waitQueue.wait(
-				request.service,
-				reprobeIntervalMs,
+			hasYielded = false;
+			lastEnd = await this.#waitQueue.wait(
+				queued,
+				this.#getRecheckIntervalMs(request),
 			);
-			if (!wasWoken) {
+			if (lastEnd === 'recheck' && !this.#mustQueue(queued)) {
 				await search.recheck();
 			}
 		}
@@ -153,6 +228,44 @@
 		this.#waitQueue.wakeFirst(service);
 	}
 
+	/**
+	 * Without different priorities, requests wait in the order of arrival until the
+	 * next check refuses them.
+	 */
+	#makeQueuedRequest(request: PickRequest): QueuedRequest {
+		const {service, priority, account, isReturning, receivedAtMs} = request;
+		const isPrioritized = this.#options.capacity.isPrioritized(service);
+		return {
+			service,
+			rank: priority,
+			account,
+			isReturning: isPrioritized && isReturning,
+			position: isPrioritized ? receivedAtMs : 0,
+			usefulUntilMs: isPrioritized
+				? getLatestStartMs(request)
+				: Number.POSITIVE_INFINITY,
+		};
+	}
+
+	/**
+	 * Checks whether a request waits behind others without probes of its own. In a
+	 * shortage, probes would find slots that the host of the last request there
+	 * gives to its next one, and two requests would be sent to one slot.
+	 */
+	#mustQueue(queued: QueuedRequest): boolean {
+		const {service, rank} = queued;
+		return (
+			this.#options.capacity.isShort(service, rank) &&
+			this.#waitQueue.hasPreceding(queued)
+		);
+	}
+
+	#getRecheckIntervalMs({service, priority}: PickRequest): number {
+		return this.#options.capacity.isShort(service, priority)
+			? shortReprobeIntervalMs
+			: reprobeIntervalMs;
+	}
+
 	/** Checks whether a target is known that the request would take without a wait. */
 	#hasAcceptableTarget(request: PickRequest, side: TargetSide): boolean {
 		const best = this.#findBest(request, side);
@@ -162,10 +275,19 @@
 	}
 
 	#decideAdmission(
-		{receivedAtMs, deadlineMs, targetLatencyMs, serviceTimeMs}: PickRequest,
+		request: PickRequest,
 		best: Candidate | undefined,
 	): AdmissionDecision {
-		const nowMs = this.#options.clock.monotonicMs();
+		const {receivedAtMs, deadlineMs, targetLatencyMs, serviceTimeMs} = request;
+		const {clock, capacity} = this.#options;
+		const nowMs = clock.monotonicMs();
+		// The queue ends a wait at the latest useful time, so a request may wait until then.
+		const recheckMs = capacity.isPrioritized(request.service)
+			? Math.max(
+					0,
+					Math.min(reprobeIntervalMs, getLatestStartMs(request) - nowMs),
+				)
+			: undefined;
 		return decideAdmission({
 			ageMs: nowMs - receivedAtMs,
 			remainingMs: deadlineMs - nowMs,
@@ -173,16 +295,27 @@
 			serviceTimeMs,
 			bestLatencyMs: best?.expectedMs ?? Number.POSITIVE_INFINITY,
 			hasFreeSlot: best !== undefined && best.state.load < best.state.slots,
+			isShort: capacity.isShort(request.service, request.priority),
+			...(recheckMs !== undefined && {recheckMs}),
 		});
 	}
 
 	/**
-	 * Checks whether the caller has disconnected, its key was removed or no open target is eligible.
+	 * Checks whether the caller has disconnected, its key was removed, this host
+	 * reaches no target and another one may, or no open target is eligible.
 	 * A target with a limit is not if its next request would be late.
 	 */
-	#isUnservable(request: PickRequest): boolean {
+	#isUnservable(request: PickRequest, best: Candidate | undefined): boolean {
 		const {registry, clock} = this.#options;
 		const {service, receivedAtMs, targetLatencyMs, serviceTimeMs} = request;
+		if (
+			request.endsOutOfReach &&
+			best === undefined &&
+			registry.isOutOfReach(service)
+		) {
+			return true;
+		}
+
 		const nowMs = clock.monotonicMs();
 		const maxWaitMs = Math.max(
 			0,
@@ -222,13 +355,19 @@
 		request: PickRequest,
 		side: TargetSide = 'any',
 	): Candidate | undefined {
-		const {registry, clock} = this.#options;
+		const {registry, clock, capacity} = this.#options;
 		const nowMs = clock.monotonicMs();
+		const mayContest =
+			nowMs >= (request.receivedAtMs + getLatestStartMs(request)) / 2;
 		let best: Candidate | undefined;
 		for (const state of registry.getOpenTargets(request.service)) {
 			const isOnSide =
 				side === 'any' || this.#isNear(state) === (side === 'near');
-			if (!isOnSide || !this.#isUsable(state, request, nowMs)) {
+			if (
+				!isOnSide ||
+				!this.#isUsable(state, request, nowMs) ||
+				!capacity.canTake(request, state, mayContest)
+			) {
 				continue;
 			}
 
@@ -312,11 +451,12 @@
 	}
 
 	#describeRefusal(
-		{service}: PickRequest,
+		{service, priority}: PickRequest,
 		best: Candidate | undefined,
 		probedCount: number,
+		isLate: boolean,
 	): Failure {
-		const {registry, clock} = this.#options;
+		const {registry, clock, capacity} = this.#options;
 		const openCount = registry.getOpenTargets(service).length;
 		const pauseMs = registry.getPauseMs(service);
 		if (openCount === 0 && pauseMs !== undefined) {
@@ -336,6 +476,16 @@
 			);
 		}
 
+		const isFull =
+			(isLate && !registry.isOutOfReach(service)) ||
+			capacity.isShort(service, priority);
+		if (best === undefined && isFull) {
+			return notRunFailure(
+				'over-capacity',
+				`No slot of ${openCount} open targets of "${service}" became free in time for priority ${priority}.`,
+			);
+		}
+
 		return best === undefined
 			? notRunFailure(
 					'no-target',
--- a/packages/gateway/src/choice/target-search.ts
+++ b/packages/gateway/src/choice/target-search.ts
@@ -14,7 +14,7 @@
 /** The dependencies of searches. */
 export type TargetSearchOptions = {
 	readonly clock: Clock;
-	readonly registry: TargetRegistry;
+	readonly registry: Pick<TargetRegistry, 'getOpenTargets' | 'pathMonitor'>;
 	readonly prober: Pick<TargetProber, 'probe'>;
 	readonly spillover: Spillover;
 	/** The data centre of this host. */
--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -36,6 +36,8 @@
 import type {TargetProtocol} from '../targets/target-protocol.js';
 import type {TargetState} from '../targets/target-state.js';
 import type {Relay} from '../relay/relay.js';
+import {getServiceRanks} from '../capacity/get-service-ranks.js';
+import {ServiceCapacity} from '../capacity/service-capacity.js';
 import {CrashDetector} from './crash-detector.js';
 import type {GatewaySettings} from './gateway-settings.js';
 import {LiveSettings, type SettingsChange} from './live-settings.js';
@@ -85,6 +87,7 @@
 	readonly #crashDetector: CrashDetector;
 	readonly #feed: SnapshotFeed;
 	readonly #targetRegistry;
+	readonly #capacity: ServiceCapacity;
 	readonly #plans: PlanHolder;
 	readonly #pathRecovery: PathRecovery;
 	readonly #forwarder: Forwarder;
@@ -146,6 +149,10 @@
 			onAllotment: (message, sender) => {
 				this.#allotments.receive(message, sender);
 			},
+			getCapacity: () => this.#capacity.getRecords(),
+			onCapacity: (records) => {
+				this.#capacity.addRecords(records);
+			},
 		});
 		this.#allotments = new AllotmentGate({
 			clock,
@@ -206,6 +213,13 @@
 				this.#pathRecovery.start();
 			},
 		});
+		this.#capacity = new ServiceCapacity({
+			clock,
+			log,
+			metrics: this.#metrics,
+			getTargets: (service) => this.#targetRegistry.getOpenTargets(service),
+			getHostCount,
+		});
 		this.#pathRecovery = new PathRecovery({
 			clock,
 			random,
@@ -233,6 +247,7 @@
 			settings: this.#settings,
 			protocol: options.targetProtocol,
 			targetRegistry: this.#targetRegistry,
+			capacity: this.#capacity,
 			forwarder: this.#forwarder,
 			plans: this.#plans,
 			allotments: this.#allotments,
@@ -402,6 +417,7 @@
 			});
 			callerServer.setTimeouts(plan.limits);
 			this.#allotments.setAccounts(plan.version, plan.clientAccounts);
+			this.#capacity.setRanks(getServiceRanks(plan));
 			this.#plans.setPlan({
 				version: plan.version,
 				routeTable: new RouteTable(plan.routes),
--- a/packages/gateway/src/fleet/fleet.ts
+++ b/packages/gateway/src/fleet/fleet.ts
@@ -2,6 +2,7 @@
 
 import type {Clock, DataCentreId, RandomSource} from '@bilberryscale/core';
 import type {AllotmentMessage} from '../accounts/allotment-message.js';
+import type {CapacityRecord} from '../capacity/capacity-record.js';
 import type {Endpoint, GatewaySettings} from '../context/gateway-settings.js';
 import type {SnapshotFeed} from '../snapshot/snapshot-feed.js';
 import type {SnapshotSource} from '../snapshot/snapshot-source.js';
@@ -31,6 +32,9 @@
 	readonly onFailure: (incarnation: TargetIncarnation) => void;
 	readonly onLimit: (notice: LimitNotice) => void;
 	readonly onAllotment: (message: AllotmentMessage, sender: string) => void;
+	/** Gets the estimates of capacity that are sent to other hosts. */
+	readonly getCapacity: () => readonly CapacityRecord[];
+	readonly onCapacity: (records: readonly CapacityRecord[]) => void;
 };
 
 /** Lower bound on the assumed number of hosts, as some may not be discovered yet. */
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -11,6 +11,7 @@
 import {Err, Ok, type Result} from 'ts-results-es';
 import type {AllotmentGate} from '../accounts/allotment-gate.js';
 import {AllotmentPermit} from '../accounts/allotment-permit.js';
+import type {ServiceCapacity} from '../capacity/service-capacity.js';
 import type {ReturnSchedules} from '../capacity/return-schedules.js';
 import type {AccountCheck} from '../accounts/account-check.js';
 import type {PickedTarget, TargetPicker} from '../choice/target-picker.js';
@@ -41,6 +42,7 @@
 	readonly clock: Clock;
 	readonly picker: TargetPicker;
 	readonly reader: RequestReader;
+	readonly capacity: Pick<ServiceCapacity, 'isShort'>;
 	readonly accountCheck: AccountCheck;
 	readonly serviceTimes: ServiceTimes;
 	readonly dispatcher: AttemptDispatcher;
@@ -72,6 +74,8 @@
 
 /** Share of the retry budget that is reserved for returning callers. */
 const returningCallerShare = 0.6;
+/** The same while less urgent requests of the service leave slots to urgent ones, which would otherwise find the budget used up. */
+const urgentRequestShare = 0.85;
 /** Share of the retry budget that hedges leave to retries. */
 const retryShare = 0.6;
 /** Retry delay for callers whose request was refused by targets with free capacity, in milliseconds. */
@@ -362,13 +366,17 @@
 	 * left to returning callers, because a refused caller retries once and gives up after a second refusal.
 	 */
 	#takeRetry(
-		{service, isReturning}: RoutedRequest,
+		{service, isReturning, priority}: RoutedRequest,
 		best: AttemptResult,
 	): boolean {
+		const {clock, capacity} = this.#options;
 		const isFirstRefusal = best.kind === 'refused' && !isReturning;
+		const reservedShare = capacity.isShort(service, priority)
+			? urgentRequestShare
+			: returningCallerShare;
 		return this.#getRetryBudget(service).take(
-			this.#options.clock.monotonicMs(),
-			isFirstRefusal ? returningCallerShare : 0,
+			clock.monotonicMs(),
+			isFirstRefusal ? reservedShare : 0,
 		);
 	}
 
@@ -410,6 +418,8 @@
 				isReturning: request.isReturning,
 				signal: pickSignal,
 				targetLatencyMs: route.targetLatencyMs,
+				priority: request.priority,
+				...(request.account && {account: request.account.name}),
 				isRevoked: () => accountCheck.recheck(request).isErr(),
 			}),
 		);
--- a/packages/gateway/test/choice/target-prober.test.ts
+++ b/packages/gateway/test/choice/target-prober.test.ts
@@ -84,6 +84,7 @@
 					targetLatencyMs: 600,
 					isReturning: false,
 					deadlineMs: nowMs + 2500,
+					priority: 0,
 					signal: new AbortController().signal,
 				},
 				8,
