Count only refusals for lack of capacity as a shortage

Cause: a request refused for the rate limit of its account, or because no target is reachable, switched hedging of the service off for a second. Change: only refusals of the kind over-capacity count.

--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -190,7 +190,10 @@
 					return attempt;
 				}
 
-				this.#options.hedging?.addRefusal(request.service);
+				if (attempt.error.kind === 'over-capacity') {
+					this.#options.hedging?.addRefusal(request.service);
+				}
+
 				return best === undefined
 					? Err(reader.addRetryAfter(request, attempt.error))
 					: this.#buildResult(
