--- a/packages/gateway/src/context/make-relay.ts
+++ b/packages/gateway/src/context/make-relay.ts
@@ -1,8 +1,14 @@
 /** Wires up the relay, which forwards requests from callers to targets. */
 
-import type {Clock, Digest, RandomSource} from '@bilberryscale/core';
+import type {
+	Clock,
+	Digest,
+	RandomSource,
+	ServiceName,
+} from '@bilberryscale/core';
 import type {CrashSuspects} from '@bilberryscale/decisions';
 import type {AllotmentGate} from '../accounts/allotment-gate.js';
+import {FullTargetBehaviour} from '../choice/full-target-behaviour.js';
 import {ReturnSchedules} from '../capacity/return-schedules.js';
 import {AccountCheck} from '../accounts/account-check.js';
 import {LastSlotFactor} from '../choice/last-slot-factor.js';
@@ -26,6 +32,10 @@
 import type {TargetProtocol} from '../targets/target-protocol.js';
 import type {TargetState} from '../targets/target-state.js';
 import type {LiveSettings} from './live-settings.js';
+import {
+	makeHedgedDispatcher,
+	type HedgingOptions,
+} from './make-hedged-dispatcher.js';
 
 /** The objects and callbacks that the relay shares with the rest of the host. */
 export type RelayDependencies = {
@@ -46,6 +56,8 @@
 	/** Gets the time since the store confirmed the published state, in milliseconds. */
 	readonly getSnapshotAgeMs: () => number;
 	readonly isShuttingDown: () => boolean;
+	/** How hedged requests are sent; undefined for none. */
+	readonly hedging: HedgingOptions | undefined;
 	/** Probes a target. */
 	readonly probe: (state: TargetState) => void;
 	/** Called when a connection broke while it carried a request; calls back if the target has crashed. */
@@ -70,14 +82,27 @@
 		dependencies;
 	const {host, dataCentre} = settings.current;
 	const lastSlotFactor = new LastSlotFactor();
+	const fullTargets = new FullTargetBehaviour(clock, (service, limit) => {
+		const {maxQueued} = limit;
+		const isHanging = Number.isFinite(maxQueued);
+		log.write('full targets judged', {
+			service,
+			isHanging,
+			maxQueued: isHanging ? maxQueued : undefined,
+			answered: Math.round(limit.answered),
+			refused: Math.round(limit.refused),
+			hung: Math.round(limit.hung),
+		});
+	});
 	const serviceTimes = new ServiceTimes();
+	const hasPriorityClasses = (service: ServiceName) =>
+		plans.plan?.prioritizedServices.has(service) ?? false;
 	const returnSchedules = new ReturnSchedules({
 		clock,
 		random,
 		log,
 		metrics,
-		hasPriorityClasses: (service) =>
-			plans.plan?.prioritizedServices.has(service) ?? false,
+		hasPriorityClasses,
 	});
 	const prober = new TargetProber({
 		clock,
@@ -99,6 +124,29 @@
 		getPlanVersion: () => plans.plan?.version,
 		getNowMs: () => clock.monotonicMs(),
 	});
+	const dispatcher = new AttemptDispatcher({
+		clock,
+		serviceTimes,
+		lastSlotFactor,
+		fullTargets,
+		recorder,
+		protocol,
+		crashSuspects,
+		silenceDetector: new SilenceDetector({
+			clock,
+			probe,
+			isPaused: isShuttingDown,
+		}),
+		onNotice(state, notice, namesRequest) {
+			targetRegistry.addAvailability(
+				state,
+				notice,
+				namesRequest ? 'attempt' : undefined,
+			);
+		},
+		onConnectionBroken: dependencies.onConnectionBroken,
+		onTargetFailure: dependencies.onFailure,
+	});
 	const accountCheck = new AccountCheck({
 		plans,
 		credentialHeader: protocol.credentialHeader,
@@ -119,10 +167,12 @@
 			spillover: new Spillover(clock, (service, stage, inputs) => {
 				writeSpilloverChange(log, service, stage, inputs);
 			}),
+			hasCapacityManagement: hasPriorityClasses,
 			onFarSend(service) {
 				metrics.recordFarSend(service);
 			},
 			lastSlotFactor,
+			fullTargets,
 			dataCentre,
 		}),
 		reader: new RequestReader({
@@ -141,28 +191,20 @@
 				}),
 			accountCheck,
 		}),
-		dispatcher: new AttemptDispatcher({
-			clock,
-			serviceTimes,
-			lastSlotFactor,
-			recorder,
-			protocol,
-			crashSuspects,
-			silenceDetector: new SilenceDetector({
-				clock,
-				probe,
-				isPaused: isShuttingDown,
+		dispatcher,
+		hedging:
+			dependencies.hedging &&
+			makeHedgedDispatcher({
+				...dependencies,
+				hedging: dependencies.hedging,
+				dispatcher,
+				prober,
+				lastSlotFactor,
+				serviceTimes,
+				recorder,
+				dataCentre,
+				accountCheck,
 			}),
-			onNotice(state, notice, namesRequest) {
-				targetRegistry.addAvailability(
-					state,
-					notice,
-					namesRequest ? 'attempt' : undefined,
-				);
-			},
-			onConnectionBroken: dependencies.onConnectionBroken,
-			onTargetFailure: dependencies.onFailure,
-		}),
 		forwarder: dependencies.forwarder,
 		allotments: dependencies.allotments,
 		registry: targetRegistry,
--- a/packages/gateway/src/fleet/fleet.ts
+++ b/packages/gateway/src/fleet/fleet.ts
@@ -167,7 +167,7 @@
 		this.#gossip.sendAllotment(address, message);
 	}
 
-	#getPeer({address}: MemberRecord): PeerReader {
+	#getPeer({address, dataCentre}: MemberRecord): PeerReader {
 		const existing = this.#peers.get(address);
 		if (existing !== undefined) {
 			return existing;
@@ -182,6 +182,7 @@
 			onResponse: () => {
 				this.#membership.recordResponse(address);
 			},
+			isFar: dataCentre !== settings.dataCentre,
 		});
 		this.#peers.set(address, peer);
 		return peer;
--- a/packages/gateway/src/relay/attempt-dispatcher.ts
+++ b/packages/gateway/src/relay/attempt-dispatcher.ts
@@ -9,6 +9,7 @@
 import {getRequestSignature} from '@bilberryscale/daemon/edge';
 import type {CrashSuspects} from '@bilberryscale/decisions';
 import {getTargetAccountHeaders} from '../accounts/account-headers.js';
+import type {FullTargetBehaviour} from '../choice/full-target-behaviour.js';
 import type {LastSlotFactor} from '../choice/last-slot-factor.js';
 import type {PickedTarget} from '../choice/target-picker.js';
 import type {RequestRecorder} from '../records/request-recorder.js';
@@ -23,7 +24,7 @@
 } from './attempt-result.js';
 import {getStallTimeoutMs} from './get-stall-timeout-ms.js';
 import type {SilenceDetector} from './silence-detector.js';
-import {TargetAttempt} from './target-attempt.js';
+import {TargetAttempt, type TargetAttemptOptions} from './target-attempt.js';
 import type {ServiceTimes} from './service-times.js';
 
 /** Dependencies of the dispatcher. */
@@ -31,6 +32,7 @@
 	readonly clock: Clock;
 	readonly serviceTimes: ServiceTimes;
 	readonly lastSlotFactor: LastSlotFactor;
+	readonly fullTargets: FullTargetBehaviour;
 	readonly silenceDetector: SilenceDetector;
 	readonly protocol: TargetProtocol;
 	readonly recorder: RequestRecorder;
@@ -52,6 +54,12 @@
 	readonly onTargetFailure: (state: TargetState) => void;
 };
 
+/** What ends an attempt before its deadline. */
+export type AttemptControl = Pick<
+	TargetAttemptOptions,
+	'canRetry' | 'supersededSignal'
+>;
+
 /** Retry delay for a blocked request, in milliseconds. */
 const blockedRetryAfterMs = 60_000;
 
@@ -94,21 +102,20 @@
 	 * @param request - The request.
 	 * @param pick - The target, a connection to it and figures for the log.
 	 * @param attempt - The number of the attempt, from 1 for each request.
-	 * @param canRetry - Whether the request may be sent to another target.
+	 * @param control - What ends the attempt early.
 	 * @returns The result of the attempt.
 	 */
 	async send(
 		request: RoutedRequest,
-		{state, connection, expectedMs, probedCount, waitedMs}: PickedTarget,
+		{state, connection, load, expectedMs, probedCount, waitedMs}: PickedTarget,
 		attempt: number,
-		canRetry: () => boolean,
+		control: AttemptControl,
 	): Promise<AttemptResult> {
 		const {clock, protocol, silenceDetector, recorder, serviceTimes} =
 			this.#options;
 		const {exchange, route, body, deadlineMs, account} = request;
 		const {report} = state;
 		const startedAtMs = clock.monotonicMs();
-		const {load} = state;
 		const slowdownFactor = report?.slowdownFactor ?? 1;
 		const limitPerSecond = state.availability.limit.perSecond;
 		const result = await new TargetAttempt({
@@ -136,9 +143,14 @@
 						remainingMs: deadlineMs - startedAtMs,
 					})
 				: undefined,
-			canRetry,
+			...control,
 		}).run();
 		const durationMs = clock.monotonicMs() - startedAtMs;
+		this.#options.fullTargets.add(
+			request.service,
+			load + 1 - state.slots,
+			result,
+		);
 		if (
 			result.kind === 'answered' &&
 			result.answer.status < minServerErrorStatus
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -5,6 +5,7 @@
 	possiblyRunFailure,
 	type Clock,
 	type Failure,
+	type ServiceName,
 	type TargetId,
 } from '@bilberryscale/core';
 import type {Exchange, FilterResult} from '@bilberryscale/daemon/edge';
@@ -20,6 +21,11 @@
 import type {RequestRecorder} from '../records/request-recorder.js';
 import type {TargetRegistry} from '../targets/target-registry.js';
 import type {RequestReader, RoutedRequest} from './request-reader.js';
+import type {
+	HedgedDispatcher,
+	SentCopies,
+	SentCopy,
+} from './hedged-dispatcher.js';
 import type {AttemptDispatcher} from './attempt-dispatcher.js';
 import {pickWithPermit} from './pick-with-permit.js';
 import {
@@ -44,6 +50,8 @@
 	readonly allotments: AllotmentGate;
 	readonly registry: TargetRegistry;
 	readonly returnSchedules: ReturnSchedules;
+	/** Sends second copies of idempotent requests; undefined if the operator has set no limit for them. */
+	readonly hedging: HedgedDispatcher | undefined;
 	readonly getRetryBudgetLimit: () => RetryBudgetLimit;
 	readonly getHostCount: () => number;
 	readonly recorder: RequestRecorder;
@@ -65,6 +73,8 @@
 
 /** Share of the retry budget that is reserved for returning callers. */
 const returningCallerShare = 0.6;
+/** Share of the retry budget that hedges leave to retries. */
+const retryShare = 0.6;
 /** Retry delay for callers whose request was refused by targets with free capacity, in milliseconds. */
 const refusedRetryAfterMs = 40;
 /** Maximum attempts beyond the route's limit, to targets that refused the request at random before. */
@@ -151,6 +161,11 @@
 		const {clock, reader} = this.#options;
 		this.#getRetryBudget(request.service).addRequest(clock.monotonicMs());
 		this.#options.returnSchedules.addArrival(request);
+		if (canForward) {
+			// A forwarded request counts at the host of its caller.
+			this.#options.hedging?.addRequest(request.service);
+		}
+
 		const progress: Progress = {
 			triedTargets: new Set(),
 			refusingTargets: new Set(),
@@ -176,6 +191,7 @@
 					return attempt;
 				}
 
+				this.#options.hedging?.addRefusal(request.service);
 				return best === undefined
 					? Err(reader.addRetryAfter(request, attempt.error))
 					: this.#buildResult(
@@ -240,36 +256,72 @@
 	async #send(
 		request: RoutedRequest,
 		picked: PickedTarget,
-		{triedTargets, refusingTargets, attempts, executions}: Progress,
+		progress: Progress,
 	): Promise<Result<AttemptResult, Failure>> {
-		const {dispatcher, picker, accountCheck} = this.#options;
-		const {id} = picked.state.registration;
+		const {picker, accountCheck} = this.#options;
 		const checked = accountCheck.recheck(request);
 		if (checked.isErr()) {
-			picked.state.pool.release(picked.connection, false);
-			picker.wakeFirstWaiting(request.service);
+			this.#release(request.service, picked);
 			return checked;
 		}
 
-		triedTargets.add(id);
-		const result = await dispatcher.send(
+		progress.triedTargets.add(picked.state.registration.id);
+		const [{target, result}, ...others] = await this.#sendCopies(
 			checked.value,
 			picked,
-			attempts + 1,
-			() => this.#canLeaveStalledTarget(request, executions),
+			progress,
 		);
 		picker.wakeFirstWaiting(request.service);
 		if (result.kind === 'answered') {
 			this.#options.returnSchedules.addDeparture(request.service);
 		}
 
-		if (result.kind === 'refused' && result.status !== misdirectedStatus) {
-			refusingTargets.add(id);
+		addRefusingTarget(progress, {target, result});
+		for (const other of others) {
+			progress.triedTargets.add(other.target);
+			progress.attempts++;
+			progress.executions += mayHaveRun(other.result) ? 1 : 0;
+			addRefusingTarget(progress, other);
 		}
 
 		return Ok(result);
 	}
 
+	/** Frees a picked target to which no request is sent. */
+	#release(service: ServiceName, {state, connection}: PickedTarget): void {
+		state.addEnd();
+		state.pool.release(connection, false);
+		this.#options.picker.wakeFirstWaiting(service);
+	}
+
+	/** Sends a request to a picked target and, if hedging is on, perhaps to another one. */
+	async #sendCopies(
+		request: RoutedRequest,
+		picked: PickedTarget,
+		{triedTargets, attempts, executions}: Progress,
+	): Promise<SentCopies> {
+		const {dispatcher, hedging, clock} = this.#options;
+		const attempt = attempts + 1;
+		const canRetry = () => this.#canLeaveStalledTarget(request, executions);
+		if (hedging === undefined) {
+			const target = picked.state.registration.id;
+			const result = await dispatcher.send(request, picked, attempt, {
+				canRetry,
+			});
+			return [{target, result}];
+		}
+
+		const budget = this.#getRetryBudget(request.service);
+		return hedging.send(request, picked, {
+			attempt,
+			executions,
+			triedTargets,
+			canRetry,
+			canTakeRetry: () => budget.canTake(clock.monotonicMs(), retryShare),
+			takeRetry: () => budget.take(clock.monotonicMs(), retryShare),
+		});
+	}
+
 	/**
 	 * Sends a request through another host. A request that another host has
 	 * forwarded is refused instead, so that no two hosts send it to each other.
@@ -351,21 +403,27 @@
 		const {route, service, deadlineMs} = request;
 		const isTargetLimitReached = triedTargets.size >= route.maxAttempts;
 		const {signal} = request.exchange.incoming;
-		const picked = await pickWithPermit(permit, signal, async (pickSignal) =>
-			picker.pick({
-				service,
-				isIdempotent: route.isIdempotent,
-				serviceTimeMs: this.#getServiceTimeMs(route),
-				triedTargets,
-				allowedTargets: isTargetLimitReached ? refusingTargets : undefined,
-				endsOutOfReach,
-				deadlineMs,
-				receivedAtMs: request.exchange.incoming.receivedAtMs,
-				isReturning: request.isReturning,
-				signal: pickSignal,
-				targetLatencyMs: route.targetLatencyMs,
-				isRevoked: () => accountCheck.recheck(request).isErr(),
-			}),
+		const picked = await pickWithPermit(
+			permit,
+			signal,
+			async (pickSignal) =>
+				picker.pick({
+					service,
+					isIdempotent: route.isIdempotent,
+					serviceTimeMs: this.#getServiceTimeMs(route),
+					triedTargets,
+					allowedTargets: isTargetLimitReached ? refusingTargets : undefined,
+					endsOutOfReach,
+					deadlineMs,
+					receivedAtMs: request.exchange.incoming.receivedAtMs,
+					isReturning: request.isReturning,
+					signal: pickSignal,
+					targetLatencyMs: route.targetLatencyMs,
+					isRevoked: () => accountCheck.recheck(request).isErr(),
+				}),
+			(unused) => {
+				this.#release(service, unused);
+			},
 		);
 		const checked = accountCheck.recheck(request);
 		return picked.isErr() && checked.isErr() ? checked : picked;
@@ -433,9 +491,23 @@
 	}
 }
 
+/** Remembers a target that has refused a request without running it. */
+function addRefusingTarget(
+	{refusingTargets}: Progress,
+	{target, result}: SentCopy,
+): void {
+	if (result.kind === 'refused' && result.status !== misdirectedStatus) {
+		refusingTargets.add(target);
+	}
+}
+
 /** Checks whether a request was refused because of its client account, which a retry does not change. */
 function isAccountFailure({kind}: Failure): boolean {
-	return kind === 'account-unknown' || kind === 'accounts-outdated';
+	return (
+		kind === 'account-unknown' ||
+		kind === 'accounts-outdated' ||
+		kind === 'account-rate-exceeded'
+	);
 }
 
 function limitAttempts(
--- a/packages/gateway/src/targets/target-state.ts
+++ b/packages/gateway/src/targets/target-state.ts
@@ -24,6 +24,8 @@
 const failureDecayMs = 4000;
 /** Successes assumed before any request, so that a first failure weighs less. */
 const priorSuccesses = 2;
+/** Weight of a request that another target answered sooner; most of them would have been answered. */
+const overtakenWeight = 0.35;
 /** Weight of a failure that another host reported; its successes are not reported. */
 const remoteFailureWeight = 0.35;
 
@@ -55,6 +57,7 @@
 	#decayedAtMs: number;
 	/** Requests sent since the latest report, which does not include them. */
 	#unreportedSends = 0;
+	#outstanding = 0;
 
 	/**
 	 * @param options - The target.
@@ -87,6 +90,11 @@
 		return running + waiting + this.#unreportedSends;
 	}
 
+	/** The number of requests of this host that it has not answered. */
+	get outstanding(): number {
+		return this.#outstanding;
+	}
+
 	/** The number of requests it runs at once. */
 	get slots(): number {
 		return Math.max(1, this.report?.slots ?? this.registration.slots);
@@ -145,17 +153,24 @@
 	}
 
 	/**
-	 * Records that a request is sent to the target.
+	 * Records that a request is about to be sent to the target, so that those picked
+	 * at the same moment count it.
 	 *
 	 * @param nowMs - The monotonic time in milliseconds.
 	 */
 	addSend(nowMs: number): void {
 		this.#unreportedSends++;
+		this.#outstanding++;
 		if (this.isCold(nowMs)) {
 			this.lastColdSendAtMs = nowMs;
 		}
 	}
 
+	/** Records that a request to the target has ended, with or without a response. */
+	addEnd(): void {
+		this.#outstanding = Math.max(0, this.#outstanding - 1);
+	}
+
 	/**
 	 * Records the outcome of a request of this host.
 	 *
@@ -182,6 +197,17 @@
 		this.#failures += remoteFailureWeight;
 	}
 
+	/**
+	 * Records that a request took so long that its copy at another target was
+	 * answered first. Without it, a target that drops requests would look faultless.
+	 *
+	 * @param nowMs - The monotonic time in milliseconds.
+	 */
+	addOvertaken(nowMs: number): void {
+		this.#decay(nowMs);
+		this.#failures += overtakenWeight;
+	}
+
 	/**
 	 * Estimates the probability that a request fails at the target.
 	 *
