--- a/packages/gateway/src/capacity/has-priority-classes.ts
+++ b/packages/gateway/src/capacity/has-priority-classes.ts
@@ -1,7 +1,8 @@
 /** Tells for which services requests of different priorities compete. */
 
 import type {ServiceName} from '@bilberryscale/core';
-import type {Route, RoutingPlan} from '../plan/routing-plan.js';
+import type {RoutingPlan} from '../plan/routing-plan.js';
+import {getServiceRanks} from './get-service-ranks.js';
 
 /** The part of a plan that decides on priorities. */
 export type PriorityPlan = Pick<RoutingPlan, 'routes' | 'clientAccounts'>;
@@ -39,35 +40,11 @@
 		return existing;
 	}
 
-	const accountPriorities = new Set(
-		plan.clientAccounts?.map(({priority}) => priority),
-	);
-	const priorities = new Map<ServiceName, Set<number>>();
-	for (const route of plan.routes) {
-		for (const {service, weight} of route.weightedServices) {
-			if (weight > 0) {
-				const known = priorities.get(service) ?? new Set();
-				priorities.set(
-					service,
-					new Set([...known, ...getPriorities(route, accountPriorities)]),
-				);
-			}
-		}
-	}
-
 	const services = new Set(
-		[...priorities].filter(([, {size}]) => size > 1).map(([name]) => name),
+		[...getServiceRanks(plan)]
+			.filter(([, {length}]) => length > 1)
+			.map(([name]) => name),
 	);
 	indices.set(plan, services);
 	return services;
 }
-
-/** Gets the priorities that requests of a route can have. */
-function getPriorities(
-	{priority, isPublic}: Route,
-	accountPriorities: ReadonlySet<number | undefined>,
-): Set<number> {
-	return accountPriorities.size === 0 || isPublic === true
-		? new Set([priority])
-		: new Set([...accountPriorities].map((own) => own ?? priority));
-}
--- a/packages/gateway/src/choice/admission.ts
+++ b/packages/gateway/src/choice/admission.ts
@@ -12,6 +12,10 @@
 	readonly serviceTimeMs: number;
 	/** The expected latency at the best target, in milliseconds; infinite if there is none. */
 	readonly bestLatencyMs: number;
+	/** Time until the targets are checked again, in milliseconds; 40 if undefined. */
+	readonly recheckMs?: number;
+	/** Whether others wait for any free slot, so that none is left for a better one. */
+	readonly isShort?: boolean;
 	/** Whether that target would start the request without queueing it. */
 	readonly hasFreeSlot: boolean;
 };
@@ -25,7 +29,7 @@
 const toleratedExcessMs = 70;
 /** Safety margin, as a share of the latency target. */
 const latencyMargin = 0.1;
-/** Assumed time until the targets are checked again, in milliseconds. */
+/** Usual time until the targets are checked again, in milliseconds. */
 const recheckIntervalMs = 40;
 
 /**
@@ -47,6 +51,8 @@
 		serviceTimeMs,
 		bestLatencyMs,
 		hasFreeSlot,
+		recheckMs = recheckIntervalMs,
+		isShort = false,
 	} = context;
 	if (remainingMs <= 0) {
 		return 'refuse';
@@ -57,12 +63,16 @@
 	}
 
 	const latencyBudgetMs = getLatencyBudgetMs(targetLatencyMs);
+	const isOnTimeNow = ageMs + bestLatencyMs <= latencyBudgetMs;
+	if (isShort && isOnTimeNow && hasFreeSlot) {
+		return 'take';
+	}
+
 	const isOnTimeAfterRecheck =
-		ageMs + recheckIntervalMs + bestLatencyMs <= latencyBudgetMs;
+		ageMs + recheckMs + bestLatencyMs <= latencyBudgetMs;
 	const isNearOptimalOnTimeAfterRecheck =
-		ageMs + recheckIntervalMs + getNearOptimalLatencyMs(serviceTimeMs) <=
+		ageMs + recheckMs + getNearOptimalLatencyMs(serviceTimeMs) <=
 		latencyBudgetMs;
-	const isOnTimeNow = ageMs + bestLatencyMs <= latencyBudgetMs;
 	if (
 		isOnTimeAfterRecheck ||
 		(!isOnTimeNow && isNearOptimalOnTimeAfterRecheck)
@@ -77,6 +87,28 @@
 	return hasFreeSlot && bestLatencyMs <= remainingMs ? 'take' : 'refuse';
 }
 
+/**
+ * Gets when a request must start at a near-optimal target to be on time.
+ *
+ * @param request - When it arrived, its latency target and its typical service time, in milliseconds.
+ * @returns The latest useful time, on the monotonic clock, in milliseconds.
+ */
+export function getLatestStartMs({
+	receivedAtMs,
+	targetLatencyMs,
+	serviceTimeMs,
+}: {
+	readonly receivedAtMs: number;
+	readonly targetLatencyMs: number;
+	readonly serviceTimeMs: number;
+}): number {
+	return (
+		receivedAtMs +
+		getLatencyBudgetMs(targetLatencyMs) -
+		getNearOptimalLatencyMs(serviceTimeMs)
+	);
+}
+
 /**
  * Gets the time within which a request is planned to be answered.
  *
--- a/packages/gateway/src/choice/pick-request.ts
+++ b/packages/gateway/src/choice/pick-request.ts
@@ -1,6 +1,7 @@
 /** The view of a request that target selection works with. */
 
 import type {ServiceName, TargetId} from '@bilberryscale/core';
+import type {ClientAccountName} from '../plan/client-account.js';
 
 /** A request that needs a target. */
 export type PickRequest = {
@@ -20,7 +21,11 @@
 	readonly targetLatencyMs: number;
 	/** When the response must be complete, on the monotonic clock, in milliseconds. */
 	readonly deadlineMs: number;
-	/** Whether the caller probably repeats a request that was refused; it goes before new ones of its priority. */
+	/** The priority; 0 is the highest. */
+	readonly priority: number;
+	/** The client account; undefined if the plan has none or the route is public. */
+	readonly account?: ClientAccountName;
+	/** Whether the caller probably repeats a request that was refused. */
 	readonly isReturning: boolean;
 	/** Checks whether the request must not be sent any more, because its key was removed. */
 	readonly isRevoked?: () => boolean;
--- a/packages/gateway/src/context/make-relay.ts
+++ b/packages/gateway/src/context/make-relay.ts
@@ -7,8 +7,9 @@
 	ServiceName,
 } from '@bilberryscale/core';
 import type {CrashSuspects} from '@bilberryscale/decisions';
-import type {AllotmentGate} from '../accounts/allotment-gate.js';
+import type {ServiceCapacity} from '../capacity/service-capacity.js';
 import {FullTargetBehaviour} from '../choice/full-target-behaviour.js';
+import type {AllotmentGate} from '../accounts/allotment-gate.js';
 import {ReturnSchedules} from '../capacity/return-schedules.js';
 import {AccountCheck} from '../accounts/account-check.js';
 import {LastSlotFactor} from '../choice/last-slot-factor.js';
@@ -46,6 +47,7 @@
 	readonly settings: LiveSettings;
 	readonly protocol: TargetProtocol;
 	readonly targetRegistry: TargetRegistry;
+	readonly capacity: ServiceCapacity;
 	readonly forwarder: Forwarder;
 	readonly plans: PlanHolder;
 	/** The rate limits of client accounts. */
@@ -164,6 +166,8 @@
 			clock,
 			registry: targetRegistry,
 			prober,
+			capacity: dependencies.capacity,
+			metrics,
 			spillover: new Spillover(clock, (service, stage, inputs) => {
 				writeSpilloverChange(log, service, stage, inputs);
 			}),
@@ -175,6 +179,7 @@
 			fullTargets,
 			dataCentre,
 		}),
+		capacity: dependencies.capacity,
 		reader: new RequestReader({
 			clock,
 			trafficSplitter: new TrafficSplitter(random),
--- a/packages/gateway/src/fleet/gossip.ts
+++ b/packages/gateway/src/fleet/gossip.ts
@@ -8,6 +8,7 @@
 } from '../accounts/allotment-message.js';
 import type {EventLog} from '../records/event-log.js';
 import type {TargetIncarnation} from '../plan/registered-target.js';
+import type {CapacityRecord} from '../capacity/capacity-record.js';
 import type {LimitNotice} from '../targets/limit-notice.js';
 import {
 	decodeMessage,
@@ -34,6 +35,9 @@
 	readonly onFailure: (incarnation: TargetIncarnation) => void;
 	readonly onLimit: (notice: LimitNotice) => void;
 	readonly onAllotment: (message: AllotmentMessage, sender: string) => void;
+	/** Gets the estimates that are sent along with members. */
+	readonly getCapacity: () => readonly CapacityRecord[];
+	readonly onCapacity: (records: readonly CapacityRecord[]) => void;
 };
 
 /** Mean interval between exchanges of members with another host, in milliseconds. */
@@ -185,7 +189,8 @@
 		const members = this.#options.membership.sampleRecords(
 			randomMembersPerMessage,
 		);
-		this.#send(address, {method: 'members', members, wantsReply});
+		const capacity = this.#options.getCapacity();
+		this.#send(address, {method: 'members', members, wantsReply, capacity});
 	}
 
 	#receive(datagram: Uint8Array, sender: string): void {
@@ -201,6 +206,7 @@
 		switch (message?.method) {
 			case 'members': {
 				this.#logNewMembers(membership.add(message.members));
+				this.#options.onCapacity(message.capacity ?? []);
 				if (message.wantsReply) {
 					this.#sendMembers(sender, false);
 				}
--- a/packages/gateway/src/records/gateway-metrics.ts
+++ b/packages/gateway/src/records/gateway-metrics.ts
@@ -1,6 +1,6 @@
 /** Prometheus counters and histograms of the gateway. */
 
-import {Counter, Histogram, Registry} from 'prom-client';
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 
 /** Upper bounds of the latency buckets, in seconds. */
 const latencyBucketsSeconds = [
@@ -100,6 +100,27 @@
 		registers: [this.#registry],
 	});
 
+	readonly #waitingRequests = new Gauge({
+		name: 'bilberryscale_waiting_requests',
+		help: 'Requests that wait at this host for a target, by service and priority',
+		labelNames: ['service', 'priority'],
+		registers: [this.#registry],
+	});
+
+	readonly #rankRefusals = new Counter({
+		name: 'bilberryscale_refusals_total',
+		help: 'Requests for which no target was found in time, by service and priority',
+		labelNames: ['service', 'priority'],
+		registers: [this.#registry],
+	});
+
+	readonly #utilization = new Gauge({
+		name: 'bilberryscale_service_utilization',
+		help: 'Estimated share of the slots in use, for services with several priorities',
+		labelNames: ['service'],
+		registers: [this.#registry],
+	});
+
 	readonly #farProbes = new Counter({
 		name: 'bilberryscale_far_probes_total',
 		help: 'Probes of targets in other data centres',
@@ -255,6 +276,37 @@
 		this.#silentHosts.inc();
 	}
 
+	/**
+	 * Records how many requests wait for a target.
+	 *
+	 * @param service - Their service.
+	 * @param priority - Their priority.
+	 * @param count - The number of requests.
+	 */
+	recordWaitingCount(service: string, priority: number, count: number): void {
+		this.#waitingRequests.set({service, priority}, count);
+	}
+
+	/**
+	 * Records a request for which no target was found in time.
+	 *
+	 * @param service - Its service.
+	 * @param priority - Its priority.
+	 */
+	recordRankRefusal(service: string, priority: number): void {
+		this.#rankRefusals.inc({service, priority});
+	}
+
+	/**
+	 * Records the estimated utilization of a service.
+	 *
+	 * @param service - The service.
+	 * @param utilization - The share of its slots in use, from 0 to 1.
+	 */
+	recordUtilization(service: string, utilization: number): void {
+		this.#utilization.set({service}, utilization);
+	}
+
 	/**
 	 * Records probes of targets in other data centres.
 	 *
--- a/packages/gateway/src/relay/hedged-dispatcher.ts
+++ b/packages/gateway/src/relay/hedged-dispatcher.ts
@@ -308,7 +308,8 @@
 		request: RoutedRequest,
 		{triedTargets}: SendContext,
 	): PickRequest {
-		const {route, service, deadlineMs, exchange, isReturning} = request;
+		const {route, service, deadlineMs, exchange, isReturning, priority} =
+			request;
 		const {receivedAtMs, signal} = exchange.incoming;
 		return {
 			service,
@@ -319,6 +320,7 @@
 			endsOutOfReach: false,
 			deadlineMs,
 			receivedAtMs,
+			priority,
 			isReturning,
 			signal,
 			targetLatencyMs: route.targetLatencyMs,
--- a/packages/gateway/test/choice/model-host.ts
+++ b/packages/gateway/test/choice/model-host.ts
@@ -7,6 +7,7 @@
 	type HostId,
 	type RandomSource,
 } from '@bilberryscale/core';
+import {ServiceCapacity} from '../../src/capacity/service-capacity.js';
 import {FullTargetBehaviour} from '../../src/choice/full-target-behaviour.js';
 import {LastSlotFactor} from '../../src/choice/last-slot-factor.js';
 import type {PickRequest} from '../../src/choice/pick-request.js';
@@ -60,9 +61,18 @@
 		getProbesPerTargetSecond: () => 60,
 		getHostCount,
 	});
+	const metrics = new GatewayMetrics();
 	const fullTargets = new FullTargetBehaviour(clock);
 	const picker = new TargetPicker({
 		...options,
+		metrics,
+		capacity: new ServiceCapacity({
+			clock,
+			log,
+			metrics,
+			getTargets: (service) => registry.getOpenTargets(service),
+			getHostCount,
+		}),
 		registry,
 		prober,
 		spillover: new Spillover(clock),
@@ -83,6 +93,7 @@
 		serviceTimeMs: 200,
 		triedTargets: new Set(),
 		allowedTargets: undefined,
+		priority: 0,
 		isReturning: false,
 		endsOutOfReach: false,
 		targetLatencyMs: 600,
