--- a/packages/gateway/src/relay/pick-with-permit.ts
+++ b/packages/gateway/src/relay/pick-with-permit.ts
@@ -11,12 +11,14 @@
  * @param permit - The permission under the rate limit; undefined without a limit.
  * @param callerSignal - Aborts when the caller disconnects.
  * @param pick - Picks the target; ends when its signal aborts.
+ * @param release - Frees a target that is not used after all.
  * @returns The target, or why the request is not sent.
  */
 export async function pickWithPermit(
 	permit: AllotmentPermit | undefined,
 	callerSignal: AbortSignal,
 	pick: (signal: AbortSignal) => Promise<Result<PickedTarget, Failure>>,
+	release: (picked: PickedTarget) => void,
 ): Promise<Result<PickedTarget, Failure>> {
 	if (permit === undefined) {
 		return pick(callerSignal);
@@ -34,7 +36,11 @@
 		return picked ?? picking;
 	}
 
-	releaseWhenPicked(picking);
+	void picking.then((latePick) => {
+		if (latePick.isOk()) {
+			release(latePick.value);
+		}
+	});
 	return Err(refusal);
 }
 
@@ -49,14 +55,3 @@
 		}
 	});
 }
-
-function releaseWhenPicked(
-	picking: Promise<Result<PickedTarget, Failure>>,
-): void {
-	void picking.then((picked) => {
-		if (picked.isOk()) {
-			const {state, connection} = picked.value;
-			state.pool.release(connection, false);
-		}
-	});
-}
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -5,6 +5,7 @@
 	possiblyRunFailure,
 	type Clock,
 	type Failure,
+	type ServiceName,
 	type TargetId,
 } from '@bilberryscale/core';
 import type {Exchange, FilterResult} from '@bilberryscale/daemon/edge';
@@ -267,9 +268,7 @@
 		const {picker, accountCheck} = this.#options;
 		const checked = accountCheck.recheck(request);
 		if (checked.isErr()) {
-			picked.state.addEnd();
-			picked.state.pool.release(picked.connection, false);
-			picker.wakeFirstWaiting(request.service);
+			this.#release(request.service, picked);
 			return checked;
 		}
 
@@ -295,6 +294,13 @@
 		return Ok(result);
 	}
 
+	/** Frees a picked target to which no request is sent. */
+	#release(service: ServiceName, {state, connection}: PickedTarget): void {
+		state.addEnd();
+		state.pool.release(connection, false);
+		this.#options.picker.wakeFirstWaiting(service);
+	}
+
 	/** Sends a request to a picked target and, if hedging is on, perhaps to another one. */
 	async #sendCopies(
 		request: RoutedRequest,
@@ -408,23 +414,29 @@
 		const {route, service, deadlineMs} = request;
 		const isTargetLimitReached = triedTargets.size >= route.maxAttempts;
 		const {signal} = request.exchange.incoming;
-		const picked = await pickWithPermit(permit, signal, async (pickSignal) =>
-			picker.pick({
-				service,
-				isIdempotent: route.isIdempotent,
-				serviceTimeMs: this.#getServiceTimeMs(route),
-				triedTargets,
-				allowedTargets: isTargetLimitReached ? refusingTargets : undefined,
-				endsOutOfReach,
-				deadlineMs,
-				receivedAtMs: request.exchange.incoming.receivedAtMs,
-				isReturning: request.isReturning,
-				signal: pickSignal,
-				targetLatencyMs: route.targetLatencyMs,
-				priority: request.priority,
-				...(request.account && {account: request.account.name}),
-				isRevoked: () => accountCheck.recheck(request).isErr(),
-			}),
+		const picked = await pickWithPermit(
+			permit,
+			signal,
+			async (pickSignal) =>
+				picker.pick({
+					service,
+					isIdempotent: route.isIdempotent,
+					serviceTimeMs: this.#getServiceTimeMs(route),
+					triedTargets,
+					allowedTargets: isTargetLimitReached ? refusingTargets : undefined,
+					endsOutOfReach,
+					deadlineMs,
+					receivedAtMs: request.exchange.incoming.receivedAtMs,
+					isReturning: request.isReturning,
+					signal: pickSignal,
+					targetLatencyMs: route.targetLatencyMs,
+					priority: request.priority,
+					...(request.account && {account: request.account.name}),
+					isRevoked: () => accountCheck.recheck(request).isErr(),
+				}),
+			(unused) => {
+				this.#release(service, unused);
+			},
 		);
 		const checked = accountCheck.recheck(request);
 		return picked.isErr() && checked.isErr() ? checked : picked;
@@ -504,7 +516,11 @@
 
 /** Checks whether a request was refused because of its client account, which a retry does not change. */
 function isAccountFailure({kind}: Failure): boolean {
-	return kind === 'account-unknown' || kind === 'accounts-outdated';
+	return (
+		kind === 'account-unknown' ||
+		kind === 'accounts-outdated' ||
+		kind === 'account-rate-exceeded'
+	);
 }
 
 function limitAttempts(
--- a/packages/gateway/test/accounts/allotment-permit.test.ts
+++ b/packages/gateway/test/accounts/allotment-permit.test.ts
@@ -1,4 +1,4 @@
-import {makeId, ManualClock, type TargetId} from '@bilberryscale/core';
+import {ManualClock} from '@bilberryscale/core';
 import {describe, it} from '@bilberryscale/testing';
 import {Err, Ok} from 'ts-results-es';
 import * as assert from 'uvu/assert';
@@ -83,21 +83,20 @@
 
 describe('pickWithPermit', () => {
 	const {signal} = new AbortController();
-	const released: boolean[] = [];
-	const picked = {
-		state: {
-			registration: {id: makeId<TargetId>('i')},
-			pool: {
-				release(_connection: unknown, isReusable: boolean) {
-					released.push(isReusable);
-				},
-			},
-		},
-	} as unknown as PickedTarget;
+	const picked = {expectedMs: 1} as unknown as PickedTarget;
+	const released: PickedTarget[] = [];
+	const release = (unused: PickedTarget) => {
+		released.push(unused);
+	};
 
 	it('returns the target of a request with a token', async () => {
 		const {permit} = makePermit(1);
-		const result = await pickWithPermit(permit, signal, async () => Ok(picked));
+		const result = await pickWithPermit(
+			permit,
+			signal,
+			async () => Ok(picked),
+			release,
+		);
 		assert.is(result.unwrap(), picked);
 	});
 
@@ -105,16 +104,21 @@
 		// Guards against a 429 that comes only when a target is free, and against a lost connection.
 		const {permit} = makePermit(0);
 		let isAborted = false;
-		const result = await pickWithPermit(permit, signal, async (pickSignal) => {
-			await settle();
-			isAborted = pickSignal.aborted;
-			return Ok(picked);
-		});
+		const result = await pickWithPermit(
+			permit,
+			signal,
+			async (pickSignal) => {
+				await settle();
+				isAborted = pickSignal.aborted;
+				return Ok(picked);
+			},
+			release,
+		);
 		assert.is(result.unwrapErr().kind, 'account-rate-exceeded');
 		await settle();
 		await settle();
 		assert.ok(isAborted);
-		assert.equal(released, [false]);
+		assert.equal(released, [picked]);
 	});
 
 	it('passes on why no target was picked', async () => {
@@ -124,8 +128,11 @@
 			ran: 'not-run',
 			detail: '',
 		} as const;
-		const result = await pickWithPermit(permit, signal, async () =>
-			Err(failure),
+		const result = await pickWithPermit(
+			permit,
+			signal,
+			async () => Err(failure),
+			release,
 		);
 		assert.is(result.unwrapErr(), failure);
 	});
