Keep past return times out of new slots

When the rate of completions changed, ReturnSchedule moved all promised times to the new slots, also those that had passed since the last refusal. With longer intervals they spilled over into slots to come, which were then promised to nobody.

Past times are dropped.

--- a/packages/gateway/src/capacity/return-schedule.ts
+++ b/packages/gateway/src/capacity/return-schedule.ts
@@ -165,7 +165,11 @@
 		return urgentShare + Math.min(urgentShare, (1 - urgentShare) / 2);
 	}
 
-	/** Lays the slots out again if the rate has changed; promised times keep their number of slots. */
+	/**
+	 * Lays the slots out again if the rate has changed; promised times to come keep
+	 * their number of slots. Past ones must not be moved: with fewer slots for the
+	 * same time, they would take up slots to come.
+	 */
 	#updateGrid(nowMs: number): Grid {
 		const intervalMs = msPerSecond / this.#departures.getPerSecond(nowMs);
 		const previous = this.#grid;
@@ -182,8 +186,12 @@
 		this.#bookedSlots = new Set();
 		this.#overbookedSlots = new Set();
 		if (previous !== undefined) {
-			for (const slot of promised.toSorted((a, b) => a - b)) {
-				this.#moveToGrid(grid, getSlotMs(previous, slot));
+			const promisedMs = promised
+				.map((slot) => getSlotMs(previous, slot))
+				.filter((atMs) => atMs >= nowMs)
+				.toSorted((a, b) => a - b);
+			for (const atMs of promisedMs) {
+				this.#moveToGrid(grid, atMs);
 			}
 		}
 
--- a/packages/gateway/test/capacity/return-schedule.test.ts
+++ b/packages/gateway/test/capacity/return-schedule.test.ts
@@ -263,6 +263,19 @@
 			assert.ok(promisedMs.length - firstCount < 60, String(promisedMs.length));
 		});
 
+		it('promises early slots after a fall of the rate, although many promised times have passed', () => {
+			const clock = new ManualClock();
+			const schedule = makeSchedule(clock);
+			completeRequests(schedule, clock, {perSecond: 100, forMs: 8000});
+			for (let index = 0; index < 400; index++) {
+				schedule.book(makeCaller(urgentRank));
+			}
+
+			completeRequests(schedule, clock, {perSecond: 20, forMs: 3000});
+			const delayMs = getDelayMs(schedule.book(makeCaller(urgentRank)));
+			assert.ok(delayMs !== undefined && delayMs < 100, String(delayMs));
+		});
+
 		it('schedules nothing into the past, and into the present at random, after a restart', () => {
 			const clock = new ManualClock();
 			clock.advance(123_456);
