Drop the service times of routes without requests

RouteQuantiles rotated its histograms at most once after a pause, so that times from any time ago passed for those of the last 30 to 60 s, and it kept two histograms of 8 KB for each route of any earlier plan.

Histograms that were not rotated for 60 s are outdated: they are replaced, and dropped when a new route is added. The new test got a hedge delay of 95 ms from times 10 minutes old; it now gets none.

--- a/packages/gateway/src/hedging/route-quantiles.ts
+++ b/packages/gateway/src/hedging/route-quantiles.ts
@@ -84,20 +84,44 @@
 	#getHistograms(route: RouteName): RouteHistograms {
 		const {clock, makeHistogram} = this.#options;
 		const nowMs = clock.monotonicMs();
-		const histograms = this.#routes.get(route) ?? {
+		const existing = this.#routes.get(route);
+		if (existing !== undefined && !isOutdated(existing, nowMs)) {
+			if (nowMs - existing.rotatedAtMs >= rotationMs) {
+				rotate(existing, nowMs);
+			}
+
+			return existing;
+		}
+
+		this.#dropOutdated(nowMs);
+		const histograms = {
 			older: makeHistogram(),
 			newer: makeHistogram(),
 			rotatedAtMs: nowMs,
 		};
 		this.#routes.set(route, histograms);
-		if (nowMs - histograms.rotatedAtMs >= rotationMs) {
-			const {older, newer} = histograms;
-			older.reset();
-			histograms.older = newer;
-			histograms.newer = older;
-			histograms.rotatedAtMs = nowMs;
-		}
-
 		return histograms;
 	}
+
+	/** Bounds the memory: plans may replace routes by others again and again. */
+	#dropOutdated(nowMs: number): void {
+		for (const [route, histograms] of this.#routes) {
+			if (isOutdated(histograms, nowMs)) {
+				this.#routes.delete(route);
+			}
+		}
+	}
+}
+
+/** Checks whether all times in the histograms are too old, since the route had no requests. */
+function isOutdated({rotatedAtMs}: RouteHistograms, nowMs: number): boolean {
+	return nowMs - rotatedAtMs >= 2 * rotationMs;
+}
+
+function rotate(histograms: RouteHistograms, nowMs: number): void {
+	const {older, newer} = histograms;
+	older.reset();
+	histograms.older = newer;
+	histograms.newer = older;
+	histograms.rotatedAtMs = nowMs;
 }
--- a/packages/gateway/test/hedging/hedge-policy.test.ts
+++ b/packages/gateway/test/hedging/hedge-policy.test.ts
@@ -63,6 +63,13 @@
 			assert.ok(isNear(policy.getDelayMs(candidate), 100));
 		});
 
+		it('does not rely on times from before a long time without requests', () => {
+			const {clock, policy} = makePolicy();
+			addTimes(policy);
+			clock.advance(600_000);
+			assert.is(policy.getDelayMs(candidate), undefined);
+		});
+
 		for (const [limit, expectedMs] of [
 			[0.2, 90],
 			[0.05, 95],
