Allow to cancel a stalled copy after its hedge has failed

While a second copy runs, the first is not cancelled as stalled. This stayed so after the second copy had failed or was refused, so that a request at a target that hangs was held until its deadline.

The first copy may be cancelled again once the second has ended. The new test fails without the change.

--- a/packages/gateway/src/relay/hedged-dispatcher.ts
+++ b/packages/gateway/src/relay/hedged-dispatcher.ts
@@ -119,12 +119,12 @@
 		const {clock, shortageDetector} = this.#options;
 		shortageDetector.addWait(request.service, picked.waitedMs);
 		const delayMs = this.#getDelayMs(request, picked);
-		let isHedged = false;
+		let isSecondRunning = false;
 		const first = this.#startCopy(
 			request,
 			picked,
 			context.attempt,
-			() => !isHedged && context.canRetry(),
+			() => !isSecondRunning && context.canRetry(),
 		);
 		if (delayMs === undefined) {
 			return [await first.outcome];
@@ -136,8 +136,15 @@
 			delayMs,
 			startSecond: async (isOpen) => {
 				const second = await this.#startSecond(request, context, isOpen);
-				isHedged = second !== undefined;
-				return second;
+				if (second === undefined) {
+					return undefined;
+				}
+
+				isSecondRunning = true;
+				const outcome = notifyEnd(second.outcome, () => {
+					isSecondRunning = false;
+				});
+				return {...second, outcome};
 			},
 			isGood: ({result}) => isConclusive(result),
 		});
@@ -367,6 +374,18 @@
 	}
 }
 
+/** Calls back when an outcome is known, before those that wait for it go on. */
+async function notifyEnd<Outcome>(
+	outcome: Promise<Outcome>,
+	onEnd: () => void,
+): Promise<Outcome> {
+	try {
+		return await outcome;
+	} finally {
+		onEnd();
+	}
+}
+
 /** Ends the stream of a response that is not passed on; its connection closes. */
 function discardAnswer(result: AttemptResult): void {
 	if (result.kind === 'answered' && !Buffer.isBuffer(result.answer.body)) {
--- a/packages/gateway/test/relay/hedged-dispatcher.test.ts
+++ b/packages/gateway/test/relay/hedged-dispatcher.test.ts
@@ -101,6 +101,7 @@
 
 type Attempt = {
 	readonly number: number;
+	readonly canRetry: () => boolean;
 	readonly end: (result: AttemptResult) => void;
 };
 
@@ -122,9 +123,9 @@
 	const dispatcher = new HedgedDispatcher({
 		clock,
 		dispatcher: {
-			async send(_request, _picked, number, {supersededSignal}) {
+			async send(_request, _picked, number, {canRetry, supersededSignal}) {
 				return new Promise<AttemptResult>((resolve) => {
-					attempts.push({number, end: resolve});
+					attempts.push({number, canRetry, end: resolve});
 					supersededSignal?.addEventListener('abort', () => {
 						resolve(superseded);
 					});
@@ -236,6 +237,15 @@
 		assert.is(context.records[0]?.winner, undefined);
 	});
 
+	it('lets a stalled first copy be cancelled again once the second has failed', async () => {
+		const context = makeDispatcher();
+		await context.send();
+		assert.is(context.attempts[0]!.canRetry(), false);
+		context.attempts[1]!.end(refused);
+		await settle();
+		assert.is(context.attempts[0]!.canRetry(), true);
+	});
+
 	function doTestObstacle(
 		name: string,
 		prepare: (context: ReturnType<typeof makeDispatcher>) => void,
