Give the slot of a request that ends to the next one

A waiting request that was woken for a free slot and then refused used up the wake-up: the next one waited for its recheck, up to 300 ms in a shortage. A request whose caller had disconnected was even picked a target, which counted towards the load and the limit of the target and the share of the account.

A request of a disconnected caller takes no target, and a woken request that is refused wakes the next one. In the new test, the next request is sent at 20 ms, when the slot is free; before, the request of the disconnected caller took it.

--- a/packages/gateway/src/choice/target-picker.ts
+++ b/packages/gateway/src/choice/target-picker.ts
@@ -174,7 +174,11 @@
 				continue;
 			}
 
-			if (decision === 'take' && best !== undefined) {
+			if (
+				decision === 'take' &&
+				best !== undefined &&
+				!request.signal.aborted
+			) {
 				const connection = this.#acquireConnection(best.state, request);
 				if (connection !== undefined) {
 					const {state, expectedMs} = best;
@@ -201,6 +205,11 @@
 				this.#isUnservable(request, best)
 			) {
 				search.end(undefined);
+				if (lastEnd === 'woken') {
+					// The free slot for which it was woken may suit the next one.
+					this.#waitQueue.wakeFirst(request.service);
+				}
+
 				const isLate = lastEnd === 'late';
 				return Err(
 					this.#describeRefusal(request, best, search.probedCount, isLate),
--- a/packages/gateway/test/choice/target-picker.test.ts
+++ b/packages/gateway/test/choice/target-picker.test.ts
@@ -9,6 +9,7 @@
 import * as assert from 'uvu/assert';
 import {ServiceCapacity} from '../../src/capacity/service-capacity.js';
 import {FullTargetBehaviour} from '../../src/choice/full-target-behaviour.js';
+import type {PickRequest} from '../../src/choice/pick-request.js';
 import {LastSlotFactor} from '../../src/choice/last-slot-factor.js';
 import {Spillover} from '../../src/choice/spillover.js';
 import {TargetPicker} from '../../src/choice/target-picker.js';
@@ -29,6 +30,16 @@
 		pool: {acquire: () => ({})} as unknown as ConnectionPool,
 		nowMs: 0,
 	});
+	const addReport = () => {
+		state.addReport({
+			receivedAtMs: clock.monotonicMs(),
+			running: getLoad(),
+			waiting: 0,
+			slots,
+			slowdownFactor: 1,
+		});
+	};
+
 	const {log} = makeTestLog(clock);
 	const metrics = new GatewayMetrics();
 	const getTargets = () => [state];
@@ -58,25 +69,24 @@
 		},
 		prober: {
 			async probe() {
-				state.addReport({
-					receivedAtMs: clock.monotonicMs(),
-					running: getLoad(),
-					waiting: 0,
-					slots,
-					slowdownFactor: 1,
-				});
+				addReport();
 				return 1;
 			},
 		},
 	});
 	/** Gets the name of a request when it is sent or refused, and the time. */
 	const ends: string[] = [];
-	const pick = async (name: string, priority: number) => {
+	const pick = async (
+		name: string,
+		priority: number,
+		changes: Partial<PickRequest> = {},
+	) => {
 		const request = makePickRequest({
 			receivedAtMs: clock.monotonicMs(),
 			serviceTimeMs: 100,
 			targetLatencyMs: 250,
 			priority,
+			...changes,
 		});
 		const result = await picker.pick(request);
 		const end = result.isOk() ? 'sent' : result.error.kind;
@@ -92,7 +102,7 @@
 		await new Promise(setImmediate);
 	};
 
-	return {picker, pick, advance, ends};
+	return {picker, pick, addReport, advance, ends};
 }
 
 describe('TargetPicker', () => {
@@ -126,6 +136,26 @@
 			assert.is(ends[0]?.startsWith('urgent sent'), true, ends.join(', '));
 		});
 
+		it('sends the next request at once if the caller of the woken one has disconnected', async () => {
+			let load = 3 * slots;
+			const {picker, pick, addReport, advance, ends} = makePicker(
+				[0, 2],
+				() => load,
+			);
+			const caller = new AbortController();
+			const targetLatencyMs = 3000;
+			void pick('gone', 2, {targetLatencyMs, signal: caller.signal});
+			await advance(10);
+			void pick('next', 2, {targetLatencyMs});
+			await advance(10);
+			caller.abort();
+			load = 0;
+			addReport();
+			picker.wakeFirstWaiting(reading);
+			await advance(5);
+			assert.equal(ends, ['gone over-capacity 20', 'next sent 20']);
+		});
+
 		it('sends the first request of the only priority', async () => {
 			let load = 3 * slots;
 			const {pick, advance, ends} = makePicker([1], () => load);
