Move the description of refusals out of TargetPicker

target-picker.ts described refusals besides picking targets, and limits and a type stood twice there and in hedging.

describe-refusal.ts makes the failure of a refused request; TargetCandidate is in target-cost.ts, the limits on reports and connections are in pick-limits.ts; TargetSearch uses getLatestStartMs.

--- a/packages/gateway/src/choice/admission.ts
+++ b/packages/gateway/src/choice/admission.ts
@@ -109,22 +109,12 @@
 	);
 }
 
-/**
- * Gets the time within which a request is planned to be answered.
- *
- * @param targetLatencyMs - The latency target of the route, in milliseconds.
- * @returns The latency target without the safety margin, in milliseconds.
- */
-export function getLatencyBudgetMs(targetLatencyMs: number): number {
+/** Gets the time within which a request is planned to be answered: the latency target without the safety margin. */
+function getLatencyBudgetMs(targetLatencyMs: number): number {
 	return targetLatencyMs * (1 - latencyMargin);
 }
 
-/**
- * Gets the longest latency that counts as near optimal.
- *
- * @param serviceTimeMs - The typical service time of the route, in milliseconds.
- * @returns The latency, in milliseconds.
- */
-export function getNearOptimalLatencyMs(serviceTimeMs: number): number {
+/** Gets the longest latency that counts as near optimal. */
+function getNearOptimalLatencyMs(serviceTimeMs: number): number {
 	return serviceTimeMs * nearOptimalFactor;
 }
--- a/packages/gateway/src/choice/target-cost.ts
+++ b/packages/gateway/src/choice/target-cost.ts
@@ -1,5 +1,7 @@
 /** Estimates the latency of a request at a target and the cost by which targets are ranked. */
 
+import type {TargetState} from '../targets/target-state.js';
+
 /** The properties of a target that enter its cost. */
 export type TargetCondition = {
 	/** The number of requests it runs or queues. */
@@ -24,6 +26,14 @@
 	readonly isIdempotent: boolean;
 };
 
+/** A target that may take a request, and what it costs there. */
+export type TargetCandidate = {
+	readonly state: TargetState;
+	readonly costMs: number;
+	/** The expected latency, in milliseconds. */
+	readonly expectedMs: number;
+};
+
 /** A cold target runs at about half speed; its reported slowdown includes this, so the two are not multiplied. */
 const coldSlowdownFactor = 2;
 /** Traffic between data centres is costly, so a near target wins a tie; in milliseconds. */
--- a/packages/gateway/src/choice/target-picker.ts
+++ b/packages/gateway/src/choice/target-picker.ts
@@ -1,16 +1,14 @@
 /** Picks the target for a request by probing several targets just before it is sent. */
 
-import {
-	notRunFailure,
-	type Clock,
-	type DataCentreId,
-	type Failure,
-	type ServiceName,
+import type {
+	Clock,
+	DataCentreId,
+	Failure,
+	ServiceName,
 } from '@bilberryscale/core';
 import type {Connection} from '@bilberryscale/daemon/edge';
 import {Err, Ok, type Result} from 'ts-results-es';
 import type {GatewayMetrics} from '../records/gateway-metrics.js';
-import type {TargetRegistry} from '../targets/target-registry.js';
 import type {TargetState} from '../targets/target-state.js';
 import {
 	PriorityWaitQueue,
@@ -23,14 +21,17 @@
 	getLatestStartMs,
 	type AdmissionDecision,
 } from './admission.js';
+import {describeRefusal, type RefusalSources} from './describe-refusal.js';
 import {
 	getCostMs,
 	getExpectedLatencyMs,
+	type TargetCandidate,
 	type TargetCondition,
 	type RequestProfile,
 } from './target-cost.js';
 import type {FullTargetBehaviour} from './full-target-behaviour.js';
 import type {LastSlotFactor} from './last-slot-factor.js';
+import {maxIdleMs, maxReportAgeMs} from './pick-limits.js';
 import {isEligible, type PickRequest} from './pick-request.js';
 import {
 	TargetSearch,
@@ -41,14 +42,7 @@
 /** The dependencies of a picker. */
 export type TargetPickerOptions = TargetSearchOptions & {
 	readonly clock: Clock;
-	readonly registry: Pick<
-		TargetRegistry,
-		| 'getLimitWaitMs'
-		| 'getOpenTargets'
-		| 'getPauseMs'
-		| 'isOutOfReach'
-		| 'pathMonitor'
-	>;
+	readonly registry: RefusalSources['registry'];
 	readonly capacity: Pick<
 		ServiceCapacity,
 		'addRequest' | 'canTake' | 'isPrioritized' | 'isShort'
@@ -77,14 +71,6 @@
 	readonly waitedMs: number;
 };
 
-type Candidate = {
-	readonly state: TargetState;
-	readonly costMs: number;
-	readonly expectedMs: number;
-};
-
-/** Maximum age of a load report that a pick may rely on, in milliseconds. */
-const maxReportAgeMs = 15;
 /** Maximum number of preceding requests that a request lets check the targets before it takes one. */
 const maxWokenPreceding = 4;
 /** Time for preceding requests to take a target, in milliseconds. */
@@ -97,8 +83,6 @@
 const shortReprobeIntervalMs = 300;
 /** Minimum time between two requests of this host to a cold target, in milliseconds. */
 const coldSendIntervalMs = 1000;
-/** Maximum idle time of a reused connection, in milliseconds; shorter for requests that cannot be repeated if it is lost. */
-const maxIdleMs = {idempotent: 5000, nonIdempotent: 150};
 
 /** Probes targets and picks the one with the lowest cost. */
 export class TargetPicker {
@@ -210,9 +194,12 @@
 					this.#waitQueue.wakeFirst(request.service);
 				}
 
-				const isLate = lastEnd === 'late';
 				return Err(
-					this.#describeRefusal(request, best, search.probedCount, isLate),
+					describeRefusal(this.#options, request, {
+						best,
+						probedCount: search.probedCount,
+						isLate: lastEnd === 'late',
+					}),
 				);
 			}
 
@@ -285,7 +272,7 @@
 
 	#decideAdmission(
 		request: PickRequest,
-		best: Candidate | undefined,
+		best: TargetCandidate | undefined,
 	): AdmissionDecision {
 		const {receivedAtMs, deadlineMs, targetLatencyMs, serviceTimeMs} = request;
 		const {clock, capacity} = this.#options;
@@ -314,7 +301,10 @@
 	 * reaches no target and another one may, or no open target is eligible.
 	 * A target with a limit is not if its next request would be late.
 	 */
-	#isUnservable(request: PickRequest, best: Candidate | undefined): boolean {
+	#isUnservable(
+		request: PickRequest,
+		best: TargetCandidate | undefined,
+	): boolean {
 		const {registry, clock} = this.#options;
 		const {service, receivedAtMs, targetLatencyMs, serviceTimeMs} = request;
 		if (
@@ -363,12 +353,12 @@
 	#findBest(
 		request: PickRequest,
 		side: TargetSide = 'any',
-	): Candidate | undefined {
+	): TargetCandidate | undefined {
 		const {registry, clock, capacity} = this.#options;
 		const nowMs = clock.monotonicMs();
 		const mayContest =
 			nowMs >= (request.receivedAtMs + getLatestStartMs(request)) / 2;
-		let best: Candidate | undefined;
+		let best: TargetCandidate | undefined;
 		for (const state of registry.getOpenTargets(request.service)) {
 			const isOnSide =
 				side === 'any' || this.#isNear(state) === (side === 'near');
@@ -458,53 +448,6 @@
 		const lastSlotFactor = this.#options.lastSlotFactor.get(service, slots);
 		return {serviceTimeMs, lastSlotFactor, isIdempotent};
 	}
-
-	#describeRefusal(
-		{service, priority}: PickRequest,
-		best: Candidate | undefined,
-		probedCount: number,
-		isLate: boolean,
-	): Failure {
-		const {registry, clock, capacity} = this.#options;
-		const openCount = registry.getOpenTargets(service).length;
-		const pauseMs = registry.getPauseMs(service);
-		if (openCount === 0 && pauseMs !== undefined) {
-			return notRunFailure(
-				'no-target',
-				`All targets of "${service}" have paused; the first accepts requests in ${Math.ceil(pauseMs)} ms.`,
-				pauseMs,
-			);
-		}
-
-		const limitWaitMs = registry.getLimitWaitMs(service);
-		if (limitWaitMs !== undefined) {
-			return notRunFailure(
-				'over-capacity',
-				`All ${openCount} open targets of "${service}" have named limits, which this host has used up.`,
-				limitWaitMs,
-			);
-		}
-
-		const isFull =
-			(isLate && !registry.isOutOfReach(service)) ||
-			capacity.isShort(service, priority);
-		if (best === undefined && isFull) {
-			return notRunFailure(
-				'over-capacity',
-				`No slot of ${openCount} open targets of "${service}" became free in time for priority ${priority}.`,
-			);
-		}
-
-		return best === undefined
-			? notRunFailure(
-					'no-target',
-					`None of ${openCount} open targets of "${service}" may take the request; ${probedCount} were asked, and the last response of any target came ${Math.round(clock.monotonicMs() - registry.pathMonitor.lastContactAtMs)} ms ago.`,
-				)
-			: notRunFailure(
-					'over-capacity',
-					`The best of ${openCount} open targets of "${service}" holds ${best.state.load} requests and would take ${Math.round(best.expectedMs)} ms.`,
-				);
-	}
 }
 
 function getReportAgeMs({report}: TargetState, nowMs: number): number {
--- a/packages/gateway/src/choice/target-search.ts
+++ b/packages/gateway/src/choice/target-search.ts
@@ -3,7 +3,7 @@
 import type {Clock, DataCentreId, ServiceName} from '@bilberryscale/core';
 import type {TargetRegistry} from '../targets/target-registry.js';
 import type {TargetState} from '../targets/target-state.js';
-import {getLatencyBudgetMs, getNearOptimalLatencyMs} from './admission.js';
+import {getLatestStartMs} from './admission.js';
 import {isEligible, type PickRequest} from './pick-request.js';
 import type {OpenSides, Spillover} from './spillover.js';
 import type {ProbeScope, TargetProber} from './target-prober.js';
@@ -170,15 +170,9 @@
 
 	#shouldLookFar({hasNear}: OpenSides): boolean {
 		const {clock, spillover} = this.#options;
-		const {service, receivedAtMs, targetLatencyMs, serviceTimeMs} =
-			this.#request;
-		const ageMs = clock.monotonicMs() - receivedAtMs;
-		return spillover.shouldLookFar(service, {
+		return spillover.shouldLookFar(this.#request.service, {
 			hasNear,
-			slackMs:
-				getLatencyBudgetMs(targetLatencyMs) -
-				getNearOptimalLatencyMs(serviceTimeMs) -
-				ageMs,
+			slackMs: getLatestStartMs(this.#request) - clock.monotonicMs(),
 			farLookCount: this.#farLookCount,
 		});
 	}
--- a/packages/gateway/src/hedging/hedge-policy.ts
+++ b/packages/gateway/src/hedging/hedge-policy.ts
@@ -1,5 +1,6 @@
 /** Decides when an idempotent request is sent to a second target, and to which. */
 
+import {maxReportAgeMs} from '../choice/pick-limits.js';
 import type {RouteName} from '../plan/routing-plan.js';
 import type {TargetState} from '../targets/target-state.js';
 import type {RouteQuantiles} from './route-quantiles.js';
@@ -55,8 +56,6 @@
 const minQuantile = 0.9;
 /** Above this share the few times beyond it say little. */
 const maxQuantile = 0.99;
-/** Maximum age of the load report of a target that gets a hedge, in milliseconds; as for other picks. */
-const maxReportAgeMs = 15;
 
 /** Decides by the distribution of the service times of each route. */
 export class HedgePolicy {
--- a/packages/gateway/src/hedging/hedge-target-picker.ts
+++ b/packages/gateway/src/hedging/hedge-target-picker.ts
@@ -2,11 +2,13 @@
 
 import type {Clock, DataCentreId} from '@bilberryscale/core';
 import type {LastSlotFactor} from '../choice/last-slot-factor.js';
+import {maxIdleMs} from '../choice/pick-limits.js';
 import {isEligible, type PickRequest} from '../choice/pick-request.js';
 import {
 	getCostMs,
 	getExpectedLatencyMs,
 	type RequestProfile,
+	type TargetCandidate,
 	type TargetCondition,
 } from '../choice/target-cost.js';
 import type {PickedTarget} from '../choice/target-picker.js';
@@ -33,18 +35,10 @@
 	readonly claim: () => boolean;
 };
 
-type Candidate = {
-	readonly state: TargetState;
-	readonly costMs: number;
-	readonly expectedMs: number;
-};
-
 /** Only near targets are probed: the bytes of a second copy between data centres cost more than it brings. */
 const hedgeScopes = ['subset', 'near'] as const;
 /** The number of targets probed at once. */
 const probeCount = 4;
-/** Maximum idle time of a reused connection, in milliseconds; as for other idempotent requests. */
-const maxIdleMs = 5000;
 
 /** Probes near targets for a free slot. */
 export class HedgeTargetPicker {
@@ -81,7 +75,9 @@
 			if (best !== undefined) {
 				const {state, expectedMs} = best;
 				const {load} = state;
-				const connection = claim() ? state.pool.acquire(maxIdleMs) : undefined;
+				const connection = claim()
+					? state.pool.acquire(maxIdleMs.idempotent)
+					: undefined;
 				if (connection === undefined) {
 					return undefined;
 				}
@@ -96,7 +92,7 @@
 		return undefined;
 	}
 
-	#findBest(request: PickRequest): Candidate | undefined {
+	#findBest(request: PickRequest): TargetCandidate | undefined {
 		const {registry, clock, dataCentre} = this.#options;
 		const nowMs = clock.monotonicMs();
 		return registry
@@ -116,7 +112,7 @@
 		state: TargetState,
 		{service, serviceTimeMs, isIdempotent}: PickRequest,
 		nowMs: number,
-	): Candidate {
+	): TargetCandidate {
 		const condition: TargetCondition = {
 			load: state.load,
 			slots: state.slots,
