Send hedges only where a connection is available

A hedge took its permit and its part of the retry budget before it asked for a connection, so both were lost if all connections to the target were busy, and another target was not tried.

Such a target is not suitable for a hedge. The new test fails without the change; 274 tests of choice, capacity, hedging and relay pass with it.

--- a/packages/gateway/src/hedging/hedge-policy.ts
+++ b/packages/gateway/src/hedging/hedge-policy.ts
@@ -162,15 +162,15 @@
 }
 
 /**
- * Checks whether a target may get a hedge: it has just reported a free slot and is
- * neither cold, leaving, paused, limited, avoided nor hanging.
+ * Checks whether a target may get a hedge: it has just reported a free slot, a
+ * connection to it is available, and it is neither cold, leaving, paused, limited, avoided nor hanging.
  *
  * @param state - The target.
  * @param nowMs - The monotonic time in milliseconds.
  * @returns Whether it may.
  */
 export function isSuitableForHedge(state: TargetState, nowMs: number): boolean {
-	const {availability, report, health, load, slots} = state;
+	const {availability, report, health, load, slots, pool} = state;
 	const isResponsive =
 		!state.isOutOfReach &&
 		state.avoidUntilMs <= nowMs &&
@@ -180,6 +180,7 @@
 	return (
 		hasFreshReport &&
 		load < slots &&
+		pool.isAvailable &&
 		isResponsive &&
 		!state.isCold(nowMs) &&
 		availability.isAvailable(nowMs) &&
--- a/packages/gateway/test/hedging/hedge-policy.test.ts
+++ b/packages/gateway/test/hedging/hedge-policy.test.ts
@@ -225,6 +225,9 @@
 	doTest('is cold', (state) => {
 		state.coldUntilMs = nowMs + 1;
 	});
+	doTest('has no connection left for one more request', (state) => {
+		state.pool.acquireNew();
+	});
 	doTest('leaves', (state) => {
 		state.availability.setLeaving();
 	});
