Wake a waiting request that may use the target with a free slot

After an attempt the first waiting request was woken, even if it was a retry that the same target had refused. It could not take the slot there and stayed at the head of the queue, so that each further wake-up for this target went to it, and the others waited for their rechecks, up to 300 ms in a shortage.

The queue now wakes the first request that is eligible for the target of the attempt. The new test fails without the choice by target; 275 tests of choice, capacity, hedging and relay pass with it.

--- a/packages/gateway/src/capacity/priority-wait-queue.ts
+++ b/packages/gateway/src/capacity/priority-wait-queue.ts
@@ -1,6 +1,6 @@
 /** Queues requests that wait for a load report from a target of their service. */
 
-import type {Clock, ServiceName} from '@bilberryscale/core';
+import type {Clock, ServiceName, TargetId} from '@bilberryscale/core';
 import type {ClientAccountName} from '../plan/client-account.js';
 import {RankQueue, type Waiter} from './rank-queue.js';
 
@@ -16,6 +16,8 @@
 	readonly position: number;
 	/** Until when a target could still complete it on time, on the monotonic clock, in milliseconds; its wait ends then. */
 	readonly usefulUntilMs: number;
+	/** Checks whether it may be sent to a target; a retry is not sent to the same one again. */
+	readonly isEligible: (target: TargetId) => boolean;
 };
 
 /** Why a wait ended: the request was woken, the time for a recheck has come, or the request can no longer be on time. */
@@ -101,12 +103,13 @@
 	}
 
 	/**
-	 * Wakes the first request in the queue of a service, if any.
+	 * Wakes the first request in the queue of a service that may be sent to a target, if any.
 	 *
 	 * @param service - The service.
+	 * @param target - The target, which may have a free slot; undefined if it is not known.
 	 */
-	wakeFirst(service: ServiceName): void {
-		this.#getFirst(service)?.wake();
+	wakeFirst(service: ServiceName, target: TargetId | undefined): void {
+		this.#getFirst(service, Number.POSITIVE_INFINITY, target)?.wake();
 	}
 
 	/**
@@ -147,16 +150,18 @@
 		return this.#getFirst(service, rank + 1) !== undefined;
 	}
 
-	/** Gets the first waiting request of the most urgent rank, among the ranks before a given one. */
+	/** Gets the first waiting request of the most urgent rank, among the ranks before a given one and those eligible for a target. */
 	#getFirst(
 		service: ServiceName,
-		beforeRank = Number.POSITIVE_INFINITY,
+		beforeRank: number,
+		target?: TargetId,
 	): Waiter | undefined {
 		let first: Waiter | undefined;
 		let firstRank = beforeRank;
 		for (const [rank, queue] of this.#ranks.get(service) ?? []) {
-			if (rank < firstRank && queue.size > 0) {
-				first = queue.peek();
+			const candidate = rank < firstRank ? queue.peek(target) : undefined;
+			if (candidate !== undefined) {
+				first = candidate;
 				firstRank = rank;
 			}
 		}
--- a/packages/gateway/src/capacity/rank-queue.ts
+++ b/packages/gateway/src/capacity/rank-queue.ts
@@ -1,5 +1,6 @@
 /** The waiting requests of one rank of a service, in fair order of their client accounts. */
 
+import type {TargetId} from '@bilberryscale/core';
 import {StartTags} from '@bilberryscale/decisions';
 import type {ClientAccountName} from '../plan/client-account.js';
 
@@ -13,6 +14,8 @@
 	readonly isReturning: boolean;
 	/** Position among the requests of its account; equal positions are woken in the order of their calls. */
 	readonly position: number;
+	/** Checks whether the request may be sent to a target. */
+	readonly isEligible: (target: TargetId) => boolean;
 	/** Ends the wait. */
 	readonly wake: () => void;
 };
@@ -111,15 +114,24 @@
 	/**
 	 * Gets the request that is woken next.
 	 *
-	 * @returns The first request of the account with the lowest start tag; undefined if none waits.
+	 * @param target - The target to which it must be eligible; undefined for any request.
+	 * @returns The first such request of the account with the lowest start tag; undefined if none waits.
 	 */
-	peek(): Waiter | undefined {
+	peek(target?: TargetId): Waiter | undefined {
 		let first: Waiter | undefined;
 		let lowestTag = Number.POSITIVE_INFINITY;
 		for (const [account, waiters] of this.#waiters) {
 			const tag = this.#tags.get(account);
-			if (tag < lowestTag) {
-				first = waiters[0];
+			if (tag >= lowestTag) {
+				continue;
+			}
+
+			const eligible =
+				target === undefined
+					? waiters[0]
+					: waiters.find((waiter) => waiter.isEligible(target));
+			if (eligible !== undefined) {
+				first = eligible;
 				lowestTag = tag;
 			}
 		}
--- a/packages/gateway/src/choice/target-picker.ts
+++ b/packages/gateway/src/choice/target-picker.ts
@@ -5,6 +5,7 @@
 	DataCentreId,
 	Failure,
 	ServiceName,
+	TargetId,
 } from '@bilberryscale/core';
 import type {Connection} from '@bilberryscale/daemon/edge';
 import {Err, Ok, type Result} from 'ts-results-es';
@@ -191,7 +192,7 @@
 				search.end(undefined);
 				if (lastEnd === 'woken') {
 					// The free slot for which it was woken may suit the next one.
-					this.#waitQueue.wakeFirst(request.service);
+					this.#waitQueue.wakeFirst(request.service, undefined);
 				}
 
 				return Err(
@@ -215,13 +216,14 @@
 	}
 
 	/**
-	 * Lets the first waiting request check the targets again; called after an
-	 * attempt, whose response may have brought a new load report.
+	 * Lets the first waiting request that is eligible for a target check the targets
+	 * again; called after an attempt, whose response may have brought a new load report.
 	 *
 	 * @param service - The service of the target.
+	 * @param target - The target.
 	 */
-	wakeFirstWaiting(service: ServiceName): void {
-		this.#waitQueue.wakeFirst(service);
+	wakeFirstWaiting(service: ServiceName, target: TargetId): void {
+		this.#waitQueue.wakeFirst(service, target);
 	}
 
 	/**
@@ -240,6 +242,7 @@
 			usefulUntilMs: isPrioritized
 				? getLatestStartMs(request)
 				: Number.POSITIVE_INFINITY,
+			isEligible: (target) => isEligible(request, target),
 		};
 	}
 
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -278,7 +278,7 @@
 			picked,
 			progress,
 		);
-		picker.wakeFirstWaiting(request.service);
+		picker.wakeFirstWaiting(request.service, target);
 		if (result.kind === 'answered') {
 			this.#options.returnSchedules.addDeparture(request.service);
 		}
@@ -298,7 +298,7 @@
 	#release(service: ServiceName, {state, connection}: PickedTarget): void {
 		state.addEnd();
 		state.pool.release(connection, false);
-		this.#options.picker.wakeFirstWaiting(service);
+		this.#options.picker.wakeFirstWaiting(service, state.registration.id);
 	}
 
 	/** Sends a request to a picked target and, if hedging is on, perhaps to another one. */
--- a/packages/gateway/test/capacity/burst-model.test.ts
+++ b/packages/gateway/test/capacity/burst-model.test.ts
@@ -94,7 +94,7 @@
 			}
 
 			await report([target]);
-			picker.wakeFirstWaiting(reading);
+			picker.wakeFirstWaiting(reading, state.registration.id);
 			if (hasSlot) {
 				return this.clock.monotonicMs() - receivedAtMs <= targetLatencyMs;
 			}
--- a/packages/gateway/test/capacity/priority-wait-queue.test.ts
+++ b/packages/gateway/test/capacity/priority-wait-queue.test.ts
@@ -5,7 +5,7 @@
  * longer be on time.
  */
 
-import {makeId, ManualClock} from '@bilberryscale/core';
+import {makeId, ManualClock, type TargetId} from '@bilberryscale/core';
 import {describe, it} from '@bilberryscale/testing';
 import * as assert from 'uvu/assert';
 import {
@@ -25,6 +25,7 @@
 		isReturning: false,
 		position: 0,
 		usefulUntilMs: Number.POSITIVE_INFINITY,
+		isEligible: () => true,
 		...changes,
 	};
 }
@@ -46,7 +47,7 @@
 	}
 
 	for (const _name of Object.keys(requests)) {
-		queue.wakeFirst(reading);
+		queue.wakeFirst(reading, undefined);
 		await settle();
 	}
 
@@ -55,6 +56,28 @@
 
 describe('PriorityWaitQueue', () => {
 	describe('wakeFirst', () => {
+		it('wakes the first request that may be sent to the target, not a retry at the head', async () => {
+			const queue = new PriorityWaitQueue({clock: new ManualClock()});
+			const woken: string[] = [];
+			const target = makeId<TargetId>('i-1');
+			const wait = async (name: string, changes: Partial<QueuedRequest>) => {
+				const request = makeRequest(changes);
+				queue.open(request);
+				await queue.wait(request, timeoutMs);
+				woken.push(name);
+			};
+
+			void wait('urgent retry', {rank: 0, isEligible: (id) => id !== target});
+			void wait('retry', {isEligible: (id) => id !== target});
+			void wait('new', {});
+			queue.wakeFirst(reading, target);
+			await settle();
+			assert.equal(woken, ['new']);
+			queue.wakeFirst(reading, makeId<TargetId>('i-2'));
+			await settle();
+			assert.equal(woken, ['new', 'urgent retry']);
+		});
+
 		function doTest(
 			name: string,
 			requests: Readonly<Record<string, Partial<QueuedRequest>>>,
@@ -126,7 +149,7 @@
 			});
 			void queue.wait(makeRequest({rank: 2}), timeoutMs);
 			void queue.wait(makeRequest({rank: 0}), timeoutMs);
-			queue.wakeFirst(reading);
+			queue.wakeFirst(reading, undefined);
 			assert.equal(counts, ['2:1', '0:1', '0:0']);
 		});
 	});
@@ -197,7 +220,7 @@
 				}
 
 				for (let slot = 0; slot < 5; slot++) {
-					queue.wakeFirst(reading);
+					queue.wakeFirst(reading, undefined);
 					await settle();
 				}
 
--- a/packages/gateway/test/choice/data-centre-model.ts
+++ b/packages/gateway/test/choice/data-centre-model.ts
@@ -189,7 +189,8 @@
 		await this.#sleep(endMs - nowMs + roundTripMs / 2);
 		state.addEnd();
 		state.pool.release(connection, true);
-		picker.wakeFirstWaiting(state.registration.service);
+		const {service, id} = state.registration;
+		picker.wakeFirstWaiting(service, id);
 		const latencyMs = this.#clock.monotonicMs() - receivedAtMs;
 		counts.ended++;
 		counts.latencyMs += latencyMs;
--- a/packages/gateway/test/choice/target-picker.test.ts
+++ b/packages/gateway/test/choice/target-picker.test.ts
@@ -102,7 +102,7 @@
 		await new Promise(setImmediate);
 	};
 
-	return {picker, pick, addReport, advance, ends};
+	return {picker, state, pick, addReport, advance, ends};
 }
 
 describe('TargetPicker', () => {
@@ -138,7 +138,7 @@
 
 		it('sends the next request at once if the caller of the woken one has disconnected', async () => {
 			let load = 3 * slots;
-			const {picker, pick, addReport, advance, ends} = makePicker(
+			const {picker, state, pick, addReport, advance, ends} = makePicker(
 				[0, 2],
 				() => load,
 			);
@@ -151,7 +151,7 @@
 			caller.abort();
 			load = 0;
 			addReport();
-			picker.wakeFirstWaiting(reading);
+			picker.wakeFirstWaiting(reading, state.registration.id);
 			await advance(5);
 			assert.equal(ends, ['gone over-capacity 20', 'next sent 20']);
 		});
