Look up the queue limit of full targets once for each search

TargetPicker asked FullTargetBehaviour for each target, which decays and sums all outcomes each time: 0.02 ms for 106 targets and 12 places on this machine, and a search looks at the targets several times. Places were never dropped, so targets that report long queues added entries without bound.

The limit is looked up once for each look at the targets, and places below a weight of 0.01 are dropped. The tests of choice pass; the bound has no test of its own, as the number of places cannot be observed.

--- a/packages/gateway/src/choice/full-target-behaviour.ts
+++ b/packages/gateway/src/choice/full-target-behaviour.ts
@@ -38,6 +38,8 @@
 const minAnsweredRatio = 2;
 /** Outcomes that have decayed below this weight no longer count as seen. */
 const minSeenWeight = 0.2;
+/** Places whose outcomes have decayed below this weight are dropped; targets may report queues of any length. */
+const minKeptWeight = 0.01;
 
 /** Counts the outcomes of requests that were sent to full targets. */
 export class FullTargetBehaviour {
@@ -123,9 +125,12 @@
 		const retained = Math.exp((tallies.decayedAtMs - nowMs) / decayMs);
 		tallies.decayedAtMs = nowMs;
 		tallies.refused *= retained;
-		for (const tally of tallies.byPlace.values()) {
+		for (const [place, tally] of tallies.byPlace) {
 			tally.answered *= retained;
 			tally.hung *= retained;
+			if (tally.answered + tally.hung < minKeptWeight) {
+				tallies.byPlace.delete(place);
+			}
 		}
 	}
 
--- a/packages/gateway/src/choice/target-picker.ts
+++ b/packages/gateway/src/choice/target-picker.ts
@@ -361,13 +361,14 @@
 		const nowMs = clock.monotonicMs();
 		const mayContest =
 			nowMs >= (request.receivedAtMs + getLatestStartMs(request)) / 2;
+		const maxQueued = this.#getMaxQueued(request.service);
 		let best: TargetCandidate | undefined;
 		for (const state of registry.getOpenTargets(request.service)) {
 			const isOnSide =
 				side === 'any' || this.#isNear(state) === (side === 'near');
 			if (
 				!isOnSide ||
-				!this.#isUsable(state, request, nowMs) ||
+				!this.#isUsable(state, request, {nowMs, maxQueued}) ||
 				!capacity.canTake(request, state, mayContest)
 			) {
 				continue;
@@ -389,11 +390,16 @@
 	}
 
 	/**
-	 * Checks whether a target is eligible, has a recent load report and is not avoided.
-	 * A target with a limit needs no report, as it gets no probes, but a part of the limit.
-	 * A cold target must also be idle and gets requests only at intervals.
+	 * Checks whether a target is eligible, has a recent load report, is not avoided
+	 * and holds so few requests that it responds to one more. A target with a limit
+	 * needs no report, as it gets no probes, but a part of the limit. A cold target
+	 * must also be idle and gets requests only at intervals.
 	 */
-	#isUsable(state: TargetState, request: PickRequest, nowMs: number): boolean {
+	#isUsable(
+		state: TargetState,
+		request: PickRequest,
+		{nowMs, maxQueued}: {readonly nowMs: number; readonly maxQueued: number},
+	): boolean {
 		const {limit} = state.availability;
 		const isReady = limit.isInForce
 			? limit.canSend(nowMs)
@@ -401,7 +407,7 @@
 		if (
 			!isReady ||
 			!isEligible(request, state.registration.id) ||
-			this.#mayHang(state, request.service)
+			Math.max(state.load, state.outstanding) >= state.slots + maxQueued
 		) {
 			return false;
 		}
@@ -414,15 +420,12 @@
 		);
 	}
 
-	/** Checks whether a request might find a full queue at a target and get no response. */
-	#mayHang(state: TargetState, service: ServiceName): boolean {
+	/** Gets how many requests beyond its slots a target may hold; with more, it might not respond to them. */
+	#getMaxQueued(service: ServiceName): number {
 		const {fullTargets, hasCapacityManagement} = this.#options;
-		if (!hasCapacityManagement(service)) {
-			return false;
-		}
-
-		const {maxQueued} = fullTargets.get(service);
-		return Math.max(state.load, state.outstanding) >= state.slots + maxQueued;
+		return hasCapacityManagement(service)
+			? fullTargets.get(service).maxQueued
+			: Number.POSITIVE_INFINITY;
 	}
 
 	#getCondition(state: TargetState, nowMs: number): TargetCondition {
