Keep hedges out of slots that urgent requests need

Cause: a hedge of a less urgent request could take a slot that admission by rank leaves free. Change: no hedge is sent for a rank that leaves slots free at the moment. Result: the tests of the hedged dispatcher pass, one of them new.

--- a/packages/gateway/src/context/make-hedged-dispatcher.ts
+++ b/packages/gateway/src/context/make-hedged-dispatcher.ts
@@ -3,6 +3,7 @@
 import type {Clock, DataCentreId, RandomSource} from '@bilberryscale/core';
 import type {CrashSuspects} from '@bilberryscale/decisions';
 import type {AccountCheck} from '../accounts/account-check.js';
+import type {ServiceCapacity} from '../capacity/service-capacity.js';
 import {ShortageDetector} from '../capacity/shortage-detector.js';
 import type {LastSlotFactor} from '../choice/last-slot-factor.js';
 import type {TargetProber} from '../choice/target-prober.js';
@@ -31,6 +32,7 @@
 	readonly hedging: HedgingOptions;
 	readonly clock: Clock;
 	readonly targetRegistry: TargetRegistry;
+	readonly capacity: ServiceCapacity;
 	readonly crashSuspects: CrashSuspects;
 	readonly isShuttingDown: () => boolean;
 	readonly random: RandomSource;
--- a/packages/gateway/src/relay/hedged-dispatcher.ts
+++ b/packages/gateway/src/relay/hedged-dispatcher.ts
@@ -5,6 +5,7 @@
 import {getRequestSignature} from '@bilberryscale/daemon/edge';
 import type {CrashSuspects} from '@bilberryscale/decisions';
 import type {AccountCheck} from '../accounts/account-check.js';
+import type {ServiceCapacity} from '../capacity/service-capacity.js';
 import type {ShortageDetector} from '../capacity/shortage-detector.js';
 import type {PickRequest} from '../choice/pick-request.js';
 import type {PickedTarget} from '../choice/target-picker.js';
@@ -34,6 +35,8 @@
 	readonly makeBudget: () => HedgeBudget;
 	readonly targetPicker: Pick<HedgeTargetPicker, 'pick'>;
 	readonly shortageDetector: ShortageDetector;
+	/** Knows for which priorities slots are left free, which a hedge must not take. */
+	readonly capacity: Pick<ServiceCapacity, 'isShort'>;
 	readonly serviceTimes: ServiceTimes;
 	readonly crashSuspects: CrashSuspects;
 	/** Checks the key of a request again before its second copy is sent. */
@@ -287,12 +290,14 @@
 		request: RoutedRequest,
 		{executions, canTakeRetry}: SendContext,
 	): HedgeObstacle | undefined {
-		const {service, route, exchange} = request;
-		const {clock, shortageDetector, isShuttingDown} = this.#options;
+		const {service, route, exchange, priority} = request;
+		const {clock, shortageDetector, capacity, isShuttingDown} = this.#options;
 		const {crashSuspects, accountCheck} = this.#options;
 		return getHedgeObstacle({
 			isShuttingDown: isShuttingDown(),
-			isShortOfCapacity: shortageDetector.isShort(service),
+			isShortOfCapacity:
+				shortageDetector.isShort(service) ||
+				capacity.isShort(service, priority),
 			isCrashSuspect:
 				!crashSuspects.isEmpty &&
 				crashSuspects.isSuspect(getRequestSignature(exchange)),
--- a/packages/gateway/test/relay/hedged-dispatcher.test.ts
+++ b/packages/gateway/test/relay/hedged-dispatcher.test.ts
@@ -108,6 +108,7 @@
 function makeDispatcher({isIdempotent = true, hasTarget = true} = {}) {
 	const clock = new ManualClock();
 	const quantiles = new RouteQuantiles({clock, makeHistogram});
+	const ranksWithoutSlots = new Set<number>();
 	const shortageDetector = new ShortageDetector({
 		clock,
 		getOpenTargets: () => [],
@@ -142,6 +143,7 @@
 			},
 		},
 		shortageDetector,
+		capacity: {isShort: (_service, rank) => ranksWithoutSlots.has(rank)},
 		serviceTimes,
 		crashSuspects,
 		accountCheck: {recheck: (checked) => Ok(checked)},
@@ -191,6 +193,7 @@
 		request,
 		first,
 		shortageDetector,
+		ranksWithoutSlots,
 		crashSuspects,
 		attempts,
 		obstacles,
@@ -257,6 +260,13 @@
 		},
 		'short-of-capacity',
 	);
+	doTestObstacle(
+		'into slots that are left free for more urgent requests',
+		({ranksWithoutSlots, request}) => {
+			ranksWithoutSlots.add(request.priority);
+		},
+		'short-of-capacity',
+	);
 	doTestObstacle(
 		'of a request that a crash has followed',
 		({crashSuspects, request}) => {
