Explain the shared order of targets and admission in a shortage

ServiceCapacity called the place of a target in the shared order a rank, as it does the priorities of requests, and decideAdmission did not name its rule for a shortage. Comments only; tsc and xo pass.

--- a/packages/gateway/src/capacity/service-capacity.ts
+++ b/packages/gateway/src/capacity/service-capacity.ts
@@ -57,7 +57,7 @@
 /** Difference from the last logged share of the targets that is logged again. */
 const loggedDifference = 0.2;
 const idleReservation: RankReservation = {isActive: false, targetShare: 0};
-/** Number of ranks of targets kept beyond which all are computed again; it exceeds the targets of a large deployment. */
+/** Number of places of targets kept beyond which all are computed again; it exceeds the targets of a large deployment. */
 const maxPlaces = 10_000;
 
 /** Decides for the services with several priorities which slots less urgent requests leave free. */
@@ -256,6 +256,10 @@
 		}
 	}
 
+	/**
+	 * Gets the place of a target in an order that all hosts share, from 0 to 1: the
+	 * targets below the reserved share keep slots free.
+	 */
 	#getPlace(id: TargetId): number {
 		const known = this.#places.get(id);
 		if (known !== undefined) {
--- a/packages/gateway/src/choice/admission.ts
+++ b/packages/gateway/src/choice/admission.ts
@@ -35,10 +35,11 @@
 /**
  * Decides whether to send a request to the best available target.
  *
- * Takes a near-optimal target at once. Otherwise waits if the best target would
- * still be on time after the next check, or if it is too slow now but a
- * near-optimal one could be on time after the next check. If it would miss the
- * latency target, it is taken only if it has a free slot and meets the deadline.
+ * Takes a near-optimal target at once, and in a shortage any free slot that is
+ * on time. Otherwise waits if the best target would still be on time after the
+ * next check, or if it is too slow now but a near-optimal one could be on time
+ * after the next check. If it would miss the latency target, it is taken only if
+ * it has a free slot and meets the deadline.
  *
  * @param context - The request and its best target.
  * @returns Whether to take the target, wait or refuse the request.
