--- a/packages/gateway/src/choice/admission.ts
+++ b/packages/gateway/src/choice/admission.ts
@@ -35,10 +35,11 @@
 /**
  * Decides whether to send a request to the best available target.
  *
- * Takes a near-optimal target at once. Otherwise waits if the best target would
- * still be on time after the next check, or if it is too slow now but a
- * near-optimal one could be on time after the next check. If it would miss the
- * latency target, it is taken only if it has a free slot and meets the deadline.
+ * Takes a near-optimal target at once, and in a shortage any free slot that is
+ * on time. Otherwise waits if the best target would still be on time after the
+ * next check, or if it is too slow now but a near-optimal one could be on time
+ * after the next check. If it would miss the latency target, it is taken only if
+ * it has a free slot and meets the deadline.
  *
  * @param context - The request and its best target.
  * @returns Whether to take the target, wait or refuse the request.
@@ -109,22 +110,12 @@
 	);
 }
 
-/**
- * Gets the time within which a request is planned to be answered.
- *
- * @param targetLatencyMs - The latency target of the route, in milliseconds.
- * @returns The latency target without the safety margin, in milliseconds.
- */
-export function getLatencyBudgetMs(targetLatencyMs: number): number {
+/** Gets the time within which a request is planned to be answered: the latency target without the safety margin. */
+function getLatencyBudgetMs(targetLatencyMs: number): number {
 	return targetLatencyMs * (1 - latencyMargin);
 }
 
-/**
- * Gets the longest latency that counts as near optimal.
- *
- * @param serviceTimeMs - The typical service time of the route, in milliseconds.
- * @returns The latency, in milliseconds.
- */
-export function getNearOptimalLatencyMs(serviceTimeMs: number): number {
+/** Gets the longest latency that counts as near optimal. */
+function getNearOptimalLatencyMs(serviceTimeMs: number): number {
 	return serviceTimeMs * nearOptimalFactor;
 }
--- a/packages/gateway/src/choice/target-picker.ts
+++ b/packages/gateway/src/choice/target-picker.ts
@@ -1,16 +1,15 @@
 /** Picks the target for a request by probing several targets just before it is sent. */
 
-import {
-	notRunFailure,
-	type Clock,
-	type DataCentreId,
-	type Failure,
-	type ServiceName,
+import type {
+	Clock,
+	DataCentreId,
+	Failure,
+	ServiceName,
+	TargetId,
 } from '@bilberryscale/core';
 import type {Connection} from '@bilberryscale/daemon/edge';
 import {Err, Ok, type Result} from 'ts-results-es';
 import type {GatewayMetrics} from '../records/gateway-metrics.js';
-import type {TargetRegistry} from '../targets/target-registry.js';
 import type {TargetState} from '../targets/target-state.js';
 import {
 	PriorityWaitQueue,
@@ -23,14 +22,17 @@
 	getLatestStartMs,
 	type AdmissionDecision,
 } from './admission.js';
+import {describeRefusal, type RefusalSources} from './describe-refusal.js';
 import {
 	getCostMs,
 	getExpectedLatencyMs,
+	type TargetCandidate,
 	type TargetCondition,
 	type RequestProfile,
 } from './target-cost.js';
 import type {FullTargetBehaviour} from './full-target-behaviour.js';
 import type {LastSlotFactor} from './last-slot-factor.js';
+import {maxIdleMs, maxReportAgeMs} from './pick-limits.js';
 import {isEligible, type PickRequest} from './pick-request.js';
 import {
 	TargetSearch,
@@ -41,14 +43,7 @@
 /** The dependencies of a picker. */
 export type TargetPickerOptions = TargetSearchOptions & {
 	readonly clock: Clock;
-	readonly registry: Pick<
-		TargetRegistry,
-		| 'getLimitWaitMs'
-		| 'getOpenTargets'
-		| 'getPauseMs'
-		| 'isOutOfReach'
-		| 'pathMonitor'
-	>;
+	readonly registry: RefusalSources['registry'];
 	readonly capacity: Pick<
 		ServiceCapacity,
 		'addRequest' | 'canTake' | 'isPrioritized' | 'isShort'
@@ -77,14 +72,6 @@
 	readonly waitedMs: number;
 };
 
-type Candidate = {
-	readonly state: TargetState;
-	readonly costMs: number;
-	readonly expectedMs: number;
-};
-
-/** Maximum age of a load report that a pick may rely on, in milliseconds. */
-const maxReportAgeMs = 15;
 /** Maximum number of preceding requests that a request lets check the targets before it takes one. */
 const maxWokenPreceding = 4;
 /** Time for preceding requests to take a target, in milliseconds. */
@@ -97,8 +84,6 @@
 const shortReprobeIntervalMs = 300;
 /** Minimum time between two requests of this host to a cold target, in milliseconds. */
 const coldSendIntervalMs = 1000;
-/** Maximum idle time of a reused connection, in milliseconds; shorter for requests that cannot be repeated if it is lost. */
-const maxIdleMs = {idempotent: 5000, nonIdempotent: 150};
 
 /** Probes targets and picks the one with the lowest cost. */
 export class TargetPicker {
@@ -174,7 +159,11 @@
 				continue;
 			}
 
-			if (decision === 'take' && best !== undefined) {
+			if (
+				decision === 'take' &&
+				best !== undefined &&
+				!request.signal.aborted
+			) {
 				const connection = this.#acquireConnection(best.state, request);
 				if (connection !== undefined) {
 					const {state, expectedMs} = best;
@@ -201,9 +190,17 @@
 				this.#isUnservable(request, best)
 			) {
 				search.end(undefined);
-				const isLate = lastEnd === 'late';
+				if (lastEnd === 'woken') {
+					// The free slot for which it was woken may suit the next one.
+					this.#waitQueue.wakeFirst(request.service, undefined);
+				}
+
 				return Err(
-					this.#describeRefusal(request, best, search.probedCount, isLate),
+					describeRefusal(this.#options, request, {
+						best,
+						probedCount: search.probedCount,
+						isLate: lastEnd === 'late',
+					}),
 				);
 			}
 
@@ -219,13 +216,14 @@
 	}
 
 	/**
-	 * Lets the first waiting request check the targets again; called after an
-	 * attempt, whose response may have brought a new load report.
+	 * Lets the first waiting request that is eligible for a target check the targets
+	 * again; called after an attempt, whose response may have brought a new load report.
 	 *
 	 * @param service - The service of the target.
+	 * @param target - The target.
 	 */
-	wakeFirstWaiting(service: ServiceName): void {
-		this.#waitQueue.wakeFirst(service);
+	wakeFirstWaiting(service: ServiceName, target: TargetId): void {
+		this.#waitQueue.wakeFirst(service, target);
 	}
 
 	/**
@@ -244,6 +242,7 @@
 			usefulUntilMs: isPrioritized
 				? getLatestStartMs(request)
 				: Number.POSITIVE_INFINITY,
+			isEligible: (target) => isEligible(request, target),
 		};
 	}
 
@@ -276,7 +275,7 @@
 
 	#decideAdmission(
 		request: PickRequest,
-		best: Candidate | undefined,
+		best: TargetCandidate | undefined,
 	): AdmissionDecision {
 		const {receivedAtMs, deadlineMs, targetLatencyMs, serviceTimeMs} = request;
 		const {clock, capacity} = this.#options;
@@ -305,7 +304,10 @@
 	 * reaches no target and another one may, or no open target is eligible.
 	 * A target with a limit is not if its next request would be late.
 	 */
-	#isUnservable(request: PickRequest, best: Candidate | undefined): boolean {
+	#isUnservable(
+		request: PickRequest,
+		best: TargetCandidate | undefined,
+	): boolean {
 		const {registry, clock} = this.#options;
 		const {service, receivedAtMs, targetLatencyMs, serviceTimeMs} = request;
 		if (
@@ -354,18 +356,19 @@
 	#findBest(
 		request: PickRequest,
 		side: TargetSide = 'any',
-	): Candidate | undefined {
+	): TargetCandidate | undefined {
 		const {registry, clock, capacity} = this.#options;
 		const nowMs = clock.monotonicMs();
 		const mayContest =
 			nowMs >= (request.receivedAtMs + getLatestStartMs(request)) / 2;
-		let best: Candidate | undefined;
+		const maxQueued = this.#getMaxQueued(request.service);
+		let best: TargetCandidate | undefined;
 		for (const state of registry.getOpenTargets(request.service)) {
 			const isOnSide =
 				side === 'any' || this.#isNear(state) === (side === 'near');
 			if (
 				!isOnSide ||
-				!this.#isUsable(state, request, nowMs) ||
+				!this.#isUsable(state, request, {nowMs, maxQueued}) ||
 				!capacity.canTake(request, state, mayContest)
 			) {
 				continue;
@@ -387,11 +390,16 @@
 	}
 
 	/**
-	 * Checks whether a target is eligible, has a recent load report and is not avoided.
-	 * A target with a limit needs no report, as it gets no probes, but a part of the limit.
-	 * A cold target must also be idle and gets requests only at intervals.
+	 * Checks whether a target is eligible, has a recent load report, is not avoided
+	 * and holds so few requests that it responds to one more. A target with a limit
+	 * needs no report, as it gets no probes, but a part of the limit. A cold target
+	 * must also be idle and gets requests only at intervals.
 	 */
-	#isUsable(state: TargetState, request: PickRequest, nowMs: number): boolean {
+	#isUsable(
+		state: TargetState,
+		request: PickRequest,
+		{nowMs, maxQueued}: {readonly nowMs: number; readonly maxQueued: number},
+	): boolean {
 		const {limit} = state.availability;
 		const isReady = limit.isInForce
 			? limit.canSend(nowMs)
@@ -399,7 +407,7 @@
 		if (
 			!isReady ||
 			!isEligible(request, state.registration.id) ||
-			this.#mayHang(state, request.service)
+			Math.max(state.load, state.outstanding) >= state.slots + maxQueued
 		) {
 			return false;
 		}
@@ -412,15 +420,12 @@
 		);
 	}
 
-	/** Checks whether a request might find a full queue at a target and get no response. */
-	#mayHang(state: TargetState, service: ServiceName): boolean {
+	/** Gets how many requests beyond its slots a target may hold; with more, it might not respond to them. */
+	#getMaxQueued(service: ServiceName): number {
 		const {fullTargets, hasCapacityManagement} = this.#options;
-		if (!hasCapacityManagement(service)) {
-			return false;
-		}
-
-		const {maxQueued} = fullTargets.get(service);
-		return Math.max(state.load, state.outstanding) >= state.slots + maxQueued;
+		return hasCapacityManagement(service)
+			? fullTargets.get(service).maxQueued
+			: Number.POSITIVE_INFINITY;
 	}
 
 	#getCondition(state: TargetState, nowMs: number): TargetCondition {
@@ -449,53 +454,6 @@
 		const lastSlotFactor = this.#options.lastSlotFactor.get(service, slots);
 		return {serviceTimeMs, lastSlotFactor, isIdempotent};
 	}
-
-	#describeRefusal(
-		{service, priority}: PickRequest,
-		best: Candidate | undefined,
-		probedCount: number,
-		isLate: boolean,
-	): Failure {
-		const {registry, clock, capacity} = this.#options;
-		const openCount = registry.getOpenTargets(service).length;
-		const pauseMs = registry.getPauseMs(service);
-		if (openCount === 0 && pauseMs !== undefined) {
-			return notRunFailure(
-				'no-target',
-				`All targets of "${service}" have paused; the first accepts requests in ${Math.ceil(pauseMs)} ms.`,
-				pauseMs,
-			);
-		}
-
-		const limitWaitMs = registry.getLimitWaitMs(service);
-		if (limitWaitMs !== undefined) {
-			return notRunFailure(
-				'over-capacity',
-				`All ${openCount} open targets of "${service}" have named limits, which this host has used up.`,
-				limitWaitMs,
-			);
-		}
-
-		const isFull =
-			(isLate && !registry.isOutOfReach(service)) ||
-			capacity.isShort(service, priority);
-		if (best === undefined && isFull) {
-			return notRunFailure(
-				'over-capacity',
-				`No slot of ${openCount} open targets of "${service}" became free in time for priority ${priority}.`,
-			);
-		}
-
-		return best === undefined
-			? notRunFailure(
-					'no-target',
-					`None of ${openCount} open targets of "${service}" may take the request; ${probedCount} were asked, and the last response of any target came ${Math.round(clock.monotonicMs() - registry.pathMonitor.lastContactAtMs)} ms ago.`,
-				)
-			: notRunFailure(
-					'over-capacity',
-					`The best of ${openCount} open targets of "${service}" holds ${best.state.load} requests and would take ${Math.round(best.expectedMs)} ms.`,
-				);
-	}
 }
 
 function getReportAgeMs({report}: TargetState, nowMs: number): number {
--- a/packages/gateway/src/hedging/hedge-policy.ts
+++ b/packages/gateway/src/hedging/hedge-policy.ts
@@ -1,5 +1,6 @@
 /** Decides when an idempotent request is sent to a second target, and to which. */
 
+import {maxReportAgeMs} from '../choice/pick-limits.js';
 import type {RouteName} from '../plan/routing-plan.js';
 import type {TargetState} from '../targets/target-state.js';
 import type {RouteQuantiles} from './route-quantiles.js';
@@ -55,8 +56,6 @@
 const minQuantile = 0.9;
 /** Above this share the few times beyond it say little. */
 const maxQuantile = 0.99;
-/** Maximum age of the load report of a target that gets a hedge, in milliseconds; as for other picks. */
-const maxReportAgeMs = 15;
 
 /** Decides by the distribution of the service times of each route. */
 export class HedgePolicy {
@@ -163,15 +162,15 @@
 }
 
 /**
- * Checks whether a target may get a hedge: it has just reported a free slot and is
- * neither cold, leaving, paused, limited, avoided nor hanging.
+ * Checks whether a target may get a hedge: it has just reported a free slot, a
+ * connection to it is available, and it is neither cold, leaving, paused, limited, avoided nor hanging.
  *
  * @param state - The target.
  * @param nowMs - The monotonic time in milliseconds.
  * @returns Whether it may.
  */
 export function isSuitableForHedge(state: TargetState, nowMs: number): boolean {
-	const {availability, report, health, load, slots} = state;
+	const {availability, report, health, load, slots, pool} = state;
 	const isResponsive =
 		!state.isOutOfReach &&
 		state.avoidUntilMs <= nowMs &&
@@ -181,6 +180,7 @@
 	return (
 		hasFreshReport &&
 		load < slots &&
+		pool.isAvailable &&
 		isResponsive &&
 		!state.isCold(nowMs) &&
 		availability.isAvailable(nowMs) &&
