Keep a token request open when tokens of a skipped host arrive late

Cause: tokens that arrived after their host was skipped were handled as the decision of the token request to the next host. The account then had two token requests at once, and a waiting request for which no token had been asked was refused by the answer to the other one. Requests beyond those asked for were also asked for anew while the lease still had tokens.

Change: late tokens only go to the lease and to waiting requests, oldest first. The gate counts for how many waiting requests the open token request is and refuses no others. The spacing of return times now starts at the first refused request instead of the first waiting one, since the owner's return time is already that of the next token.

--- a/packages/gateway/src/accounts/allotment-gate.ts
+++ b/packages/gateway/src/accounts/allotment-gate.ts
@@ -57,8 +57,12 @@
 type AccountState = {
 	readonly lease: TokenLease;
 	readonly isolated: IsolatedAllotment;
+	/** Resolves the requests that wait for a token, oldest first. */
 	readonly waiting: Array<(decision: AllotmentDecision) => void>;
+	/** Whether a token request is on its way or about to be sent. */
 	isAsking: boolean;
+	/** How many of the oldest waiting requests that token request is for. */
+	askedCount: number;
 	/** When the latest refusal was, on the monotonic clock. */
 	refusedAtMs: number;
 	/** The host that granted the latest tokens. */
@@ -319,6 +323,7 @@
 			isolated: new IsolatedAllotment(clock, random),
 			waiting: [],
 			isAsking: false,
+			askedCount: 0,
 			refusedAtMs: Number.NEGATIVE_INFINITY,
 			grantor: undefined,
 		};
@@ -336,6 +341,7 @@
 		this.#exchange.whenReady(() => {
 			const {ratePerSecond, burst} = account;
 			const needed = state.waiting.length;
+			state.askedCount = needed;
 			const leadCount = state.lease.getLeadCount(
 				this.#options.clock.monotonicMs(),
 			);
@@ -346,53 +352,92 @@
 					needed,
 					wanted: needed + leadCount,
 				},
-				(decision) => {
-					this.#applyDecision(account, state, needed, decision);
+				{
+					onDecision: (decision) => {
+						this.#applyDecision(account, state, decision);
+					},
+					onLateTokens: (decision) => {
+						this.#addTokens(state, decision);
+					},
 				},
 			);
 		});
 	}
 
+	/** Ends a token request: the requests that it was for and that got no token are refused. */
 	#applyDecision(
 		account: ClientAccount,
 		state: AccountState,
-		needed: number,
 		decision: TokenDecision,
 	): void {
-		const {granted, expiresAtMs, retryAfterMs, decidedBy} = decision;
-		const nowMs = this.#options.clock.monotonicMs();
+		this.#addTokens(state, decision);
 		state.isAsking = false;
+		const unserved = state.waiting.splice(0, state.askedCount);
+		state.askedCount = 0;
+		for (const [index, resolve] of unserved.entries()) {
+			resolve(this.#decideWithoutToken(account, state, decision, index));
+		}
+
+		if (state.waiting.length > 0) {
+			this.#ask(account, state);
+		}
+	}
+
+	/** Adds granted tokens to the lease and serves waiting requests from it, oldest first. */
+	#addTokens(
+		state: AccountState,
+		{granted, expiresAtMs, decidedBy}: TokenDecision,
+	): void {
+		const nowMs = this.#options.clock.monotonicMs();
 		state.lease.add(granted, expiresAtMs);
 		if (granted > 0) {
 			state.grantor = decidedBy;
 		}
 
-		for (const [index, resolve] of state.waiting.splice(0, needed).entries()) {
-			const tokenExpiresAtMs =
-				state.lease.take(nowMs) ??
-				(decidedBy === undefined
-					? this.#takeIsolated(account, state)
-					: undefined);
+		while (state.waiting.length > 0) {
+			const tokenExpiresAtMs = state.lease.take(nowMs);
 			if (tokenExpiresAtMs === undefined) {
-				state.refusedAtMs = nowMs;
-				const spacingMs =
-					(index * msPerSecond) / Math.max(1, account.ratePerSecond);
-				resolve({
-					isGranted: false,
-					retryAfterMs:
-						decidedBy === undefined
-							? isolatedRetryMs
-							: Math.min(msPerSecond, retryAfterMs + spacingMs),
-					decidedBy,
-				});
-			} else {
-				resolve({isGranted: true, expiresAtMs: tokenExpiresAtMs});
+				return;
 			}
+
+			state.askedCount = Math.max(0, state.askedCount - 1);
+			state.waiting.shift()!({isGranted: true, expiresAtMs: tokenExpiresAtMs});
 		}
+	}
 
-		if (state.waiting.length > 0) {
-			this.#ask(account, state);
+	/**
+	 * Decides on a request that got no token.
+	 *
+	 * @param account - Its client account.
+	 * @param state - The state of the account.
+	 * @param decision - The decision on the token request.
+	 * @param position - How many requests without a token are before it.
+	 * @returns A refusal, or the permission by this host's own part if no owner has answered.
+	 */
+	#decideWithoutToken(
+		account: ClientAccount,
+		state: AccountState,
+		{retryAfterMs, decidedBy}: TokenDecision,
+		position: number,
+	): AllotmentDecision {
+		if (decidedBy === undefined) {
+			const expiresAtMs = this.#takeIsolated(account, state);
+			if (expiresAtMs !== undefined) {
+				return {isGranted: true, expiresAtMs};
+			}
 		}
+
+		state.refusedAtMs = this.#options.clock.monotonicMs();
+		const spacingMs =
+			(position * msPerSecond) / Math.max(1, account.ratePerSecond);
+		return {
+			isGranted: false,
+			retryAfterMs:
+				decidedBy === undefined
+					? isolatedRetryMs
+					: Math.min(msPerSecond, retryAfterMs + spacingMs),
+			decidedBy,
+		};
 	}
 
 	/** Takes a token from this host's own part, as no owner has answered. */
--- a/packages/gateway/src/accounts/token-asker.ts
+++ b/packages/gateway/src/accounts/token-asker.ts
@@ -40,14 +40,22 @@
 	readonly decidedBy: string | undefined;
 };
 
+/** What is called with the outcome of a token request. */
+export type TokenReceiver = {
+	/** Called once with the decision. */
+	readonly onDecision: (decision: TokenDecision) => void;
+	/** Called with tokens that arrive after another host was asked; they decide nothing about the request to that host. */
+	readonly onLateTokens: (decision: TokenDecision) => void;
+};
+
 type PendingRequest = {
 	readonly need: TokenNeed;
 	readonly address: string;
 	readonly sentAtMs: number;
-	/** Called with the decision; also with tokens that arrive after another host was asked. */
-	readonly onDecision: (decision: TokenDecision) => void;
+	readonly receiver: TokenReceiver;
 	readonly progress: Progress;
-	hasEnded: boolean;
+	/** Whether the host was skipped because it had not replied in time. */
+	isSkipped: boolean;
 };
 
 type Progress = {
@@ -91,10 +99,10 @@
 	 * Asks for tokens.
 	 *
 	 * @param need - The account and the number of tokens.
-	 * @param onDecision - Called with the decision; later again if tokens arrive late.
+	 * @param receiver - What is called with the outcome.
 	 */
-	ask(need: TokenNeed, onDecision: (decision: TokenDecision) => void): void {
-		this.#askNext(need, onDecision, {
+	ask(need: TokenNeed, receiver: TokenReceiver): void {
+		this.#askNext(need, receiver, {
 			skipped: new Set(),
 			askedCount: 0,
 			unansweredCount: 0,
@@ -115,11 +123,7 @@
 		}
 	}
 
-	#askNext(
-		need: TokenNeed,
-		onDecision: PendingRequest['onDecision'],
-		progress: Progress,
-	): void {
+	#askNext(need: TokenNeed, receiver: TokenReceiver, progress: Progress): void {
 		const {ranking, contacts} = this.#options;
 		for (const address of ranking.getRanked(need.account)) {
 			if (contacts.isSilent(address)) {
@@ -128,24 +132,24 @@
 			}
 
 			if (!progress.skipped.has(address)) {
-				this.#askHost(address, need, onDecision, progress);
+				this.#askHost(address, need, receiver, progress);
 				return;
 			}
 		}
 
-		onDecision(noDecision);
+		receiver.onDecision(noDecision);
 	}
 
 	#askHost(
 		address: string,
 		need: TokenNeed,
-		onDecision: PendingRequest['onDecision'],
+		receiver: TokenReceiver,
 		progress: Progress,
 	): void {
 		const {clock, self, send, answerLocally} = this.#options;
 		progress.askedCount++;
 		if (progress.askedCount > maxAskedHosts) {
-			onDecision(noDecision);
+			receiver.onDecision(noDecision);
 			return;
 		}
 
@@ -160,9 +164,9 @@
 			need,
 			address,
 			sentAtMs: clock.monotonicMs(),
-			onDecision,
+			receiver,
 			progress,
-			hasEnded: false,
+			isSkipped: false,
 		};
 		if (address === self) {
 			this.#handleReply(pending, answerLocally(request));
@@ -204,8 +208,8 @@
 
 	#skipHost({ask}: TokenRequest, pending: PendingRequest): void {
 		const {clock, contacts} = this.#options;
-		const {address, sentAtMs, need, onDecision, progress} = pending;
-		pending.hasEnded = true;
+		const {address, sentAtMs, need, receiver, progress} = pending;
+		pending.isSkipped = true;
 		clock.schedule(lateReplyMs, () => {
 			this.#pending.delete(ask);
 		});
@@ -214,39 +218,42 @@
 		progress.skipped.add(address);
 		progress.unansweredCount++;
 		if (progress.unansweredCount < maxUnansweredHosts) {
-			this.#askNext(need, onDecision, progress);
+			this.#askNext(need, receiver, progress);
 		} else {
-			onDecision(noDecision);
+			receiver.onDecision(noDecision);
 		}
 	}
 
 	#handleReply(pending: PendingRequest, reply: TokenReply): void {
 		const {contacts, directory, self} = this.#options;
-		const {address, sentAtMs, need, onDecision, progress} = pending;
+		const {address, sentAtMs, need, receiver, progress} = pending;
 		const {granted, validMs, retryAfterMs, owner} = reply;
 		if (owner === undefined) {
-			if (!pending.hasEnded || granted > 0) {
-				onDecision({
-					granted,
-					expiresAtMs: sentAtMs + validMs,
-					retryAfterMs,
-					decidedBy: address,
-				});
+			const decision: TokenDecision = {
+				granted,
+				expiresAtMs: sentAtMs + validMs,
+				retryAfterMs,
+				decidedBy: address,
+			};
+			if (!pending.isSkipped) {
+				receiver.onDecision(decision);
+			} else if (granted > 0) {
+				receiver.onLateTokens(decision);
 			}
 
 			return;
 		}
 
 		directory.add(owner);
-		if (pending.hasEnded) {
+		if (pending.isSkipped) {
 			return;
 		}
 
 		if (owner !== self && contacts.isSilent(owner)) {
 			progress.skipped.add(owner);
-			this.#askHost(address, need, onDecision, progress);
+			this.#askHost(address, need, receiver, progress);
 		} else {
-			this.#askHost(owner, need, onDecision, progress);
+			this.#askHost(owner, need, receiver, progress);
 		}
 	}
 }
