Send no host list requests before the start or after the end

Cause: the first host list that a host received started the timer of the next request, also before start() and after stop(). A reply to the previous run of a host so made a host without rate limits send requests, and a later start() added a second chain of timers. After stop() the timer was never removed.

Change: a received list moves the schedule only between start and stop; its hosts are added in any case.

--- a/packages/gateway/src/accounts/host-list-exchange.ts
+++ b/packages/gateway/src/accounts/host-list-exchange.ts
@@ -31,7 +31,7 @@
 export class HostListExchange {
 	readonly #options: HostListExchangeOptions;
 	#requestCount = 0;
-	#isStarted = false;
+	#phase: 'new' | 'running' | 'stopped' = 'new';
 	#isReady = false;
 	#hasList = false;
 	readonly #waiting: Array<() => void> = [];
@@ -46,11 +46,11 @@
 
 	/** Starts the requests; further calls have no effect. */
 	start(): void {
-		if (this.#isStarted) {
+		if (this.#phase !== 'new') {
 			return;
 		}
 
-		this.#isStarted = true;
+		this.#phase = 'running';
 		this.#options.clock.schedule(maxFirstListMs, () => {
 			this.#endWait();
 		});
@@ -59,6 +59,7 @@
 
 	/** Stops the requests. */
 	stop(): void {
+		this.#phase = 'stopped';
 		this.#cancel();
 	}
 
@@ -94,7 +95,7 @@
 	}
 
 	/**
-	 * Adds the hosts of a reply.
+	 * Adds the hosts of a reply. Before the start, a reply can only be one to the previous run of this host.
 	 *
 	 * @param reply - The reply.
 	 */
@@ -103,7 +104,7 @@
 			this.#options.directory.add(address, ageSeconds);
 		}
 
-		if (!this.#hasList) {
+		if (!this.#hasList && this.#phase === 'running') {
 			this.#hasList = true;
 			this.#requestCount = Math.max(this.#requestCount, firstPausesMs.length);
 			this.#cancel();
