Forget silent hosts that were not asked for five minutes

Cause: a host counted as silent until it answered. Hosts that were removed for good, for example when hosts are replaced by others with new addresses, stayed in the map forever. From three of them on, owners took the fleet for partitioned and reduced the limit of mid-sized accounts by an estimate of the reached hosts.

Change: a silence is dropped five minutes after its last unanswered message, the time after which the list of hosts drops an address, too.

--- a/packages/gateway/src/accounts/host-contacts.ts
+++ b/packages/gateway/src/accounts/host-contacts.ts
@@ -26,6 +26,11 @@
 const checkTimeoutMs = 100;
 /** Silence counts only while messages of the last few checks are unanswered, in milliseconds. */
 const maxEvidenceAgeMs = 3000;
+/**
+ * How long a silent host is remembered after the last unanswered message, in milliseconds. Hosts that were removed for
+ * good would otherwise count as silent forever, which looks like a partition. The list of hosts has the same memory.
+ */
+const silenceMemoryMs = 300_000;
 
 /**
  * Tells silent hosts from others by messages that this host has sent itself. Membership is no evidence here: gossip
@@ -45,6 +50,7 @@
 
 	/** Gets how many hosts count as silent. */
 	get silentCount(): number {
+		this.#forgetOldSilences();
 		return this.#silences.size;
 	}
 
@@ -94,6 +100,7 @@
 	recordMissed(address: string, sentAtMs: number): void {
 		const silence = this.#silences.get(address);
 		if (silence === undefined) {
+			this.#forgetOldSilences();
 			this.#silences.set(address, {
 				sinceMs: sentAtMs,
 				lastMissedAtMs: sentAtMs,
@@ -135,4 +142,14 @@
 		this.#silences.clear();
 		this.#checkedAtMs.clear();
 	}
+
+	#forgetOldSilences(): void {
+		const nowMs = this.#options.clock.monotonicMs();
+		for (const [address, {lastMissedAtMs}] of this.#silences) {
+			if (nowMs - lastMissedAtMs > silenceMemoryMs) {
+				this.#silences.delete(address);
+				this.#checkedAtMs.delete(address);
+			}
+		}
+	}
 }
