Keep the new token when the timer of the former one runs late

Cause: a permit whose token had expired took another one without removing the timer that gives the former one back. On a host that was paused for a moment, that timer could run afterwards and drop the new token, which was then lost for the account if the request had not run.

Change: the timer is removed before another token is taken.

Measured: the new test fails before the change (one token returned too early by the late timer) and passes after it.

--- a/packages/gateway/src/accounts/allotment-permit.ts
+++ b/packages/gateway/src/accounts/allotment-permit.ts
@@ -70,6 +70,8 @@
 	async hold(): Promise<Failure | undefined> {
 		await this.#pending;
 		if (!this.#isUsed && !this.#isValid) {
+			// The timer of the former token may run late and would then drop the new one.
+			this.#cancelReturn();
 			this.#pending = this.#take();
 			await this.#pending;
 		}
--- a/packages/gateway/test/accounts/allotment-permit.test.ts
+++ b/packages/gateway/test/accounts/allotment-permit.test.ts
@@ -1,4 +1,4 @@
-import {ManualClock} from '@bilberryscale/core';
+import {ManualClock, type CancelFunction} from '@bilberryscale/core';
 import {describe, it} from '@bilberryscale/testing';
 import {Err, Ok} from 'ts-results-es';
 import * as assert from 'uvu/assert';
@@ -10,9 +10,15 @@
 
 const validMs = 300;
 
+/** A clock whose timers run late, as on a host that was paused for a moment. */
+class LateClock extends ManualClock {
+	override schedule(delayMs: number, action: () => void): CancelFunction {
+		return super.schedule(delayMs + validMs, action);
+	}
+}
+
 /** A gate that grants as many tokens as it has, and counts those that it gets back. */
-function makePermit(tokenCount: number) {
-	const clock = new ManualClock();
+function makePermit(tokenCount: number, clock = new ManualClock()) {
 	const counts = {left: tokenCount, returned: 0};
 	const permit = new AllotmentPermit({
 		clock,
@@ -59,6 +65,19 @@
 			assert.equal(counts, {left: 0, returned: 1});
 		});
 
+		it('keeps the second token when the timer of the first one runs late', async () => {
+			// Guards against a token that is lost for the account, as the timer of an expired one drops it.
+			const {clock, counts, permit} = makePermit(2, new LateClock());
+			await settle();
+			clock.advance(validMs + 1);
+			assert.is(await permit.hold(), undefined);
+			clock.advance(validMs * 0.8);
+			assert.equal(counts, {left: 0, returned: 0});
+			permit.giveBack();
+			await settle();
+			assert.equal(counts, {left: 0, returned: 1});
+		});
+
 		it('tells when to return after a refusal', async () => {
 			const {permit} = makePermit(0);
 			const refusal = await permit.hold();
