Name token requests and higher-ranked hosts by the usual terms

Cause: "ask" was the name of a class, of two methods and of the number of a request, and "better" meant a higher rank, which a newcomer has to guess.

Change: TokenAsker is TokenRequester, the field `ask` is `requestNumber`, getBetter is getHigherRanked. Parameters on the wire are positional and stay as they are.

--- a/packages/gateway/src/accounts/allotment-gate.ts
+++ b/packages/gateway/src/accounts/allotment-gate.ts
@@ -19,7 +19,7 @@
 import {IsolatedAllotment} from './isolated-allotment.js';
 import {OwnerRanking} from './owner-ranking.js';
 import {PauseDetector} from './pause-detector.js';
-import {TokenAsker, type TokenDecision} from './token-asker.js';
+import {TokenRequester, type TokenDecision} from './token-requester.js';
 import {TokenLease} from './token-lease.js';
 
 /** This host, how it reaches the others and the bound. */
@@ -90,7 +90,7 @@
 	readonly #exchange: HostListExchange;
 	readonly #pauses: PauseDetector;
 	readonly #owner: AllotmentOwner;
-	readonly #asker: TokenAsker;
+	readonly #requester: TokenRequester;
 	readonly #accounts = new Map<ClientAccountName, AccountState>();
 	#planVersion = 0;
 
@@ -136,7 +136,7 @@
 			getReachShare: () => this.#reach.getShare(),
 			getPeerCount: () => getHosts().length,
 		});
-		this.#asker = new TokenAsker({
+		this.#requester = new TokenRequester({
 			...options,
 			ranking,
 			contacts,
@@ -281,7 +281,7 @@
 			}
 
 			case 'token-reply': {
-				this.#asker.receive(message, sender);
+				this.#requester.receive(message, sender);
 				break;
 			}
 
@@ -345,7 +345,7 @@
 			const leadCount = state.lease.getLeadCount(
 				this.#options.clock.monotonicMs(),
 			);
-			this.#asker.ask(
+			this.#requester.request(
 				{
 					account: account.name,
 					limit: {planVersion: this.#planVersion, ratePerSecond, burst},
--- a/packages/gateway/src/accounts/allotment-message.ts
+++ b/packages/gateway/src/accounts/allotment-message.ts
@@ -9,7 +9,7 @@
 export type TokenRequest = {
 	readonly method: 'token-request';
 	/** Identifies the request at its sender; the same if it is sent again. */
-	readonly ask: number;
+	readonly requestNumber: number;
 	readonly account: ClientAccountName;
 	/** How many requests wait for a token. */
 	readonly needed: number;
@@ -24,7 +24,7 @@
 /** Answers a token request. */
 export type TokenReply = {
 	readonly method: 'token-reply';
-	readonly ask: number;
+	readonly requestNumber: number;
 	/** The number of tokens; 0 for a refusal or a redirect. */
 	readonly granted: number;
 	/** How long the tokens may be used, counted from when the request was sent, in milliseconds. */
@@ -109,10 +109,10 @@
 ): readonly unknown[] {
 	switch (message.method) {
 		case 'token-request': {
-			const {ask, account, needed, wanted, limit, skipped} = message;
+			const {requestNumber, account, needed, wanted, limit, skipped} = message;
 			const {planVersion, ratePerSecond, burst} = limit;
 			return [
-				ask,
+				requestNumber,
 				account,
 				needed,
 				wanted,
@@ -124,9 +124,14 @@
 		}
 
 		case 'token-reply': {
-			const {ask, granted, validMs, retryAfterMs, owner} = message;
+			const {requestNumber, granted, validMs, retryAfterMs, owner} = message;
 			const times = [Math.floor(validMs), Math.ceil(retryAfterMs)];
-			return [ask, granted, ...times, ...(owner === undefined ? [] : [owner])];
+			return [
+				requestNumber,
+				granted,
+				...times,
+				...(owner === undefined ? [] : [owner]),
+			];
 		}
 
 		case 'token-return': {
@@ -196,7 +201,7 @@
 }
 
 function decodeTokenRequest([
-	ask,
+	requestNumber,
 	account,
 	needed,
 	wanted,
@@ -206,7 +211,7 @@
 	...skipped
 ]: readonly unknown[]): TokenRequest | undefined {
 	const isValid =
-		isAmount(ask) &&
+		isAmount(requestNumber) &&
 		typeof account === 'string' &&
 		isTokenCount(needed) &&
 		isTokenCount(wanted) &&
@@ -217,7 +222,7 @@
 	return isValid
 		? {
 				method: 'token-request',
-				ask,
+				requestNumber,
 				account: makeId<ClientAccountName>(account),
 				needed,
 				wanted: Math.max(needed, wanted),
@@ -228,20 +233,27 @@
 }
 
 function decodeTokenReply([
-	ask,
+	requestNumber,
 	granted,
 	validMs,
 	retryAfterMs,
 	owner,
 ]: readonly unknown[]): TokenReply | undefined {
 	const isValid =
-		isAmount(ask) &&
+		isAmount(requestNumber) &&
 		isTokenCount(granted) &&
 		isAmount(validMs) &&
 		isAmount(retryAfterMs) &&
 		(owner === undefined || typeof owner === 'string');
 	return isValid
-		? {method: 'token-reply', ask, granted, validMs, retryAfterMs, owner}
+		? {
+				method: 'token-reply',
+				requestNumber,
+				granted,
+				validMs,
+				retryAfterMs,
+				owner,
+			}
 		: undefined;
 }
 
--- a/packages/gateway/src/accounts/allotment-owner.ts
+++ b/packages/gateway/src/accounts/allotment-owner.ts
@@ -40,19 +40,19 @@
 	limit: AccountLimit;
 	/** Grants the account's limit. */
 	readonly bucket: TokenBucket;
-	/** Grants part of the tolerance, in place of a better host. */
+	/** Grants part of the tolerance, in place of a higher-ranked host. */
 	readonly fallbackBucket: TokenBucket;
-	/** The other hosts that found a better host silent, and when. */
-	readonly fallbackAskers: Map<string, number>;
+	/** The other hosts that found a higher-ranked host silent, and when. */
+	readonly fallbackRequesters: Map<string, number>;
 	role: Role | undefined;
 	/** Until when the tokens are counted that the limit allows, on the monotonic clock. */
 	countedUntilMs: number;
 };
 
-/** How long better hosts must be silent before this one grants their whole limit, in milliseconds; they stop granting it within 4 s of losing the others. */
+/** How long higher-ranked hosts must be silent before this one grants their whole limit, in milliseconds; they stop granting it within 4 s of losing the others. */
 const takeoverMs = 6000;
-/** How many other hosts must have found the better hosts silent too, so that one broken link makes no second owner. */
-const minFallbackAskers = 2;
+/** How many other hosts must have found the higher-ranked hosts silent too, so that one broken link makes no second owner. */
+const minFallbackRequesters = 2;
 /** Share of the hosts that may be down before an owner grants less than the limit, as a factor; part of the tolerance covers it. */
 const reachAllowance = 1.1;
 /** An account that stays within its bound with so many owners at once is granted in full, whatever hosts are reached. */
@@ -124,7 +124,7 @@
 			this.#replies.delete(key);
 		}
 
-		const key = `${sender} ${request.ask}`;
+		const key = `${sender} ${request.requestNumber}`;
 		const known = this.#replies.get(key);
 		if (known !== undefined) {
 			return known.reply;
@@ -158,26 +158,26 @@
 
 	#decide(request: TokenRequest, sender: string, nowMs: number): TokenReply {
 		const {ranking, contacts, metrics} = this.#options;
-		const {ask, account, skipped} = request;
-		const better = ranking.getBetter(account);
-		const owner = better.find(
+		const {requestNumber, account, skipped} = request;
+		const higherRanked = ranking.getHigherRanked(account);
+		const owner = higherRanked.find(
 			(address) => !skipped.includes(address) && !contacts.isSilent(address),
 		);
 		if (owner !== undefined) {
 			metrics.recordAllotmentRedirect();
-			return makeReply(ask, {owner});
+			return makeReply(requestNumber, {owner});
 		}
 
 		const state = this.#getState(request, nowMs);
-		const role = this.#getRole(better, state, sender);
-		this.#setRole(account, state, role, better);
+		const role = this.#getRole(higherRanked, state, sender);
+		this.#setRole(account, state, role, higherRanked);
 		const {bucket, validMs} =
 			role === 'fallback'
-				? this.#prepareFallback(state, better.length, nowMs)
+				? this.#prepareFallback(state, higherRanked.length, nowMs)
 				: this.#prepareLimit(account, state, nowMs);
 		const granted = bucket.take(request.needed, request.wanted, nowMs);
 		metrics.recordAllotmentGrant(account, role, granted);
-		return makeReply(ask, {
+		return makeReply(requestNumber, {
 			granted,
 			validMs,
 			retryAfterMs:
@@ -188,38 +188,38 @@
 	}
 
 	#getRole(
-		better: readonly string[],
-		{fallbackAskers}: AccountState,
+		higherRanked: readonly string[],
+		{fallbackRequesters}: AccountState,
 		sender: string,
 	): Role {
 		const {clock, self, contacts, getPeerCount} = this.#options;
-		if (better.length === 0) {
+		if (higherRanked.length === 0) {
 			return 'owner';
 		}
 
 		const nowMs = clock.monotonicMs();
-		for (const address of better) {
+		for (const address of higherRanked) {
 			contacts.check(address);
 		}
 
 		if (sender !== self) {
-			fallbackAskers.set(sender, nowMs);
+			fallbackRequesters.set(sender, nowMs);
 		}
 
-		for (const [address, atMs] of fallbackAskers) {
+		for (const [address, atMs] of fallbackRequesters) {
 			if (nowMs - atMs > takeoverMs) {
-				fallbackAskers.delete(address);
+				fallbackRequesters.delete(address);
 			}
 		}
 
-		const isTakenOver = better.every(
+		const isTakenOver = higherRanked.every(
 			(address) => contacts.getSilentMs(address) >= takeoverMs,
 		);
-		const requiredAskers = Math.min(
-			minFallbackAskers,
-			getPeerCount() - better.length,
+		const requiredRequesters = Math.min(
+			minFallbackRequesters,
+			getPeerCount() - higherRanked.length,
 		);
-		return isTakenOver && fallbackAskers.size >= requiredAskers
+		return isTakenOver && fallbackRequesters.size >= requiredRequesters
 			? 'successor'
 			: 'fallback';
 	}
@@ -228,14 +228,14 @@
 		account: ClientAccountName,
 		state: AccountState,
 		role: Role,
-		better: readonly string[],
+		higherRanked: readonly string[],
 	): void {
 		if (role !== state.role) {
 			this.#options.log.write('allotment role changed', {
 				account,
 				role,
 				former: state.role,
-				silentHosts: better,
+				silentHosts: higherRanked,
 			});
 			state.role = role;
 		}
@@ -305,7 +305,7 @@
 				level: 1,
 				nowMs,
 			}),
-			fallbackAskers: new Map(),
+			fallbackRequesters: new Map(),
 			role: undefined,
 			countedUntilMs: nowMs,
 		};
@@ -326,12 +326,12 @@
 }
 
 function makeReply(
-	ask: number,
-	changes: Partial<Omit<TokenReply, 'method' | 'ask'>>,
+	requestNumber: number,
+	changes: Partial<Omit<TokenReply, 'method' | 'requestNumber'>>,
 ): TokenReply {
 	return {
 		method: 'token-reply',
-		ask,
+		requestNumber,
 		granted: 0,
 		validMs: 0,
 		retryAfterMs: 0,
--- a/packages/gateway/src/accounts/owner-ranking.ts
+++ b/packages/gateway/src/accounts/owner-ranking.ts
@@ -55,7 +55,7 @@
 	 * @param account - The account.
 	 * @returns Their addresses; none if this host is the owner.
 	 */
-	getBetter(account: ClientAccountName): readonly string[] {
+	getHigherRanked(account: ClientAccountName): readonly string[] {
 		const ranked = this.getRanked(account);
 		const position = ranked.indexOf(this.#self);
 		return position === -1 ? ranked : ranked.slice(0, position);
--- a/packages/gateway/src/accounts/token-asker.ts
+++ b/packages/gateway/src/accounts/token-requester.ts
@@ -9,7 +9,7 @@
 import type {OwnerRanking} from './owner-ranking.js';
 
 /** The hosts and how to reach them. */
-export type TokenAskerOptions = {
+export type TokenRequesterOptions = {
 	readonly clock: Clock;
 	readonly random: RandomSource;
 	/** The IP address of this host. */
@@ -78,21 +78,21 @@
 const maxUnansweredHosts = 2;
 /** How long a late reply is accepted, in milliseconds. */
 const lateReplyMs = 1000;
-const firstAskRange = 2 ** 30;
+const firstNumberRange = 2 ** 30;
 
 /** Asks the owner of an account, then those that rank behind it. */
-export class TokenAsker {
-	readonly #options: TokenAskerOptions;
+export class TokenRequester {
+	readonly #options: TokenRequesterOptions;
 	readonly #pending = new Map<number, PendingRequest>();
-	#lastAsk: number;
+	#lastRequestNumber: number;
 
 	/**
 	 * @param options - The hosts and how to reach them.
 	 */
-	constructor(options: TokenAskerOptions) {
+	constructor(options: TokenRequesterOptions) {
 		this.#options = options;
 		// A random start keeps replies to the previous run of this host apart.
-		this.#lastAsk = Math.floor(options.random() * firstAskRange);
+		this.#lastRequestNumber = Math.floor(options.random() * firstNumberRange);
 	}
 
 	/**
@@ -101,8 +101,8 @@
 	 * @param need - The account and the number of tokens.
 	 * @param receiver - What is called with the outcome.
 	 */
-	ask(need: TokenNeed, receiver: TokenReceiver): void {
-		this.#askNext(need, receiver, {
+	request(need: TokenNeed, receiver: TokenReceiver): void {
+		this.#requestFromNext(need, receiver, {
 			skipped: new Set(),
 			askedCount: 0,
 			unansweredCount: 0,
@@ -116,14 +116,18 @@
 	 * @param sender - The address of the host that sent it.
 	 */
 	receive(reply: TokenReply, sender: string): void {
-		const pending = this.#pending.get(reply.ask);
+		const pending = this.#pending.get(reply.requestNumber);
 		if (pending?.address === sender) {
-			this.#pending.delete(reply.ask);
+			this.#pending.delete(reply.requestNumber);
 			this.#handleReply(pending, reply);
 		}
 	}
 
-	#askNext(need: TokenNeed, receiver: TokenReceiver, progress: Progress): void {
+	#requestFromNext(
+		need: TokenNeed,
+		receiver: TokenReceiver,
+		progress: Progress,
+	): void {
 		const {ranking, contacts} = this.#options;
 		for (const address of ranking.getRanked(need.account)) {
 			if (contacts.isSilent(address)) {
@@ -132,7 +136,7 @@
 			}
 
 			if (!progress.skipped.has(address)) {
-				this.#askHost(address, need, receiver, progress);
+				this.#requestFrom(address, need, receiver, progress);
 				return;
 			}
 		}
@@ -140,7 +144,7 @@
 		receiver.onDecision(noDecision);
 	}
 
-	#askHost(
+	#requestFrom(
 		address: string,
 		need: TokenNeed,
 		receiver: TokenReceiver,
@@ -153,10 +157,10 @@
 			return;
 		}
 
-		this.#lastAsk++;
+		this.#lastRequestNumber++;
 		const request: TokenRequest = {
 			method: 'token-request',
-			ask: this.#lastAsk,
+			requestNumber: this.#lastRequestNumber,
 			...need,
 			skipped: [...progress.skipped],
 		};
@@ -173,7 +177,7 @@
 			return;
 		}
 
-		this.#pending.set(request.ask, pending);
+		this.#pending.set(request.requestNumber, pending);
 		send(address, request);
 		this.#awaitReply(request, pending, () => {
 			send(address, request);
@@ -185,14 +189,14 @@
 
 	/** Runs an action if the request has no reply in time. */
 	#awaitReply(
-		{ask}: TokenRequest,
+		{requestNumber}: TokenRequest,
 		pending: PendingRequest,
 		onTimeout: () => void,
 	): void {
 		const {clock} = this.#options;
 		const dueAtMs = clock.monotonicMs() + replyTimeoutMs;
 		const end = () => {
-			if (this.#pending.get(ask) === pending) {
+			if (this.#pending.get(requestNumber) === pending) {
 				onTimeout();
 			}
 		};
@@ -206,19 +210,19 @@
 		});
 	}
 
-	#skipHost({ask}: TokenRequest, pending: PendingRequest): void {
+	#skipHost({requestNumber}: TokenRequest, pending: PendingRequest): void {
 		const {clock, contacts} = this.#options;
 		const {address, sentAtMs, need, receiver, progress} = pending;
 		pending.isSkipped = true;
 		clock.schedule(lateReplyMs, () => {
-			this.#pending.delete(ask);
+			this.#pending.delete(requestNumber);
 		});
 		contacts.recordMissed(address, sentAtMs);
 		contacts.check(address);
 		progress.skipped.add(address);
 		progress.unansweredCount++;
 		if (progress.unansweredCount < maxUnansweredHosts) {
-			this.#askNext(need, receiver, progress);
+			this.#requestFromNext(need, receiver, progress);
 		} else {
 			receiver.onDecision(noDecision);
 		}
@@ -251,9 +255,9 @@
 
 		if (owner !== self && contacts.isSilent(owner)) {
 			progress.skipped.add(owner);
-			this.#askHost(address, need, receiver, progress);
+			this.#requestFrom(address, need, receiver, progress);
 		} else {
-			this.#askHost(owner, need, receiver, progress);
+			this.#requestFrom(owner, need, receiver, progress);
 		}
 	}
 }
--- a/packages/gateway/test/accounts/late-tokens.test.ts
+++ b/packages/gateway/test/accounts/late-tokens.test.ts
@@ -49,10 +49,10 @@
 	return {clock, gate, requests};
 }
 
-function makeReply(ask: number, granted: number): TokenReply {
+function makeReply(requestNumber: number, granted: number): TokenReply {
 	return {
 		method: 'token-reply',
-		ask,
+		requestNumber,
 		granted,
 		validMs: 300,
 		retryAfterMs: granted > 0 ? 0 : 200,
@@ -82,8 +82,8 @@
 				requests.map(({address}) => address),
 				[owner, owner, fallback],
 			);
-			const openAsk = requests.at(-1)!.ask;
-			gate.receive(makeReply(requests[0]!.ask, 1), owner);
+			const openNumber = requests.at(-1)!.requestNumber;
+			gate.receive(makeReply(requests[0]!.requestNumber, 1), owner);
 			await settle();
 			assert.equal(
 				decisions.map(({isGranted}) => isGranted),
@@ -91,13 +91,13 @@
 			);
 			assert.is(requests.length, 3, 'no second token request at once');
 
-			gate.receive(makeReply(openAsk, 0), fallback);
+			gate.receive(makeReply(openNumber, 0), fallback);
 			await settle();
 			assert.is(decisions.length, 1, 'the second request was not asked for');
 			const last = requests.at(-1)!;
 			assert.is(requests.length, 4);
 			assert.is(last.needed, 1);
-			gate.receive(makeReply(last.ask, 1), last.address);
+			gate.receive(makeReply(last.requestNumber, 1), last.address);
 			await settle();
 			assert.equal(
 				decisions.map(({isGranted}) => isGranted),
--- a/packages/gateway/test/fleet/gossip-message.test.ts
+++ b/packages/gateway/test/fleet/gossip-message.test.ts
@@ -50,8 +50,8 @@
 
 		const account = makeId<ClientAccountName>('a');
 		const limit = {planVersion: 3, ratePerSecond: 5.5, burst: 7};
-		const request = {ask: 1, account, needed: 1, wanted: 4, limit};
-		const reply = {ask: 1, granted: 2, validMs: 300, retryAfterMs: 0};
+		const request = {requestNumber: 1, account, needed: 1, wanted: 4, limit};
+		const reply = {requestNumber: 1, granted: 2, validMs: 300, retryAfterMs: 0};
 		doTest('round-trip a token request', {
 			method: 'token-request',
 			...request,
