Give each token back to the host that has granted it

Cause: the gate kept one grantor an account, the host of the latest grant. While an owner and its fallback owner both grant, a token of one was given back to the other: a fallback owner's token filled the owner's bucket, from which it had not been taken, and an owner's token was lost.

Change: the lease keeps the grantor with its tokens, and a decision carries the token.

Measured: the new test fails before the change (both tokens go to the fallback owner) and passes after it; 73 of 73 tests of accounts pass.

--- a/packages/gateway/src/accounts/allotment-gate.ts
+++ b/packages/gateway/src/accounts/allotment-gate.ts
@@ -20,7 +20,7 @@
 import {OwnerRanking} from './owner-ranking.js';
 import {PauseDetector} from './pause-detector.js';
 import {TokenRequester, type TokenDecision} from './token-requester.js';
-import {TokenLease} from './token-lease.js';
+import {TokenLease, type Token} from './token-lease.js';
 
 /** This host, how it reaches the others and the bound. */
 export type AllotmentGateOptions = {
@@ -43,8 +43,8 @@
 export type AllotmentDecision =
 	| {
 			readonly isGranted: true;
-			/** Until when the request must be sent, on the monotonic clock; infinity if no owner has granted it. */
-			readonly expiresAtMs: number;
+			/** The token with which the request may be sent. */
+			readonly token: Token;
 	  }
 	| {
 			readonly isGranted: false;
@@ -65,8 +65,6 @@
 	askedCount: number;
 	/** When the latest refusal was, on the monotonic clock. */
 	refusedAtMs: number;
-	/** The host that granted the latest tokens. */
-	grantor: string | undefined;
 };
 
 /** Lower bound on the assumed number of hosts, as some may not be discovered yet. */
@@ -76,9 +74,10 @@
 /** When a caller should return if no owner has answered, in milliseconds. */
 const isolatedRetryMs = 1000;
 const msPerSecond = 1000;
-const unlimited: AllotmentDecision = {
-	isGranted: true,
+/** The token of a request that no owner has to grant. */
+const ungrantedToken: Token = {
 	expiresAtMs: Number.POSITIVE_INFINITY,
+	grantor: undefined,
 };
 
 /** Takes tokens for requests of this host and answers the other hosts' messages. */
@@ -201,20 +200,20 @@
 		requestId: string,
 	): Promise<AllotmentDecision> {
 		if (account.ratePerSecond <= 0) {
-			return unlimited;
+			return {isGranted: true, token: ungrantedToken};
 		}
 
 		const nowMs = this.#options.clock.monotonicMs();
 		const state = this.#getState(account.name);
 		state.lease.countRequest(nowMs);
-		const expiresAtMs = state.lease.take(nowMs);
+		const token = state.lease.take(nowMs);
 		const decision =
-			expiresAtMs === undefined
+			token === undefined
 				? await new Promise<AllotmentDecision>((resolve) => {
 						state.waiting.push(resolve);
 						this.#ask(account, state);
 					})
-				: ({isGranted: true, expiresAtMs} as const);
+				: ({isGranted: true, token} as const);
 		if (!decision.isGranted) {
 			this.#recordRefusal(account, requestId, decision);
 		}
@@ -226,14 +225,11 @@
 	 * Gives back the token of a request that certainly has not run.
 	 *
 	 * @param account - The client account of the request.
-	 * @param expiresAtMs - When the token expires, on the monotonic clock; one that has expired or that no owner has granted is not given back.
+	 * @param token - The token; one that has expired or that no host has granted is not given back.
 	 */
-	giveBack({name}: ClientAccount, expiresAtMs: number): void {
+	giveBack({name}: ClientAccount, {expiresAtMs, grantor}: Token): void {
 		const {clock, self, send} = this.#options;
-		const grantor = this.#accounts.get(name)?.grantor;
-		const isReturnable =
-			Number.isFinite(expiresAtMs) && expiresAtMs > clock.monotonicMs();
-		if (grantor === undefined || !isReturnable) {
+		if (grantor === undefined || expiresAtMs <= clock.monotonicMs()) {
 			return;
 		}
 
@@ -325,7 +321,6 @@
 			isAsking: false,
 			askedCount: 0,
 			refusedAtMs: Number.NEGATIVE_INFINITY,
-			grantor: undefined,
 		};
 		this.#accounts.set(account, state);
 		return state;
@@ -389,19 +384,15 @@
 		{granted, expiresAtMs, decidedBy}: TokenDecision,
 	): void {
 		const nowMs = this.#options.clock.monotonicMs();
-		state.lease.add(granted, expiresAtMs);
-		if (granted > 0) {
-			state.grantor = decidedBy;
-		}
-
+		state.lease.add(granted, {expiresAtMs, grantor: decidedBy});
 		while (state.waiting.length > 0) {
-			const tokenExpiresAtMs = state.lease.take(nowMs);
-			if (tokenExpiresAtMs === undefined) {
+			const token = state.lease.take(nowMs);
+			if (token === undefined) {
 				return;
 			}
 
 			state.askedCount = Math.max(0, state.askedCount - 1);
-			state.waiting.shift()!({isGranted: true, expiresAtMs: tokenExpiresAtMs});
+			state.waiting.shift()!({isGranted: true, token});
 		}
 	}
 
@@ -421,9 +412,9 @@
 		position: number,
 	): AllotmentDecision {
 		if (decidedBy === undefined) {
-			const expiresAtMs = this.#takeIsolated(account, state);
-			if (expiresAtMs !== undefined) {
-				return {isGranted: true, expiresAtMs};
+			const token = this.#takeIsolated(account, state);
+			if (token !== undefined) {
+				return {isGranted: true, token};
 			}
 		}
 
@@ -444,7 +435,7 @@
 	#takeIsolated(
 		{name, ratePerSecond, burst}: ClientAccount,
 		{isolated}: AccountState,
-	): number | undefined {
+	): Token | undefined {
 		const {getBound, metrics} = this.#options;
 		const bound = getBound();
 		const hostCount = Math.max(
@@ -458,7 +449,7 @@
 		}
 
 		metrics.recordAllotmentGrant(name, 'isolated', 1);
-		return Number.POSITIVE_INFINITY;
+		return ungrantedToken;
 	}
 
 	#recordRefusal(
--- a/packages/gateway/src/accounts/allotment-permit.ts
+++ b/packages/gateway/src/accounts/allotment-permit.ts
@@ -89,7 +89,7 @@
 		void this.#pending.then(() => {
 			this.#cancelReturn();
 			if (this.#decision?.isGranted === true) {
-				gate.giveBack(account, this.#decision.expiresAtMs);
+				gate.giveBack(account, this.#decision.token);
 				this.#decision = undefined;
 			}
 		});
@@ -99,7 +99,7 @@
 		return (
 			this.#decision !== undefined &&
 			(!this.#decision.isGranted ||
-				this.#decision.expiresAtMs > this.#options.clock.monotonicMs())
+				this.#decision.token.expiresAtMs > this.#options.clock.monotonicMs())
 		);
 	}
 
@@ -113,14 +113,14 @@
 			return;
 		}
 
-		const validMs = decision.expiresAtMs - startedAtMs;
+		const validMs = decision.token.expiresAtMs - startedAtMs;
 		if (Number.isFinite(validMs)) {
 			const returnAtMs = startedAtMs + validMs * holdShare;
 			this.#cancelReturn = clock.schedule(
 				returnAtMs - clock.monotonicMs(),
 				() => {
 					this.#decision = undefined;
-					gate.giveBack(account, decision.expiresAtMs);
+					gate.giveBack(account, decision.token);
 				},
 			);
 		}
--- a/packages/gateway/src/accounts/token-lease.ts
+++ b/packages/gateway/src/accounts/token-lease.ts
@@ -1,7 +1,15 @@
 /** The tokens of one account that a host holds, and how fast it uses them. */
 
-/** A number of tokens that expire together. */
-type TokenGroup = {count: number; readonly expiresAtMs: number};
+/** The permission to send one request. */
+export type Token = {
+	/** When it expires, on the monotonic clock; infinity if no host has granted it. */
+	readonly expiresAtMs: number;
+	/** The host that has granted it and gets it back if it is not used; undefined if none has. */
+	readonly grantor: string | undefined;
+};
+
+/** A number of tokens of one grant. */
+type TokenGroup = {count: number; readonly token: Token};
 
 /** Time constant of the average rate, in milliseconds. */
 const rateWindowMs = 1000;
@@ -42,11 +50,11 @@
 	 * Adds tokens.
 	 *
 	 * @param count - The number of tokens.
-	 * @param expiresAtMs - When they expire, on the monotonic clock.
+	 * @param token - What is the same for all of them.
 	 */
-	add(count: number, expiresAtMs: number): void {
+	add(count: number, token: Token): void {
 		if (count > 0) {
-			this.#groups.push({count, expiresAtMs});
+			this.#groups.push({count, token});
 		}
 	}
 
@@ -54,11 +62,11 @@
 	 * Takes a token.
 	 *
 	 * @param nowMs - The monotonic time in milliseconds.
-	 * @returns When it expires, on the monotonic clock; undefined if there is none.
+	 * @returns The token; undefined if there is none.
 	 */
-	take(nowMs: number): number | undefined {
+	take(nowMs: number): Token | undefined {
 		this.#groups = this.#groups.filter(
-			({count, expiresAtMs}) => count > 0 && expiresAtMs > nowMs,
+			({count, token}) => count > 0 && token.expiresAtMs > nowMs,
 		);
 		const [group] = this.#groups;
 		if (group === undefined) {
@@ -66,7 +74,7 @@
 		}
 
 		group.count--;
-		return group.expiresAtMs;
+		return group.token;
 	}
 
 	#getRecentCount(nowMs: number): number {
--- a/packages/gateway/test/accounts/late-tokens.test.ts
+++ b/packages/gateway/test/accounts/allotment-gate-replies.test.ts
@@ -30,6 +30,8 @@
 function makeGate() {
 	const clock = new ManualClock();
 	const requests: Array<TokenRequest & {readonly address: string}> = [];
+	/** The hosts that got a token back. */
+	const returnedTo: string[] = [];
 	const gate = new AllotmentGate({
 		clock,
 		random: () => 0,
@@ -41,12 +43,14 @@
 		send(address: string, message: AllotmentMessage) {
 			if (message.method === 'token-request') {
 				requests.push({...message, address});
+			} else if (message.method === 'token-return') {
+				returnedTo.push(address);
 			}
 		},
 		getBound: () => defaultAllotmentBound,
 	});
 	gate.setAccounts(1, [account]);
-	return {clock, gate, requests};
+	return {clock, gate, requests, returnedTo};
 }
 
 function makeReply(requestNumber: number, granted: number): TokenReply {
@@ -106,4 +110,26 @@
 			gate.stop();
 		});
 	});
+
+	describe('giveBack', () => {
+		it('returns each token to the host that has granted it', async () => {
+			// Guards against a token of a fallback owner that adds to the bucket of the owner, or the other way round.
+			const {clock, gate, requests, returnedTo} = makeGate();
+			const taking = [
+				gate.take(account, 'first'),
+				gate.take(account, 'second'),
+			];
+			clock.advance(skipMs);
+			const {requestNumber} = requests.at(-1)!;
+			gate.receive(makeReply(requests[0]!.requestNumber, 1), owner);
+			gate.receive(makeReply(requestNumber, 1), fallback);
+			for (const decision of await Promise.all(taking)) {
+				assert.ok(decision.isGranted);
+				gate.giveBack(account, decision.token);
+			}
+
+			assert.equal(returnedTo, [owner, fallback]);
+			gate.stop();
+		});
+	});
 });
--- a/packages/gateway/test/accounts/allotment-permit.test.ts
+++ b/packages/gateway/test/accounts/allotment-permit.test.ts
@@ -28,7 +28,13 @@
 			async take(): Promise<AllotmentDecision> {
 				counts.left--;
 				return counts.left >= 0
-					? {isGranted: true, expiresAtMs: clock.monotonicMs() + validMs}
+					? {
+							isGranted: true,
+							token: {
+								expiresAtMs: clock.monotonicMs() + validMs,
+								grantor: undefined,
+							},
+						}
 					: {isGranted: false, retryAfterMs: 70, decidedBy: '10.0.0.1'};
 			},
 			giveBack() {
