Explain the states of permits, the roles of owners and prepared plans

Cause: a newcomer could not tell from the code which decision of a permit is current, why a pick is awaited after a refusal, or how the two buckets of an allotment owner differ.

Change: comments, and two names. No behaviour changes.

Measured: tsc and xo report nothing.

--- a/packages/gateway/src/accounts/allotment-owner.ts
+++ b/packages/gateway/src/accounts/allotment-owner.ts
@@ -45,7 +45,7 @@
 	/** The other hosts that found a higher-ranked host silent, and when. */
 	readonly fallbackRequesters: Map<string, number>;
 	role: Role | undefined;
-	/** Until when the tokens are counted that the limit allows, on the monotonic clock. */
+	/** Until when the metric of allowed tokens counts them, on the monotonic clock. */
 	countedUntilMs: number;
 };
 
@@ -187,6 +187,7 @@
 		});
 	}
 
+	/** Gets the role of this host for an account, and checks again whether the higher-ranked hosts answer. */
 	#getRole(
 		higherRanked: readonly string[],
 		{fallbackRequesters}: AccountState,
@@ -241,6 +242,7 @@
 		}
 	}
 
+	/** Gets the bucket of an owner or successor, with the part of the limit for the hosts that it reaches. */
 	#prepareLimit(
 		account: ClientAccountName,
 		state: AccountState,
@@ -265,6 +267,7 @@
 		return {bucket, validMs: getLeaseMs(limit, bound)};
 	}
 
+	/** Gets the bucket of a fallback owner, which grants part of the tolerance only. */
 	#prepareFallback(
 		{limit, fallbackBucket}: AccountState,
 		position: number,
@@ -293,12 +296,13 @@
 		}
 
 		const {ratePerSecond, burst} = newest;
-		const filled =
+		// The bucket has been filling since the start of this host, not only since the first request.
+		const level =
 			newBucketShare * burst +
 			(ratePerSecond * (nowMs - this.#startedAtMs)) / msPerSecond;
 		const state: AccountState = {
 			limit: newest,
-			bucket: new TokenBucket({ratePerSecond, burst, level: filled, nowMs}),
+			bucket: new TokenBucket({ratePerSecond, burst, level, nowMs}),
 			fallbackBucket: new TokenBucket({
 				ratePerSecond: 0,
 				burst: 1,
--- a/packages/gateway/src/accounts/allotment-permit.ts
+++ b/packages/gateway/src/accounts/allotment-permit.ts
@@ -28,9 +28,13 @@
 export class AllotmentPermit {
 	readonly #options: AllotmentPermitOptions;
 	readonly #refusal = new AbortController();
+	/** Settled once the latest token was granted or refused. */
 	#pending: Promise<void>;
+	/** The latest decision; undefined before the first one and after its token was given back. */
 	#decision: AllotmentDecision | undefined;
+	/** Removes the timer that gives the token of a waiting request back. */
 	#cancelReturn: CancelFunction = () => undefined;
+	/** Whether `hold` has succeeded, so that the request was probably sent. */
 	#isUsed = false;
 
 	/**
@@ -69,7 +73,7 @@
 	 */
 	async hold(): Promise<Failure | undefined> {
 		await this.#pending;
-		if (!this.#isUsed && !this.#isValid) {
+		if (!this.#isUsed && !this.#isDecisionCurrent) {
 			// The timer of the former token may run late and would then drop the new one.
 			this.#cancelReturn();
 			this.#pending = this.#take();
@@ -82,7 +86,7 @@
 		return refusal;
 	}
 
-	/** Gives the token back, as the request certainly has not run and will not. */
+	/** Gives the token back, also one that is still on its way, as the request certainly has not run and will not. */
 	giveBack(): void {
 		const {gate, account} = this.#options;
 		this.#cancelReturn();
@@ -95,7 +99,8 @@
 		});
 	}
 
-	get #isValid(): boolean {
+	/** Whether the latest decision still stands: a refusal, or a token that has neither expired nor been given back. */
+	get #isDecisionCurrent(): boolean {
 		return (
 			this.#decision !== undefined &&
 			(!this.#decision.isGranted ||
--- a/packages/gateway/src/accounts/pause-detector.ts
+++ b/packages/gateway/src/accounts/pause-detector.ts
@@ -2,6 +2,7 @@
 
 import type {CancelFunction, Clock} from '@bilberryscale/core';
 
+/** Interval of the timer, in milliseconds. */
 const intervalMs = 200;
 /** A processor share of 0.27 stops a busy host for up to 75 ms at a time; a pause must be much longer to count. */
 const minPauseMs = 1000;
--- a/packages/gateway/src/relay/pick-with-permit.ts
+++ b/packages/gateway/src/relay/pick-with-permit.ts
@@ -6,7 +6,8 @@
 import type {PickedTarget} from '../choice/target-picker.js';
 
 /**
- * Picks a target for a request that may be sent once it holds a token. A refusal ends the wait for a target at once.
+ * Picks a target for a request that may be sent once it holds a token. A refused token ends the wait for a target at
+ * once; a failure to pick a target ends the wait for the token, which the caller of this function gives back.
  *
  * @param permit - The permission under the rate limit; undefined without a limit.
  * @param callerSignal - Aborts when the caller disconnects.
@@ -27,6 +28,7 @@
 	const {refusalSignal} = permit;
 	const picking = pick(AbortSignal.any([callerSignal, refusalSignal]));
 	const picked = await Promise.race([picking, waitForAbort(refusalSignal)]);
+	// After a refusal of the token, the pick may have failed only because its signal was aborted.
 	if (picked?.isErr() === true && !refusalSignal.aborted) {
 		return picked;
 	}
@@ -36,6 +38,7 @@
 		return picked ?? picking;
 	}
 
+	// The pick may succeed before it notices that its signal was aborted.
 	void picking.then((latePick) => {
 		if (latePick.isOk()) {
 			release(latePick.value);
@@ -44,6 +47,7 @@
 	return Err(refusal);
 }
 
+/** The listener needs no removal, since the signal belongs to the permit of one request. */
 async function waitForAbort(signal: AbortSignal): Promise<undefined> {
 	return new Promise((resolve) => {
 		if (signal.aborted) {
