Take a new token for a request that no other host took

Cause: a host that reaches no target holds a token before it forwards a request. If no other host took the request, the token counted as used, so that the request could wait for a target and be sent with an expired token; many such requests could be sent at once when the path recovers.

Change: if nothing was sent before, the request returns to the state of one that waits: its token goes back in time and another one is taken before the request is sent.

Measured: two new tests of the permit pass. The relay's path itself has no test in this commit.

--- a/packages/gateway/src/accounts/allotment-permit.ts
+++ b/packages/gateway/src/accounts/allotment-permit.ts
@@ -32,6 +32,8 @@
 	#pending: Promise<void>;
 	/** The latest decision; undefined before the first one and after its token was given back. */
 	#decision: AllotmentDecision | undefined;
+	/** When the token goes back if the request still waits, on the monotonic clock. */
+	#returnAtMs = Number.POSITIVE_INFINITY;
 	/** Removes the timer that gives the token of a waiting request back. */
 	#cancelReturn: CancelFunction = () => undefined;
 	/** Whether `hold` has succeeded, so that the request was probably sent. */
@@ -86,6 +88,14 @@
 		return refusal;
 	}
 
+	/** Continues the wait for a target after `hold`, as the request was not sent after all. */
+	resumeWait(): void {
+		if (this.#isUsed) {
+			this.#isUsed = false;
+			this.#scheduleReturn();
+		}
+	}
+
 	/** Gives the token back, also one that is still on its way, as the request certainly has not run and will not. */
 	giveBack(): void {
 		const {gate, account} = this.#options;
@@ -119,10 +129,16 @@
 		}
 
 		const validMs = decision.token.expiresAtMs - startedAtMs;
-		if (Number.isFinite(validMs)) {
-			const returnAtMs = startedAtMs + validMs * holdShare;
+		this.#returnAtMs = startedAtMs + validMs * holdShare;
+		this.#scheduleReturn();
+	}
+
+	#scheduleReturn(): void {
+		const {clock, gate, account} = this.#options;
+		const decision = this.#decision;
+		if (decision?.isGranted === true && Number.isFinite(this.#returnAtMs)) {
 			this.#cancelReturn = clock.schedule(
-				returnAtMs - clock.monotonicMs(),
+				this.#returnAtMs - clock.monotonicMs(),
 				() => {
 					this.#decision = undefined;
 					gate.giveBack(account, decision.token);
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -337,7 +337,7 @@
 	 */
 	async #forward(
 		request: RoutedRequest,
-		{executions, permit}: Progress,
+		{attempts, executions, permit}: Progress,
 		canForward: boolean,
 	): Promise<Result<AttemptResult, Failure> | undefined> {
 		if (!canForward) {
@@ -358,8 +358,16 @@
 			checked.value,
 			request.route.maxAttempts - executions,
 		);
-		if (result?.kind !== 'refused') {
-			return result && Ok(result);
+		if (result === undefined) {
+			if (attempts === 0) {
+				permit?.resumeWait();
+			}
+
+			return undefined;
+		}
+
+		if (result.kind !== 'refused') {
+			return Ok(result);
 		}
 
 		return Err(
--- a/packages/gateway/test/accounts/allotment-permit.test.ts
+++ b/packages/gateway/test/accounts/allotment-permit.test.ts
@@ -93,6 +93,28 @@
 		});
 	});
 
+	describe('resumeWait', () => {
+		it('takes another token for a request that was not sent and waits again', async () => {
+			// Guards against requests that no other host takes, and that are sent with tokens of the past after a wait.
+			const {clock, counts, permit} = makePermit(2);
+			assert.is(await permit.hold(), undefined);
+			permit.resumeWait();
+			clock.advance(1000);
+			assert.is(await permit.hold(), undefined);
+			assert.equal(counts, {left: 0, returned: 1});
+		});
+
+		it('keeps the token of a request that is sent soon', async () => {
+			const {clock, counts, permit} = makePermit(2);
+			assert.is(await permit.hold(), undefined);
+			permit.resumeWait();
+			clock.advance(100);
+			assert.is(await permit.hold(), undefined);
+			clock.advance(1000);
+			assert.equal(counts, {left: 1, returned: 0});
+		});
+	});
+
 	describe('giveBack', () => {
 		it('returns the token once', async () => {
 			// Guards against an account that is charged for requests that were refused for other reasons, or paid twice.
