--- a/packages/gateway/src/accounts/allotment-gate.ts
+++ b/packages/gateway/src/accounts/allotment-gate.ts
@@ -19,8 +19,8 @@
 import {IsolatedAllotment} from './isolated-allotment.js';
 import {OwnerRanking} from './owner-ranking.js';
 import {PauseDetector} from './pause-detector.js';
-import {TokenAsker, type TokenDecision} from './token-asker.js';
-import {TokenLease} from './token-lease.js';
+import {TokenRequester, type TokenDecision} from './token-requester.js';
+import {TokenLease, type Token} from './token-lease.js';
 
 /** This host, how it reaches the others and the bound. */
 export type AllotmentGateOptions = {
@@ -43,8 +43,8 @@
 export type AllotmentDecision =
 	| {
 			readonly isGranted: true;
-			/** Until when the request must be sent, on the monotonic clock; infinity if no owner has granted it. */
-			readonly expiresAtMs: number;
+			/** The token with which the request may be sent. */
+			readonly token: Token;
 	  }
 	| {
 			readonly isGranted: false;
@@ -57,12 +57,14 @@
 type AccountState = {
 	readonly lease: TokenLease;
 	readonly isolated: IsolatedAllotment;
+	/** Resolves the requests that wait for a token, oldest first. */
 	readonly waiting: Array<(decision: AllotmentDecision) => void>;
+	/** Whether a token request is on its way or about to be sent. */
 	isAsking: boolean;
+	/** How many of the oldest waiting requests that token request is for. */
+	askedCount: number;
 	/** When the latest refusal was, on the monotonic clock. */
 	refusedAtMs: number;
-	/** The host that granted the latest tokens. */
-	grantor: string | undefined;
 };
 
 /** Lower bound on the assumed number of hosts, as some may not be discovered yet. */
@@ -72,9 +74,10 @@
 /** When a caller should return if no owner has answered, in milliseconds. */
 const isolatedRetryMs = 1000;
 const msPerSecond = 1000;
-const unlimited: AllotmentDecision = {
-	isGranted: true,
+/** The token of a request that no owner has to grant. */
+const ungrantedToken: Token = {
 	expiresAtMs: Number.POSITIVE_INFINITY,
+	grantor: undefined,
 };
 
 /** Takes tokens for requests of this host and answers the other hosts' messages. */
@@ -86,7 +89,7 @@
 	readonly #exchange: HostListExchange;
 	readonly #pauses: PauseDetector;
 	readonly #owner: AllotmentOwner;
-	readonly #asker: TokenAsker;
+	readonly #requester: TokenRequester;
 	readonly #accounts = new Map<ClientAccountName, AccountState>();
 	#planVersion = 0;
 
@@ -132,7 +135,7 @@
 			getReachShare: () => this.#reach.getShare(),
 			getPeerCount: () => getHosts().length,
 		});
-		this.#asker = new TokenAsker({
+		this.#requester = new TokenRequester({
 			...options,
 			ranking,
 			contacts,
@@ -197,20 +200,20 @@
 		requestId: string,
 	): Promise<AllotmentDecision> {
 		if (account.ratePerSecond <= 0) {
-			return unlimited;
+			return {isGranted: true, token: ungrantedToken};
 		}
 
 		const nowMs = this.#options.clock.monotonicMs();
 		const state = this.#getState(account.name);
 		state.lease.countRequest(nowMs);
-		const expiresAtMs = state.lease.take(nowMs);
+		const token = state.lease.take(nowMs);
 		const decision =
-			expiresAtMs === undefined
+			token === undefined
 				? await new Promise<AllotmentDecision>((resolve) => {
 						state.waiting.push(resolve);
 						this.#ask(account, state);
 					})
-				: ({isGranted: true, expiresAtMs} as const);
+				: ({isGranted: true, token} as const);
 		if (!decision.isGranted) {
 			this.#recordRefusal(account, requestId, decision);
 		}
@@ -222,14 +225,11 @@
 	 * Gives back the token of a request that certainly has not run.
 	 *
 	 * @param account - The client account of the request.
-	 * @param expiresAtMs - When the token expires, on the monotonic clock; one that has expired or that no owner has granted is not given back.
+	 * @param token - The token; one that has expired or that no host has granted is not given back.
 	 */
-	giveBack({name}: ClientAccount, expiresAtMs: number): void {
+	giveBack({name}: ClientAccount, {expiresAtMs, grantor}: Token): void {
 		const {clock, self, send} = this.#options;
-		const grantor = this.#accounts.get(name)?.grantor;
-		const isReturnable =
-			Number.isFinite(expiresAtMs) && expiresAtMs > clock.monotonicMs();
-		if (grantor === undefined || !isReturnable) {
+		if (grantor === undefined || expiresAtMs <= clock.monotonicMs()) {
 			return;
 		}
 
@@ -277,7 +277,7 @@
 			}
 
 			case 'token-reply': {
-				this.#asker.receive(message, sender);
+				this.#requester.receive(message, sender);
 				break;
 			}
 
@@ -319,8 +319,8 @@
 			isolated: new IsolatedAllotment(clock, random),
 			waiting: [],
 			isAsking: false,
+			askedCount: 0,
 			refusedAtMs: Number.NEGATIVE_INFINITY,
-			grantor: undefined,
 		};
 		this.#accounts.set(account, state);
 		return state;
@@ -336,70 +336,106 @@
 		this.#exchange.whenReady(() => {
 			const {ratePerSecond, burst} = account;
 			const needed = state.waiting.length;
+			state.askedCount = needed;
 			const leadCount = state.lease.getLeadCount(
 				this.#options.clock.monotonicMs(),
 			);
-			this.#asker.ask(
+			this.#requester.request(
 				{
 					account: account.name,
 					limit: {planVersion: this.#planVersion, ratePerSecond, burst},
 					needed,
 					wanted: needed + leadCount,
 				},
-				(decision) => {
-					this.#applyDecision(account, state, needed, decision);
+				{
+					onDecision: (decision) => {
+						this.#applyDecision(account, state, decision);
+					},
+					onLateTokens: (decision) => {
+						this.#addTokens(state, decision);
+					},
 				},
 			);
 		});
 	}
 
+	/** Ends a token request: the requests that it was for and that got no token are refused. */
 	#applyDecision(
 		account: ClientAccount,
 		state: AccountState,
-		needed: number,
 		decision: TokenDecision,
 	): void {
-		const {granted, expiresAtMs, retryAfterMs, decidedBy} = decision;
-		const nowMs = this.#options.clock.monotonicMs();
+		this.#addTokens(state, decision);
 		state.isAsking = false;
-		state.lease.add(granted, expiresAtMs);
-		if (granted > 0) {
-			state.grantor = decidedBy;
+		const unserved = state.waiting.splice(0, state.askedCount);
+		state.askedCount = 0;
+		for (const [index, resolve] of unserved.entries()) {
+			resolve(this.#decideWithoutToken(account, state, decision, index));
+		}
+
+		if (state.waiting.length > 0) {
+			this.#ask(account, state);
 		}
+	}
 
-		for (const [index, resolve] of state.waiting.splice(0, needed).entries()) {
-			const tokenExpiresAtMs =
-				state.lease.take(nowMs) ??
-				(decidedBy === undefined
-					? this.#takeIsolated(account, state)
-					: undefined);
-			if (tokenExpiresAtMs === undefined) {
-				state.refusedAtMs = nowMs;
-				const spacingMs =
-					(index * msPerSecond) / Math.max(1, account.ratePerSecond);
-				resolve({
-					isGranted: false,
-					retryAfterMs:
-						decidedBy === undefined
-							? isolatedRetryMs
-							: Math.min(msPerSecond, retryAfterMs + spacingMs),
-					decidedBy,
-				});
-			} else {
-				resolve({isGranted: true, expiresAtMs: tokenExpiresAtMs});
+	/** Adds granted tokens to the lease and serves waiting requests from it, oldest first. */
+	#addTokens(
+		state: AccountState,
+		{granted, expiresAtMs, decidedBy}: TokenDecision,
+	): void {
+		const nowMs = this.#options.clock.monotonicMs();
+		state.lease.add(granted, {expiresAtMs, grantor: decidedBy});
+		while (state.waiting.length > 0) {
+			const token = state.lease.take(nowMs);
+			if (token === undefined) {
+				return;
 			}
+
+			state.askedCount = Math.max(0, state.askedCount - 1);
+			state.waiting.shift()!({isGranted: true, token});
 		}
+	}
 
-		if (state.waiting.length > 0) {
-			this.#ask(account, state);
+	/**
+	 * Decides on a request that got no token.
+	 *
+	 * @param account - Its client account.
+	 * @param state - The state of the account.
+	 * @param decision - The decision on the token request.
+	 * @param position - How many requests without a token are before it.
+	 * @returns A refusal, or the permission by this host's own part if no owner has answered.
+	 */
+	#decideWithoutToken(
+		account: ClientAccount,
+		state: AccountState,
+		{retryAfterMs, decidedBy}: TokenDecision,
+		position: number,
+	): AllotmentDecision {
+		if (decidedBy === undefined) {
+			const token = this.#takeIsolated(account, state);
+			if (token !== undefined) {
+				return {isGranted: true, token};
+			}
 		}
+
+		state.refusedAtMs = this.#options.clock.monotonicMs();
+		const spacingMs =
+			(position * msPerSecond) / Math.max(1, account.ratePerSecond);
+		return {
+			isGranted: false,
+			retryAfterMs:
+				decidedBy === undefined
+					? isolatedRetryMs
+					: Math.min(msPerSecond, retryAfterMs + spacingMs),
+			decidedBy,
+		};
 	}
 
 	/** Takes a token from this host's own part, as no owner has answered. */
 	#takeIsolated(
 		{name, ratePerSecond, burst}: ClientAccount,
 		{isolated}: AccountState,
-	): number | undefined {
+	): Token | undefined {
 		const {getBound, metrics} = this.#options;
 		const bound = getBound();
 		const hostCount = Math.max(
@@ -413,7 +449,7 @@
 		}
 
 		metrics.recordAllotmentGrant(name, 'isolated', 1);
-		return Number.POSITIVE_INFINITY;
+		return ungrantedToken;
 	}
 
 	#recordRefusal(
--- a/packages/gateway/src/accounts/allotment-permit.ts
+++ b/packages/gateway/src/accounts/allotment-permit.ts
@@ -28,9 +28,15 @@
 export class AllotmentPermit {
 	readonly #options: AllotmentPermitOptions;
 	readonly #refusal = new AbortController();
+	/** Settled once the latest token was granted or refused. */
 	#pending: Promise<void>;
+	/** The latest decision; undefined before the first one and after its token was given back. */
 	#decision: AllotmentDecision | undefined;
+	/** When the token goes back if the request still waits, on the monotonic clock. */
+	#returnAtMs = Number.POSITIVE_INFINITY;
+	/** Removes the timer that gives the token of a waiting request back. */
 	#cancelReturn: CancelFunction = () => undefined;
+	/** Whether `hold` has succeeded, so that the request was probably sent. */
 	#isUsed = false;
 
 	/**
@@ -69,7 +75,9 @@
 	 */
 	async hold(): Promise<Failure | undefined> {
 		await this.#pending;
-		if (!this.#isUsed && !this.#isValid) {
+		if (!this.#isUsed && !this.#isDecisionCurrent) {
+			// The timer of the former token may run late and would then drop the new one.
+			this.#cancelReturn();
 			this.#pending = this.#take();
 			await this.#pending;
 		}
@@ -80,24 +88,33 @@
 		return refusal;
 	}
 
-	/** Gives the token back, as the request certainly has not run and will not. */
+	/** Continues the wait for a target after `hold`, as the request was not sent after all. */
+	resumeWait(): void {
+		if (this.#isUsed) {
+			this.#isUsed = false;
+			this.#scheduleReturn();
+		}
+	}
+
+	/** Gives the token back, also one that is still on its way, as the request certainly has not run and will not. */
 	giveBack(): void {
 		const {gate, account} = this.#options;
 		this.#cancelReturn();
 		void this.#pending.then(() => {
 			this.#cancelReturn();
 			if (this.#decision?.isGranted === true) {
-				gate.giveBack(account, this.#decision.expiresAtMs);
+				gate.giveBack(account, this.#decision.token);
 				this.#decision = undefined;
 			}
 		});
 	}
 
-	get #isValid(): boolean {
+	/** Whether the latest decision still stands: a refusal, or a token that has neither expired nor been given back. */
+	get #isDecisionCurrent(): boolean {
 		return (
 			this.#decision !== undefined &&
 			(!this.#decision.isGranted ||
-				this.#decision.expiresAtMs > this.#options.clock.monotonicMs())
+				this.#decision.token.expiresAtMs > this.#options.clock.monotonicMs())
 		);
 	}
 
@@ -111,14 +128,20 @@
 			return;
 		}
 
-		const validMs = decision.expiresAtMs - startedAtMs;
-		if (Number.isFinite(validMs)) {
-			const returnAtMs = startedAtMs + validMs * holdShare;
+		const validMs = decision.token.expiresAtMs - startedAtMs;
+		this.#returnAtMs = startedAtMs + validMs * holdShare;
+		this.#scheduleReturn();
+	}
+
+	#scheduleReturn(): void {
+		const {clock, gate, account} = this.#options;
+		const decision = this.#decision;
+		if (decision?.isGranted === true && Number.isFinite(this.#returnAtMs)) {
 			this.#cancelReturn = clock.schedule(
-				returnAtMs - clock.monotonicMs(),
+				this.#returnAtMs - clock.monotonicMs(),
 				() => {
 					this.#decision = undefined;
-					gate.giveBack(account, decision.expiresAtMs);
+					gate.giveBack(account, decision.token);
 				},
 			);
 		}
--- a/packages/gateway/src/accounts/token-asker.ts
+++ b/packages/gateway/src/accounts/token-requester.ts
@@ -9,7 +9,7 @@
 import type {OwnerRanking} from './owner-ranking.js';
 
 /** The hosts and how to reach them. */
-export type TokenAskerOptions = {
+export type TokenRequesterOptions = {
 	readonly clock: Clock;
 	readonly random: RandomSource;
 	/** The IP address of this host. */
@@ -40,14 +40,22 @@
 	readonly decidedBy: string | undefined;
 };
 
+/** What is called with the outcome of a token request. */
+export type TokenReceiver = {
+	/** Called once with the decision. */
+	readonly onDecision: (decision: TokenDecision) => void;
+	/** Called with tokens that arrive after another host was asked; they decide nothing about the request to that host. */
+	readonly onLateTokens: (decision: TokenDecision) => void;
+};
+
 type PendingRequest = {
 	readonly need: TokenNeed;
 	readonly address: string;
 	readonly sentAtMs: number;
-	/** Called with the decision; also with tokens that arrive after another host was asked. */
-	readonly onDecision: (decision: TokenDecision) => void;
+	readonly receiver: TokenReceiver;
 	readonly progress: Progress;
-	hasEnded: boolean;
+	/** Whether the host was skipped because it had not replied in time. */
+	isSkipped: boolean;
 };
 
 type Progress = {
@@ -70,31 +78,31 @@
 const maxUnansweredHosts = 2;
 /** How long a late reply is accepted, in milliseconds. */
 const lateReplyMs = 1000;
-const firstAskRange = 2 ** 30;
+const firstNumberRange = 2 ** 30;
 
 /** Asks the owner of an account, then those that rank behind it. */
-export class TokenAsker {
-	readonly #options: TokenAskerOptions;
+export class TokenRequester {
+	readonly #options: TokenRequesterOptions;
 	readonly #pending = new Map<number, PendingRequest>();
-	#lastAsk: number;
+	#lastRequestNumber: number;
 
 	/**
 	 * @param options - The hosts and how to reach them.
 	 */
-	constructor(options: TokenAskerOptions) {
+	constructor(options: TokenRequesterOptions) {
 		this.#options = options;
 		// A random start keeps replies to the previous run of this host apart.
-		this.#lastAsk = Math.floor(options.random() * firstAskRange);
+		this.#lastRequestNumber = Math.floor(options.random() * firstNumberRange);
 	}
 
 	/**
 	 * Asks for tokens.
 	 *
 	 * @param need - The account and the number of tokens.
-	 * @param onDecision - Called with the decision; later again if tokens arrive late.
+	 * @param receiver - What is called with the outcome.
 	 */
-	ask(need: TokenNeed, onDecision: (decision: TokenDecision) => void): void {
-		this.#askNext(need, onDecision, {
+	request(need: TokenNeed, receiver: TokenReceiver): void {
+		this.#requestFromNext(need, receiver, {
 			skipped: new Set(),
 			askedCount: 0,
 			unansweredCount: 0,
@@ -108,16 +116,16 @@
 	 * @param sender - The address of the host that sent it.
 	 */
 	receive(reply: TokenReply, sender: string): void {
-		const pending = this.#pending.get(reply.ask);
+		const pending = this.#pending.get(reply.requestNumber);
 		if (pending?.address === sender) {
-			this.#pending.delete(reply.ask);
+			this.#pending.delete(reply.requestNumber);
 			this.#handleReply(pending, reply);
 		}
 	}
 
-	#askNext(
+	#requestFromNext(
 		need: TokenNeed,
-		onDecision: PendingRequest['onDecision'],
+		receiver: TokenReceiver,
 		progress: Progress,
 	): void {
 		const {ranking, contacts} = this.#options;
@@ -128,31 +136,31 @@
 			}
 
 			if (!progress.skipped.has(address)) {
-				this.#askHost(address, need, onDecision, progress);
+				this.#requestFrom(address, need, receiver, progress);
 				return;
 			}
 		}
 
-		onDecision(noDecision);
+		receiver.onDecision(noDecision);
 	}
 
-	#askHost(
+	#requestFrom(
 		address: string,
 		need: TokenNeed,
-		onDecision: PendingRequest['onDecision'],
+		receiver: TokenReceiver,
 		progress: Progress,
 	): void {
 		const {clock, self, send, answerLocally} = this.#options;
 		progress.askedCount++;
 		if (progress.askedCount > maxAskedHosts) {
-			onDecision(noDecision);
+			receiver.onDecision(noDecision);
 			return;
 		}
 
-		this.#lastAsk++;
+		this.#lastRequestNumber++;
 		const request: TokenRequest = {
 			method: 'token-request',
-			ask: this.#lastAsk,
+			requestNumber: this.#lastRequestNumber,
 			...need,
 			skipped: [...progress.skipped],
 		};
@@ -160,16 +168,16 @@
 			need,
 			address,
 			sentAtMs: clock.monotonicMs(),
-			onDecision,
+			receiver,
 			progress,
-			hasEnded: false,
+			isSkipped: false,
 		};
 		if (address === self) {
 			this.#handleReply(pending, answerLocally(request));
 			return;
 		}
 
-		this.#pending.set(request.ask, pending);
+		this.#pending.set(request.requestNumber, pending);
 		send(address, request);
 		this.#awaitReply(request, pending, () => {
 			send(address, request);
@@ -181,14 +189,14 @@
 
 	/** Runs an action if the request has no reply in time. */
 	#awaitReply(
-		{ask}: TokenRequest,
+		{requestNumber}: TokenRequest,
 		pending: PendingRequest,
 		onTimeout: () => void,
 	): void {
 		const {clock} = this.#options;
 		const dueAtMs = clock.monotonicMs() + replyTimeoutMs;
 		const end = () => {
-			if (this.#pending.get(ask) === pending) {
+			if (this.#pending.get(requestNumber) === pending) {
 				onTimeout();
 			}
 		};
@@ -202,51 +210,54 @@
 		});
 	}
 
-	#skipHost({ask}: TokenRequest, pending: PendingRequest): void {
+	#skipHost({requestNumber}: TokenRequest, pending: PendingRequest): void {
 		const {clock, contacts} = this.#options;
-		const {address, sentAtMs, need, onDecision, progress} = pending;
-		pending.hasEnded = true;
+		const {address, sentAtMs, need, receiver, progress} = pending;
+		pending.isSkipped = true;
 		clock.schedule(lateReplyMs, () => {
-			this.#pending.delete(ask);
+			this.#pending.delete(requestNumber);
 		});
 		contacts.recordMissed(address, sentAtMs);
 		contacts.check(address);
 		progress.skipped.add(address);
 		progress.unansweredCount++;
 		if (progress.unansweredCount < maxUnansweredHosts) {
-			this.#askNext(need, onDecision, progress);
+			this.#requestFromNext(need, receiver, progress);
 		} else {
-			onDecision(noDecision);
+			receiver.onDecision(noDecision);
 		}
 	}
 
 	#handleReply(pending: PendingRequest, reply: TokenReply): void {
 		const {contacts, directory, self} = this.#options;
-		const {address, sentAtMs, need, onDecision, progress} = pending;
+		const {address, sentAtMs, need, receiver, progress} = pending;
 		const {granted, validMs, retryAfterMs, owner} = reply;
 		if (owner === undefined) {
-			if (!pending.hasEnded || granted > 0) {
-				onDecision({
-					granted,
-					expiresAtMs: sentAtMs + validMs,
-					retryAfterMs,
-					decidedBy: address,
-				});
+			const decision: TokenDecision = {
+				granted,
+				expiresAtMs: sentAtMs + validMs,
+				retryAfterMs,
+				decidedBy: address,
+			};
+			if (!pending.isSkipped) {
+				receiver.onDecision(decision);
+			} else if (granted > 0) {
+				receiver.onLateTokens(decision);
 			}
 
 			return;
 		}
 
 		directory.add(owner);
-		if (pending.hasEnded) {
+		if (pending.isSkipped) {
 			return;
 		}
 
 		if (owner !== self && contacts.isSilent(owner)) {
 			progress.skipped.add(owner);
-			this.#askHost(address, need, onDecision, progress);
+			this.#requestFrom(address, need, receiver, progress);
 		} else {
-			this.#askHost(owner, need, onDecision, progress);
+			this.#requestFrom(owner, need, receiver, progress);
 		}
 	}
 }
