Check configurations before they are published

Cause: a configuration with a mistake (a route that never matches, a service that is not defined, limits that contradict each other) was seen only in the responses of hosts, and nothing told what a new version changes.

Change: `bilberryscale config check FILE [--against FILE|--host ADDRESS] [--json]`. The findings and the differences are computed by pure modules over the decoded plan (`plan/plan-check.ts`, `plan/plan-difference.ts`).

--- a/packages/cli/src/bin/bilberryscale.ts
+++ b/packages/cli/src/bin/bilberryscale.ts
@@ -5,6 +5,7 @@
 import {systemClock} from '@bilberryscale/core';
 import {runCommandLine} from '../command-line.js';
 import {makeHostFetcher} from '../hosts/host-fetcher.js';
+import {makeSnapshotFetcher} from '../hosts/snapshot-fetcher.js';
 
 process.exitCode = await runCommandLine(process.argv, {
 	output: {
@@ -16,6 +17,7 @@
 		},
 	},
 	fetchFromHost: makeHostFetcher(),
+	fetchSnapshot: makeSnapshotFetcher(systemClock),
 	clock: systemClock,
 	getEnvironmentVariable: (name) => process.env[name],
 });
--- a/packages/cli/src/command-line.ts
+++ b/packages/cli/src/command-line.ts
@@ -7,7 +7,7 @@
 import {exitCodeHelp, exitCodes, type ExitCode} from './output/exit-codes.js';
 
 const programName = 'bilberryscale';
-const commandGroups = new Set(['bundle', 'keys', 'settings']);
+const commandGroups = new Set(['bundle', 'config', 'keys', 'settings']);
 // `process.argv` starts with the paths of Node and of the script.
 const firstWordIndex = 2;
 
--- a/packages/cli/src/commands/all-commands.ts
+++ b/packages/cli/src/commands/all-commands.ts
@@ -7,6 +7,7 @@
 import {bundleSign} from './bundle-sign.js';
 import {bundleVerify} from './bundle-verify.js';
 import type {Command} from './command.js';
+import {configCheck} from './config-check.js';
 import {explain} from './explain.js';
 import {keysGenerate} from './keys-generate.js';
 import {settingsCheck} from './settings-check.js';
@@ -19,6 +20,7 @@
 	bundleVerify,
 	bundleDiff,
 	bundleShow,
+	configCheck,
 	settingsCheck,
 	status,
 	audit,
--- a/packages/cli/src/commands/command.ts
+++ b/packages/cli/src/commands/command.ts
@@ -2,6 +2,7 @@
 
 import type {Clock} from '@bilberryscale/core';
 import type {HostFetcher} from '../hosts/host-fetcher.js';
+import type {SnapshotFetcher} from '../hosts/snapshot-fetcher.js';
 import type {ExitCode} from '../output/exit-codes.js';
 import type {Output} from '../output/output.js';
 import type {Flags} from './flags.js';
@@ -16,6 +17,8 @@
 export type CommandContext = {
 	readonly output: Output;
 	readonly fetchFromHost: HostFetcher;
+	/** Reads what the platform has published from a gateway host. */
+	readonly fetchSnapshot: SnapshotFetcher;
 	readonly clock: Clock;
 	/** Gets an environment variable. */
 	readonly getEnvironmentVariable: (name: string) => string | undefined;
--- a/packages/cli/src/hosts/query-hosts.ts
+++ b/packages/cli/src/hosts/query-hosts.ts
@@ -6,6 +6,7 @@
 import type {Flags} from '../commands/flags.js';
 import {readTextFileOrThrow} from '../files/read-text-file.js';
 import {UsageError} from '../output/usage-error.js';
+import {hostAddressPattern} from './host-address.js';
 
 /** The hosts to query and the token to authenticate with. */
 export type HostSelection = {
@@ -29,8 +30,6 @@
 
 const tokenVariable = 'BILBERRYSCALE_TOKEN';
 const tokenPattern = /^[\u0021-\u007E]+$/v;
-const hostAddressPattern =
-	/^(?:\d{1,3}(?:\.\d{1,3}){3}|\[[\da-f:]+\]):\d{1,5}$/iv;
 
 /** The flags that select hosts. */
 export const hostOptions: readonly CommandOption[] = [
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -12,5 +12,9 @@
 	type HostFetcher,
 	type HostRequest,
 } from './hosts/host-fetcher.js';
+export {
+	makeSnapshotFetcher,
+	type SnapshotFetcher,
+} from './hosts/snapshot-fetcher.js';
 export {exitCodes, type ExitCode} from './output/exit-codes.js';
 export type {Output} from './output/output.js';
--- a/packages/cli/test/run-tool.ts
+++ b/packages/cli/test/run-tool.ts
@@ -9,6 +9,7 @@
 	runCommandLine,
 	type HostFetcher,
 	type HostRequest,
+	type SnapshotFetcher,
 } from '../src/index.js';
 
 /** The output and the exit code of a run. */
@@ -28,11 +29,13 @@
  *
  * @param args - The arguments after the name of the program.
  * @param fleet - The fake hosts; without it no host responds.
+ * @param fetchSnapshot - Reads from a gateway host; without it no host responds.
  * @returns The output and the exit code.
  */
 export async function runTool(
 	args: readonly string[],
 	fleet: FakeFleet = silentFleet,
+	fetchSnapshot: SnapshotFetcher = async () => Err('no response'),
 ): Promise<ToolRun> {
 	const out: string[] = [];
 	const errors: string[] = [];
@@ -43,6 +46,7 @@
 			printError: (line) => errors.push(line),
 		},
 		fetchFromHost,
+		fetchSnapshot,
 		clock: {
 			...systemClock,
 			// Runs scheduled actions at once, so that polling does not wait.
--- a/packages/gateway/src/fleet/peer-reader.ts
+++ b/packages/gateway/src/fleet/peer-reader.ts
@@ -23,12 +23,14 @@
 	readonly onResponse: () => void;
 	/** Whether the host is in another data centre, so that its responses should be compressed. */
 	readonly isFar: boolean;
+	/** How long a response may take beyond the wait for a change, in milliseconds; 300 by default. */
+	readonly responseMarginMs?: number;
 };
 
 /** How long the other host waits for a change before it responds, in milliseconds. */
 const longPollMs = 500;
-/** How long a response may take beyond that wait, in milliseconds. */
-const responseMarginMs = 300;
+/** How long a response may take beyond that wait by default, in milliseconds. */
+const defaultResponseMarginMs = 300;
 
 /** Reads from one other host over JSON-RPC 2.0. */
 export class PeerReader implements SnapshotSource {
@@ -96,11 +98,12 @@
 		request: JSONRPCRequest,
 		query: SnapshotQuery,
 	): Promise<JSONRPCResponse> {
+		const {isFar, responseMarginMs = defaultResponseMarginMs} = this.#options;
 		const response = await this.#httpClient.fetch({
 			method: 'POST',
 			path: '/',
 			body: JSON.stringify(request),
-			acceptsGzip: this.#options.isFar,
+			acceptsGzip: isFar,
 			timeoutMs: query.waitMs + responseMarginMs,
 		});
 		if (response.isErr()) {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -16,6 +16,16 @@
 	StorePosition,
 	ReadError,
 } from './snapshot/snapshot-source.js';
+export {PeerReader, type PeerReaderOptions} from './fleet/peer-reader.js';
+export {checkPlan, type PlanCheckContext} from './plan/plan-check.js';
+export {diffPlans, type PlanDifference} from './plan/plan-difference.js';
+export type {PlanEntry, PlanField, PlanValue} from './plan/plan-entry.js';
+export {
+	findingKinds,
+	type FindingKind,
+	type FindingSeverity,
+	type PlanFinding,
+} from './plan/plan-finding.js';
 export type {
 	RegisteredTarget,
 	TargetIncarnation,
