Document the configuration check and keep keys out of its errors

An address with a port over 65535 gave "Invalid URL".

Change: `PeerReader` reports that the response is not JSON. `docs/operators/config-check.md` shows each golden output, which a test compares.

Result: the test of the broken response fails without the change.

--- a/packages/cli/src/files/published-plan.ts
+++ b/packages/cli/src/files/published-plan.ts
@@ -7,7 +7,7 @@
 	RoutingPlan,
 } from '@bilberryscale/gateway';
 import type {CommandContext} from '../commands/command.js';
-import {hostAddressPattern} from '../hosts/host-address.js';
+import {isHostAddress} from '../hosts/host-address.js';
 import {UsageError} from '../output/usage-error.js';
 import {readTextFileOrThrow} from './read-text-file.js';
 
@@ -48,7 +48,7 @@
 	host: string,
 	{fetchSnapshot}: CommandContext,
 ): Promise<PublishedPlan> {
-	if (!hostAddressPattern.test(host)) {
+	if (!isHostAddress(host)) {
 		throw new UsageError(
 			`--host: must be an IP address and a port, such as 10.0.0.1:8649; seen: ${host}`,
 		);
--- a/packages/cli/src/hosts/query-hosts.ts
+++ b/packages/cli/src/hosts/query-hosts.ts
@@ -6,7 +6,7 @@
 import type {Flags} from '../commands/flags.js';
 import {readTextFileOrThrow} from '../files/read-text-file.js';
 import {UsageError} from '../output/usage-error.js';
-import {hostAddressPattern} from './host-address.js';
+import {isHostAddress} from './host-address.js';
 
 /** The hosts to query and the token to authenticate with. */
 export type HostSelection = {
@@ -67,7 +67,7 @@
 		throw new UsageError('--host or --hosts-file is required');
 	}
 
-	const malformedHost = hosts.find((host) => !hostAddressPattern.test(host));
+	const malformedHost = hosts.find((host) => !isHostAddress(host));
 	if (malformedHost !== undefined) {
 		throw new UsageError(
 			`--host: must be an IP address and a port, such as 10.0.0.1:8081; seen: ${malformedHost}`,
--- a/packages/cli/test/commands/config-check.test.ts
+++ b/packages/cli/test/commands/config-check.test.ts
@@ -1,4 +1,6 @@
 import {once} from 'node:events';
+import fs from 'node:fs';
+import http from 'node:http';
 import net from 'node:net';
 import {systemClock} from '@bilberryscale/core';
 import {findingKinds, getKeyDigest} from '@bilberryscale/gateway';
@@ -16,6 +18,10 @@
 
 const inputFiles = ['next.json', 'current.json', 'snapshot.json'];
 const keyPattern = /\b[\da-z]{20}\b/gv;
+const pageText = fs.readFileSync(
+	new URL('../../../../docs/operators/config-check.md', import.meta.url),
+	'utf8',
+);
 const validFile = getCasePath('ok', 'next.json');
 
 /** Gets all keys in the inputs of a case; they are the only words with 20 letters and digits there. */
@@ -63,6 +69,13 @@
 		}
 	});
 
+	// Guards against examples in the documentation that the tool no longer prints.
+	it('has the output of each golden case but the empty one in the page for operators', () => {
+		for (const name of getCaseNames().filter((item) => item !== 'ok')) {
+			assert.match(pageText, readCaseFile(name, 'output.txt')!);
+		}
+	});
+
 	describe('exits with 2', () => {
 		const folder = new TestFolder();
 		const invalidFile = folder.write('invalid.json', '{}');
@@ -111,6 +124,11 @@
 			[validFile, '--host', 'a.example'],
 			/--host: must be an IP address and a port/v,
 		);
+		doTest(
+			'with a port over 65535',
+			[validFile, '--host', '10.0.0.1:99999'],
+			/--host: must be an IP address and a port/v,
+		);
 		doTest(
 			'with a retry ratio over 1',
 			[validFile, '--retry-ratio', '2'],
@@ -163,6 +181,24 @@
 			assert.match(run.errors, /not reached: no response within 3000 ms/v);
 		});
 
+		// The JSON parser quotes about 10 characters around an error, here of a key.
+		it('without a quote if the host responds with broken JSON', async () => {
+			const server = http.createServer((_request, response) => {
+				response.end('{"api_keys":[r26tta828m82thhkmgjq]}');
+			});
+			await once(server.listen(0, '127.0.0.1'), 'listening');
+			const {port} = server.address() as net.AddressInfo;
+			const run = await runTool(
+				['config', 'check', validFile, '--host', `127.0.0.1:${port}`],
+				undefined,
+				makeSnapshotFetcher(systemClock),
+			);
+			server.close();
+			server.closeAllConnections();
+			assert.is(run.code, 2, run.out);
+			assert.match(run.errors, /not reached: the response is not JSON$/v);
+		});
+
 		it('if nothing listens at the address', async () => {
 			const [port] = await getFreePorts('127.0.0.1', 1);
 			const run = await runTool(
--- a/packages/cli/test/golden/renew-config-check.ts
+++ b/packages/cli/test/golden/renew-config-check.ts
@@ -1,4 +1,7 @@
-/** Writes the outputs of the golden cases of `config check` anew; the changes are to be read before they are committed. */
+/**
+ * Writes the outputs of the golden cases of `config check` anew; the changes are to be read before they are committed.
+ * Run with `node --conditions=source --import tsx packages/cli/test/golden/renew-config-check.ts`.
+ */
 
 import fs from 'node:fs';
 import {
--- a/packages/gateway/src/fleet/peer-reader.ts
+++ b/packages/gateway/src/fleet/peer-reader.ts
@@ -112,6 +112,15 @@
 
 		this.#options.onResponse();
 
-		return JSON.parse(response.value.text) as JSONRPCResponse;
+		return parseRpcOrThrow(response.value.text);
+	}
+}
+
+/** The parser's own message quotes the text, which may hold keys of client accounts. */
+function parseRpcOrThrow(text: string): JSONRPCResponse {
+	try {
+		return JSON.parse(text) as JSONRPCResponse;
+	} catch {
+		throw new Error('the response is not JSON');
 	}
 }
