--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -9,6 +9,8 @@
 	type FilterResult,
 } from '@bilberryscale/daemon/edge';
 import {CrashSuspects} from '@bilberryscale/decisions';
+import {AllotmentGate} from '../accounts/allotment-gate.js';
+import {defaultAllotmentBound} from '../accounts/allotment-tolerance.js';
 import {getPrioritizedServices} from '../capacity/has-priority-classes.js';
 import {AccountDirectory} from '../accounts/account-directory.js';
 import {TargetProbe} from '../choice/target-probe.js';
@@ -37,6 +39,7 @@
 import {CrashDetector} from './crash-detector.js';
 import type {GatewaySettings} from './gateway-settings.js';
 import {LiveSettings, type SettingsChange} from './live-settings.js';
+import type {HedgingOptions} from './make-hedged-dispatcher.js';
 import {makeRelay} from './make-relay.js';
 
 /** The settings of a gateway host and its external dependencies. */
@@ -54,6 +57,8 @@
 	readonly prepareItem?: ItemPreparation;
 	readonly callerProtocol: CallerProtocol;
 	readonly targetProtocol: TargetProtocol;
+	/** How hedged requests are sent; undefined for none. */
+	readonly hedging?: HedgingOptions | undefined;
 };
 
 /**
@@ -75,6 +80,7 @@
 	readonly #settings: LiveSettings;
 	readonly #metrics = new GatewayMetrics();
 	readonly #fleet: Fleet;
+	readonly #allotments: AllotmentGate;
 	readonly #crashSuspects = new CrashSuspects();
 	readonly #crashDetector: CrashDetector;
 	readonly #feed: SnapshotFeed;
@@ -137,6 +143,23 @@
 			onLimit: (notice) => {
 				this.#targetRegistry.addRemoteLimit(notice);
 			},
+			onAllotment: (message, sender) => {
+				this.#allotments.receive(message, sender);
+			},
+		});
+		this.#allotments = new AllotmentGate({
+			clock,
+			random,
+			log,
+			metrics: this.#metrics,
+			self: settings.callers.address,
+			getPeers: () => this.#fleet.knownPeers,
+			getSeeds: () => this.#settings.current.seeds.map(({address}) => address),
+			send: (address, message) => {
+				this.#fleet.sendAllotment(address, message);
+			},
+			getBound: () =>
+				this.#settings.current.allotmentBound ?? defaultAllotmentBound,
 		});
 		this.#feed = new SnapshotFeed({
 			clock,
@@ -212,10 +235,12 @@
 			targetRegistry: this.#targetRegistry,
 			forwarder: this.#forwarder,
 			plans: this.#plans,
+			allotments: this.#allotments,
 			crashSuspects: this.#crashSuspects,
 			getHostCount,
 			getSnapshotAgeMs: () => this.#feed.ageMs,
 			isShuttingDown,
+			hedging: options.hedging,
 			probe: (state) => {
 				this.#probe(state);
 			},
@@ -264,8 +289,11 @@
 
 	/** Starts the servers, the feed and the gossip. */
 	async start(): Promise<void> {
-		const {settings, log} = this.#options;
-		log.writeState('process started', {dataCentre: settings.dataCentre});
+		const {settings, log, hedging} = this.#options;
+		log.writeState('process started', {
+			dataCentre: settings.dataCentre,
+			...(hedging && {hedgeLimit: hedging.limit}),
+		});
 		void this.#feed.run();
 		await this.#readinessServer.listen(settings.readiness);
 		await this.#metricsServer.listen(settings.metrics);
@@ -312,6 +340,7 @@
 		await this.#sleep(pollIntervalMs);
 		log.writeState('process stopped', {openCalls: this.#openRequestCount});
 		this.#feed.stop();
+		this.#allotments.stop();
 		this.#fleet.stop();
 		this.#pathRecovery.stop();
 		this.#forwarder.close();
@@ -372,6 +401,7 @@
 				keys: accounts?.keyCount,
 			});
 			callerServer.setTimeouts(plan.limits);
+			this.#allotments.setAccounts(plan.version, plan.clientAccounts);
 			this.#plans.setPlan({
 				version: plan.version,
 				routeTable: new RouteTable(plan.routes),
--- a/packages/gateway/src/context/make-relay.ts
+++ b/packages/gateway/src/context/make-relay.ts
@@ -8,6 +8,7 @@
 } from '@bilberryscale/core';
 import type {CrashSuspects} from '@bilberryscale/decisions';
 import {FullTargetBehaviour} from '../choice/full-target-behaviour.js';
+import type {AllotmentGate} from '../accounts/allotment-gate.js';
 import {ReturnSchedules} from '../capacity/return-schedules.js';
 import {AccountCheck} from '../accounts/account-check.js';
 import {LastSlotFactor} from '../choice/last-slot-factor.js';
@@ -31,6 +32,10 @@
 import type {TargetProtocol} from '../targets/target-protocol.js';
 import type {TargetState} from '../targets/target-state.js';
 import type {LiveSettings} from './live-settings.js';
+import {
+	makeHedgedDispatcher,
+	type HedgingOptions,
+} from './make-hedged-dispatcher.js';
 
 /** The objects and callbacks that the relay shares with the rest of the host. */
 export type RelayDependencies = {
@@ -43,12 +48,16 @@
 	readonly targetRegistry: TargetRegistry;
 	readonly forwarder: Forwarder;
 	readonly plans: PlanHolder;
+	/** The rate limits of client accounts. */
+	readonly allotments: AllotmentGate;
 	/** The requests that may have crashed targets. */
 	readonly crashSuspects: CrashSuspects;
 	readonly getHostCount: () => number;
 	/** Gets the time since the store confirmed the published state, in milliseconds. */
 	readonly getSnapshotAgeMs: () => number;
 	readonly isShuttingDown: () => boolean;
+	/** How hedged requests are sent; undefined for none. */
+	readonly hedging: HedgingOptions | undefined;
 	/** Probes a target. */
 	readonly probe: (state: TargetState) => void;
 	/** Called when a connection broke while it carried a request; calls back if the target has crashed. */
@@ -115,6 +124,29 @@
 		getPlanVersion: () => plans.plan?.version,
 		getNowMs: () => clock.monotonicMs(),
 	});
+	const dispatcher = new AttemptDispatcher({
+		clock,
+		serviceTimes,
+		lastSlotFactor,
+		fullTargets,
+		recorder,
+		protocol,
+		crashSuspects,
+		silenceDetector: new SilenceDetector({
+			clock,
+			probe,
+			isPaused: isShuttingDown,
+		}),
+		onNotice(state, notice, namesRequest) {
+			targetRegistry.addAvailability(
+				state,
+				notice,
+				namesRequest ? 'attempt' : undefined,
+			);
+		},
+		onConnectionBroken: dependencies.onConnectionBroken,
+		onTargetFailure: dependencies.onFailure,
+	});
 	const accountCheck = new AccountCheck({
 		plans,
 		credentialHeader: protocol.credentialHeader,
@@ -159,30 +191,22 @@
 				}),
 			accountCheck,
 		}),
-		dispatcher: new AttemptDispatcher({
-			clock,
-			serviceTimes,
-			lastSlotFactor,
-			fullTargets,
-			recorder,
-			protocol,
-			crashSuspects,
-			silenceDetector: new SilenceDetector({
-				clock,
-				probe,
-				isPaused: isShuttingDown,
+		dispatcher,
+		hedging:
+			dependencies.hedging &&
+			makeHedgedDispatcher({
+				...dependencies,
+				hedging: dependencies.hedging,
+				dispatcher,
+				prober,
+				lastSlotFactor,
+				serviceTimes,
+				recorder,
+				dataCentre,
+				accountCheck,
 			}),
-			onNotice(state, notice, namesRequest) {
-				targetRegistry.addAvailability(
-					state,
-					notice,
-					namesRequest ? 'attempt' : undefined,
-				);
-			},
-			onConnectionBroken: dependencies.onConnectionBroken,
-			onTargetFailure: dependencies.onFailure,
-		}),
 		forwarder: dependencies.forwarder,
+		allotments: dependencies.allotments,
 		registry: targetRegistry,
 		returnSchedules,
 		serviceTimes,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,9 +1,14 @@
 /** The gateway: routing, choice of targets by probing, limits and the published snapshot. */
 
+export {
+	defaultAllotmentBound,
+	type AllotmentBound,
+} from './accounts/allotment-tolerance.js';
 export type {CallerProtocol} from '@bilberryscale/daemon/edge';
 export {AccountDirectory} from './accounts/account-directory.js';
 export {getKeyDigest} from './accounts/get-key-digest.js';
 export {GatewayHost, type GatewayHostOptions} from './context/gateway-host.js';
+export type {HedgingOptions} from './context/make-hedged-dispatcher.js';
 export type {Endpoint, GatewaySettings} from './context/gateway-settings.js';
 export {TextClient, type TextClientOptions} from './edge/text-client.js';
 export type {
@@ -40,6 +45,7 @@
 	RoutingPlan,
 	ServicePlan,
 } from './plan/routing-plan.js';
+export {loadHistogram} from './hedging/load-histogram.js';
 export {EventLog} from './records/event-log.js';
 export {LineWriter} from './records/line-writer.js';
 export type {AvailabilityNotice} from './targets/target-availability.js';
--- a/packages/gateway/src/plan/check-accounts.ts
+++ b/packages/gateway/src/plan/check-accounts.ts
@@ -4,7 +4,7 @@
 import type {PlanFinding} from './plan-finding.js';
 import type {RoutingPlan} from './routing-plan.js';
 
-/** A request takes one token, so a smaller bucket never holds enough. */
+/** A request takes one token, so hosts raise the capacity of a smaller bucket to this. */
 const minBurst = 1;
 
 /**
@@ -46,11 +46,11 @@
 		.filter(({ratePerSecond, burst}) => ratePerSecond > 0 && burst < minBurst)
 		.map(({name, burst}) => ({
 			kind: 'burst-below-one',
-			severity: 'error',
+			severity: 'warning',
 			entry: {kind: 'account', name},
 			field: 'burst',
 			value: burst,
-			allowed: `at least ${minBurst} request, as the account has a rate limit`,
+			allowed: `at least ${minBurst} request, which hosts use instead`,
 		}));
 }
 
--- a/packages/gateway/src/records/gateway-metrics.ts
+++ b/packages/gateway/src/records/gateway-metrics.ts
@@ -67,6 +67,39 @@
 		registers: [this.#registry],
 	});
 
+	readonly #allotmentRefusals = new Counter({
+		name: 'bilberryscale_allotment_refusals_total',
+		help: 'Requests over the rate limit of their client account',
+		labelNames: ['account'],
+		registers: [this.#registry],
+	});
+
+	readonly #allotmentGrants = new Counter({
+		name: 'bilberryscale_allotment_granted_total',
+		help: 'Tokens that this host has granted, by client account and role',
+		labelNames: ['account', 'role'],
+		registers: [this.#registry],
+	});
+
+	readonly #allotmentAllowed = new Counter({
+		name: 'bilberryscale_allotment_allowed_total',
+		help: 'Tokens that the rate allowed while this host granted it, by client account',
+		labelNames: ['account'],
+		registers: [this.#registry],
+	});
+
+	readonly #allotmentRedirects = new Counter({
+		name: 'bilberryscale_allotment_redirects_total',
+		help: 'Token requests for which another host has to be asked',
+		registers: [this.#registry],
+	});
+
+	readonly #silentHosts = new Counter({
+		name: 'bilberryscale_silent_hosts_total',
+		help: 'Hosts that have left messages about rate limits unanswered',
+		registers: [this.#registry],
+	});
+
 	readonly #farProbes = new Counter({
 		name: 'bilberryscale_far_probes_total',
 		help: 'Probes of targets in other data centres',
@@ -88,6 +121,26 @@
 		registers: [this.#registry],
 	});
 
+	readonly #hedges = new Counter({
+		name: 'bilberryscale_hedges_total',
+		help: 'Second copies of requests by event: sent, or won the race against the first',
+		labelNames: ['event'],
+		registers: [this.#registry],
+	});
+
+	readonly #hedgeObstacles = new Counter({
+		name: 'bilberryscale_hedge_obstacles_total',
+		help: 'Second copies that were due but not sent, by reason',
+		labelNames: ['reason'],
+		registers: [this.#registry],
+	});
+
+	readonly #wastedMs = new Counter({
+		name: 'bilberryscale_hedge_wasted_milliseconds_total',
+		help: 'Time that copies took which brought no answer, from the send to their end',
+		registers: [this.#registry],
+	});
+
 	readonly #accountRefusals = new Counter({
 		name: 'bilberryscale_account_refusals_total',
 		help: 'Requests refused on arrival for their key by reason',
@@ -162,6 +215,46 @@
 		this.#forwards.inc({result});
 	}
 
+	/**
+	 * Records a request that was refused because of the rate limit of its client account.
+	 *
+	 * @param account - The name of the account.
+	 */
+	recordAllotmentRefusal(account: string): void {
+		this.#allotmentRefusals.inc({account});
+	}
+
+	/**
+	 * Records tokens that this host has granted.
+	 *
+	 * @param account - The name of the account.
+	 * @param role - Why this host grants them.
+	 * @param count - The number of tokens.
+	 */
+	recordAllotmentGrant(account: string, role: string, count: number): void {
+		this.#allotmentGrants.inc({account, role}, count);
+	}
+
+	/**
+	 * Records tokens that the rate of an account allowed.
+	 *
+	 * @param account - The name of the account.
+	 * @param count - The number of tokens.
+	 */
+	recordAllotmentAllowed(account: string, count: number): void {
+		this.#allotmentAllowed.inc({account}, count);
+	}
+
+	/** Records a token request for which another host has to be asked. */
+	recordAllotmentRedirect(): void {
+		this.#allotmentRedirects.inc();
+	}
+
+	/** Records that another host has left a message about rate limits unanswered. */
+	recordSilentHost(): void {
+		this.#silentHosts.inc();
+	}
+
 	/**
 	 * Records probes of targets in other data centres.
 	 *
@@ -192,6 +285,31 @@
 		this.#returnTimes.inc({service, priority, result});
 	}
 
+	/** Records that a second copy of a request was sent. */
+	recordHedgeSent(): void {
+		this.#hedges.inc({event: 'sent'});
+	}
+
+	/**
+	 * Records that a second copy was due but not sent.
+	 *
+	 * @param reason - The reason.
+	 */
+	recordHedgeObstacle(reason: string): void {
+		this.#hedgeObstacles.inc({reason});
+	}
+
+	/**
+	 * Records how two copies of a request have ended.
+	 *
+	 * @param hasWon - Whether the second one won.
+	 * @param wastedMs - The time of the copies that brought no answer, in milliseconds.
+	 */
+	recordHedgeResult(hasWon: boolean, wastedMs: number): void {
+		this.#hedges.inc({event: 'won'}, hasWon ? 1 : 0);
+		this.#wastedMs.inc(wastedMs);
+	}
+
 	/**
 	 * Records a request that was refused on arrival for its key.
 	 *
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -9,6 +9,8 @@
 } from '@bilberryscale/core';
 import type {Exchange, FilterResult} from '@bilberryscale/daemon/edge';
 import {Err, Ok, type Result} from 'ts-results-es';
+import type {AllotmentGate} from '../accounts/allotment-gate.js';
+import {AllotmentPermit} from '../accounts/allotment-permit.js';
 import type {ReturnSchedules} from '../capacity/return-schedules.js';
 import type {AccountCheck} from '../accounts/account-check.js';
 import type {PickedTarget, TargetPicker} from '../choice/target-picker.js';
@@ -18,7 +20,13 @@
 import type {RequestRecorder} from '../records/request-recorder.js';
 import type {TargetRegistry} from '../targets/target-registry.js';
 import type {RequestReader, RoutedRequest} from './request-reader.js';
+import type {
+	HedgedDispatcher,
+	SentCopies,
+	SentCopy,
+} from './hedged-dispatcher.js';
 import type {AttemptDispatcher} from './attempt-dispatcher.js';
+import {pickWithPermit} from './pick-with-permit.js';
 import {
 	describeResult,
 	pickBetterResult,
@@ -37,8 +45,12 @@
 	readonly serviceTimes: ServiceTimes;
 	readonly dispatcher: AttemptDispatcher;
 	readonly forwarder: Forwarder;
+	/** The rate limits of client accounts. */
+	readonly allotments: AllotmentGate;
 	readonly registry: TargetRegistry;
 	readonly returnSchedules: ReturnSchedules;
+	/** Sends second copies of idempotent requests; undefined if the operator has set no limit for them. */
+	readonly hedging: HedgedDispatcher | undefined;
 	readonly getRetryBudgetLimit: () => RetryBudgetLimit;
 	readonly getHostCount: () => number;
 	readonly recorder: RequestRecorder;
@@ -50,6 +62,8 @@
 	readonly triedTargets: Set<TargetId>;
 	/** The targets that have refused the request without running it. */
 	readonly refusingTargets: Set<TargetId>;
+	/** The permission under the rate limit of its client account; undefined without a limit. */
+	readonly permit: AllotmentPermit | undefined;
 	attempts: number;
 	/** The number of attempts in which a target may have run the request. */
 	executions: number;
@@ -58,6 +72,8 @@
 
 /** Share of the retry budget that is reserved for returning callers. */
 const returningCallerShare = 0.6;
+/** Share of the retry budget that hedges leave to retries. */
+const retryShare = 0.6;
 /** Retry delay for callers whose request was refused by targets with free capacity, in milliseconds. */
 const refusedRetryAfterMs = 40;
 /** Maximum attempts beyond the route's limit, to targets that refused the request at random before. */
@@ -98,7 +114,7 @@
 		const blockedFailure = this.#options.dispatcher.getBlockedFailure(request);
 		const outcome =
 			blockedFailure === undefined
-				? await this.#sendWithRetries(request, forwardedAttempts === undefined)
+				? await this.#sendUnderLimit(request, forwardedAttempts === undefined)
 				: Err(blockedFailure);
 		this.#options.recorder.recordCompletion(
 			exchange,
@@ -109,16 +125,50 @@
 		return outcome;
 	}
 
+	/** Sends a request within the rate limit of its client account, which the host that received it from the caller checks. */
+	async #sendUnderLimit(
+		request: RoutedRequest,
+		isFromCaller: boolean,
+	): Promise<FilterResult> {
+		const permit = isFromCaller ? this.#makePermit(request) : undefined;
+		const refusal =
+			permit?.isScarce === true ? await permit.getRefusal() : undefined;
+		const outcome =
+			refusal === undefined
+				? await this.#sendWithRetries(request, isFromCaller, permit)
+				: Err(refusal);
+		if (outcome.isErr() && outcome.error.ran === 'not-run') {
+			permit?.giveBack();
+		}
+
+		return outcome;
+	}
+
+	#makePermit({account, exchange}: RoutedRequest): AllotmentPermit | undefined {
+		const {clock, allotments} = this.#options;
+		const {requestId} = exchange.incoming;
+		return account === undefined || account.ratePerSecond <= 0
+			? undefined
+			: new AllotmentPermit({clock, gate: allotments, account, requestId});
+	}
+
 	async #sendWithRetries(
 		request: RoutedRequest,
 		canForward: boolean,
+		permit: AllotmentPermit | undefined,
 	): Promise<FilterResult> {
 		const {clock, reader} = this.#options;
 		this.#getRetryBudget(request.service).addRequest(clock.monotonicMs());
 		this.#options.returnSchedules.addArrival(request);
+		if (canForward) {
+			// A forwarded request counts at the host of its caller.
+			this.#options.hedging?.addRequest(request.service);
+		}
+
 		const progress: Progress = {
 			triedTargets: new Set(),
 			refusingTargets: new Set(),
+			permit,
 			attempts: 0,
 			executions: 0,
 			best: undefined,
@@ -140,6 +190,7 @@
 					return attempt;
 				}
 
+				this.#options.hedging?.addRefusal(request.service);
 				return best === undefined
 					? Err(reader.addRetryAfter(request, attempt.error))
 					: this.#buildResult(
@@ -204,10 +255,9 @@
 	async #send(
 		request: RoutedRequest,
 		picked: PickedTarget,
-		{triedTargets, refusingTargets, attempts, executions}: Progress,
+		progress: Progress,
 	): Promise<Result<AttemptResult, Failure>> {
-		const {dispatcher, picker, accountCheck} = this.#options;
-		const {id} = picked.state.registration;
+		const {picker, accountCheck} = this.#options;
 		const checked = accountCheck.recheck(request);
 		if (checked.isErr()) {
 			picked.state.addEnd();
@@ -216,25 +266,56 @@
 			return checked;
 		}
 
-		triedTargets.add(id);
-		const result = await dispatcher.send(
+		progress.triedTargets.add(picked.state.registration.id);
+		const [{target, result}, ...others] = await this.#sendCopies(
 			checked.value,
 			picked,
-			attempts + 1,
-			() => this.#canLeaveStalledTarget(request, executions),
+			progress,
 		);
 		picker.wakeFirstWaiting(request.service);
 		if (result.kind === 'answered') {
 			this.#options.returnSchedules.addDeparture(request.service);
 		}
 
-		if (result.kind === 'refused' && result.status !== misdirectedStatus) {
-			refusingTargets.add(id);
+		addRefusingTarget(progress, {target, result});
+		for (const other of others) {
+			progress.triedTargets.add(other.target);
+			progress.attempts++;
+			progress.executions += mayHaveRun(other.result) ? 1 : 0;
+			addRefusingTarget(progress, other);
 		}
 
 		return Ok(result);
 	}
 
+	/** Sends a request to a picked target and, if hedging is on, perhaps to another one. */
+	async #sendCopies(
+		request: RoutedRequest,
+		picked: PickedTarget,
+		{triedTargets, attempts, executions}: Progress,
+	): Promise<SentCopies> {
+		const {dispatcher, hedging, clock} = this.#options;
+		const attempt = attempts + 1;
+		const canRetry = () => this.#canLeaveStalledTarget(request, executions);
+		if (hedging === undefined) {
+			const target = picked.state.registration.id;
+			const result = await dispatcher.send(request, picked, attempt, {
+				canRetry,
+			});
+			return [{target, result}];
+		}
+
+		const budget = this.#getRetryBudget(request.service);
+		return hedging.send(request, picked, {
+			attempt,
+			executions,
+			triedTargets,
+			canRetry,
+			canTakeRetry: () => budget.canTake(clock.monotonicMs(), retryShare),
+			takeRetry: () => budget.take(clock.monotonicMs(), retryShare),
+		});
+	}
+
 	/**
 	 * Sends a request through another host. A request that another host has
 	 * forwarded is refused instead, so that no two hosts send it to each other.
@@ -243,13 +324,18 @@
 	 */
 	async #forward(
 		request: RoutedRequest,
-		{executions}: Progress,
+		{executions, permit}: Progress,
 		canForward: boolean,
 	): Promise<Result<AttemptResult, Failure> | undefined> {
 		if (!canForward) {
 			return Err(notRunFailure('no-target', 'This host reaches no target.'));
 		}
 
+		const refusal = await permit?.hold();
+		if (refusal !== undefined) {
+			return Err(refusal);
+		}
+
 		const checked = this.#options.accountCheck.recheck(request);
 		if (checked.isErr()) {
 			return checked;
@@ -304,26 +390,29 @@
 
 	async #pick(
 		request: RoutedRequest,
-		{triedTargets, refusingTargets}: Progress,
+		{triedTargets, refusingTargets, permit}: Progress,
 		endsOutOfReach: boolean,
 	): Promise<Result<PickedTarget, Failure>> {
 		const {picker, accountCheck} = this.#options;
 		const {route, service, deadlineMs} = request;
 		const isTargetLimitReached = triedTargets.size >= route.maxAttempts;
-		const picked = await picker.pick({
-			service,
-			isIdempotent: route.isIdempotent,
-			serviceTimeMs: this.#getServiceTimeMs(route),
-			triedTargets,
-			allowedTargets: isTargetLimitReached ? refusingTargets : undefined,
-			endsOutOfReach,
-			deadlineMs,
-			receivedAtMs: request.exchange.incoming.receivedAtMs,
-			isReturning: request.isReturning,
-			signal: request.exchange.incoming.signal,
-			targetLatencyMs: route.targetLatencyMs,
-			isRevoked: () => accountCheck.recheck(request).isErr(),
-		});
+		const {signal} = request.exchange.incoming;
+		const picked = await pickWithPermit(permit, signal, async (pickSignal) =>
+			picker.pick({
+				service,
+				isIdempotent: route.isIdempotent,
+				serviceTimeMs: this.#getServiceTimeMs(route),
+				triedTargets,
+				allowedTargets: isTargetLimitReached ? refusingTargets : undefined,
+				endsOutOfReach,
+				deadlineMs,
+				receivedAtMs: request.exchange.incoming.receivedAtMs,
+				isReturning: request.isReturning,
+				signal: pickSignal,
+				targetLatencyMs: route.targetLatencyMs,
+				isRevoked: () => accountCheck.recheck(request).isErr(),
+			}),
+		);
 		const checked = accountCheck.recheck(request);
 		return picked.isErr() && checked.isErr() ? checked : picked;
 	}
@@ -390,6 +479,16 @@
 	}
 }
 
+/** Remembers a target that has refused a request without running it. */
+function addRefusingTarget(
+	{refusingTargets}: Progress,
+	{target, result}: SentCopy,
+): void {
+	if (result.kind === 'refused' && result.status !== misdirectedStatus) {
+		refusingTargets.add(target);
+	}
+}
+
 /** Checks whether a request was refused because of its client account, which a retry does not change. */
 function isAccountFailure({kind}: Failure): boolean {
 	return kind === 'account-unknown' || kind === 'accounts-outdated';
