--- a/packages/cli/src/hosts/query-hosts.ts
+++ b/packages/cli/src/hosts/query-hosts.ts
@@ -6,6 +6,7 @@
 import type {Flags} from '../commands/flags.js';
 import {readTextFileOrThrow} from '../files/read-text-file.js';
 import {UsageError} from '../output/usage-error.js';
+import {isHostAddress} from './host-address.js';
 
 /** The hosts to query and the token to authenticate with. */
 export type HostSelection = {
@@ -29,8 +30,6 @@
 
 const tokenVariable = 'BILBERRYSCALE_TOKEN';
 const tokenPattern = /^[\u0021-\u007E]+$/v;
-const hostAddressPattern =
-	/^(?:\d{1,3}(?:\.\d{1,3}){3}|\[[\da-f:]+\]):\d{1,5}$/iv;
 
 /** The flags that select hosts. */
 export const hostOptions: readonly CommandOption[] = [
@@ -68,7 +67,7 @@
 		throw new UsageError('--host or --hosts-file is required');
 	}
 
-	const malformedHost = hosts.find((host) => !hostAddressPattern.test(host));
+	const malformedHost = hosts.find((host) => !isHostAddress(host));
 	if (malformedHost !== undefined) {
 		throw new UsageError(
 			`--host: must be an IP address and a port, such as 10.0.0.1:8081; seen: ${malformedHost}`,
