Hand a wake-up on only where priorities compete

Change: a refused request hands its wake-up on only in services with different priorities, where requests wait until their latest useful time.

--- a/packages/gateway/src/choice/target-picker.ts
+++ b/packages/gateway/src/choice/target-picker.ts
@@ -190,8 +190,12 @@
 				this.#isUnservable(request, best)
 			) {
 				search.end(undefined);
-				if (lastEnd === 'woken') {
-					// The free slot for which it was woken may suit the next one.
+				if (
+					lastEnd === 'woken' &&
+					this.#options.capacity.isPrioritized(request.service)
+				) {
+					// The free slot for which it was woken may suit the next one. Without
+					// priorities, the next one might be refused at once, by reports that are too old.
 					this.#waitQueue.wakeFirst(request.service, undefined);
 				}
 
