Probe once more before a late request is refused

Change: unless the service is short of capacity, targets are probed once more when that time comes, and a free slot is taken late.

--- a/packages/gateway/src/capacity/service-capacity.ts
+++ b/packages/gateway/src/capacity/service-capacity.ts
@@ -179,6 +179,17 @@
 		return state.reservations.get(rank)?.isActive ?? false;
 	}
 
+	/**
+	 * Checks whether requests of any priority leave slots free.
+	 *
+	 * @param service - The service.
+	 * @returns Whether some do; false if the service has only one priority.
+	 */
+	isAnyRankShort(service: ServiceName): boolean {
+		const ranks = this.#services.get(service)?.ranks ?? [];
+		return ranks.some((rank) => this.isShort(service, rank));
+	}
+
 	/**
 	 * Gets the estimates to send to another host.
 	 *
--- a/packages/gateway/src/choice/target-picker.ts
+++ b/packages/gateway/src/choice/target-picker.ts
@@ -46,7 +46,7 @@
 	readonly registry: RefusalSources['registry'];
 	readonly capacity: Pick<
 		ServiceCapacity,
-		'addRequest' | 'canTake' | 'isPrioritized' | 'isShort'
+		'addRequest' | 'canTake' | 'isAnyRankShort' | 'isPrioritized' | 'isShort'
 	>;
 	readonly metrics: Pick<
 		GatewayMetrics,
@@ -213,7 +213,7 @@
 				queued,
 				this.#getRecheckIntervalMs(request),
 			);
-			if (lastEnd === 'recheck' && !this.#mustQueue(queued)) {
+			if (this.#canRecheck(queued, lastEnd)) {
 				await search.recheck();
 			}
 		}
@@ -263,6 +263,16 @@
 		);
 	}
 
+	/**
+	 * Checks whether targets are probed again after a wait. A request that can no
+	 * longer be on time may still find a free slot, which in a shortage others need more.
+	 */
+	#canRecheck(queued: QueuedRequest, lastEnd: WaitEnd): boolean {
+		return lastEnd === 'late'
+			? !this.#options.capacity.isAnyRankShort(queued.service)
+			: lastEnd === 'recheck' && !this.#mustQueue(queued);
+	}
+
 	#getRecheckIntervalMs({service, priority}: PickRequest): number {
 		return this.#options.capacity.isShort(service, priority)
 			? shortReprobeIntervalMs
