--- /dev/null
+++ b/review/lib/client.js
@@ -0,0 +1,180 @@
+/** A client that sends one request on a connection of its own and reads the answer byte by byte. */
+
+import {Buffer} from 'node:buffer';
+import {connect} from 'node:net';
+import {host} from './documents.js';
+
+/**
+ * Sends a request.
+ *
+ * @returns {Promise<object>} `status`, `headers`, `bodyBytes`, `isComplete` by HTTP/1.1, and how the connection `ended` (`answered`, `closed` or `reset`).
+ */
+export async function send(
+	front,
+	{id, method = 'GET', path, body, deadlineMs = 10_000, readPauseMs = 0},
+) {
+	return new Promise((resolve) => {
+		const socket = connect(front);
+		const answer = new AnswerReader();
+		let isDone = false;
+		const finish = (ended) => {
+			if (!isDone) {
+				isDone = true;
+				clearTimeout(timer);
+				socket.destroy();
+				resolve(answer.getResult(ended));
+			}
+		};
+
+		const timer = setTimeout(() => {
+			finish('timeout');
+		}, deadlineMs + 1000);
+		socket.on('data', (bytes) => {
+			answer.add(bytes);
+			if (readPauseMs > 0) {
+				socket.pause();
+				setTimeout(() => {
+					socket.resume();
+				}, readPauseMs);
+			}
+
+			if (answer.isFramedEnd) {
+				finish('answered');
+			}
+		});
+		socket.once('end', () => {
+			finish('closed');
+		});
+		socket.once('error', () => {
+			finish('reset');
+		});
+		const head = [
+			`${method} ${path} HTTP/1.1`,
+			`Host: ${host}`,
+			`Bilberryscale-Request-Id: ${id}`,
+			`Bilberryscale-Deadline-Ms: ${deadlineMs}`,
+			...(body === undefined
+				? []
+				: [`Content-Length: ${Buffer.byteLength(body)}`]),
+		];
+		socket.write(`${head.join('\r\n')}\r\n\r\n${body ?? ''}`);
+	});
+}
+
+/** Reads one answer as HTTP/1.1 frames it: by a length, in chunks, or by the end of the connection. */
+class AnswerReader {
+	#bytes = Buffer.alloc(0);
+	#bodyBytes = 0;
+	#head = undefined;
+	/** Of a chunked body: bytes left of the chunk; undefined while its size is awaited. */
+	#chunkLeft = undefined;
+	#isLastChunk = false;
+
+	add(bytes) {
+		this.#bytes =
+			this.#bytes.length === 0 ? bytes : Buffer.concat([this.#bytes, bytes]);
+		if (this.#head === undefined) {
+			this.#readHead();
+		}
+
+		if (this.#head === undefined) {
+			return;
+		}
+
+		if (this.#isChunked) {
+			this.#readChunks();
+		} else {
+			this.#bodyBytes += this.#bytes.length;
+			this.#bytes = Buffer.alloc(0);
+		}
+	}
+
+	get isFramedEnd() {
+		if (this.#head === undefined) {
+			return false;
+		}
+
+		const length = this.#head.headers['content-length'];
+		return this.#isChunked
+			? this.#isLastChunk
+			: length !== undefined && this.#bodyBytes >= Number(length);
+	}
+
+	getResult(ended) {
+		if (this.#head === undefined) {
+			return {status: 0, headers: {}, bodyBytes: 0, isComplete: false, ended};
+		}
+
+		const {status, headers} = this.#head;
+		const isDelimitedByClose =
+			!this.#isChunked && headers['content-length'] === undefined;
+		return {
+			status,
+			headers,
+			bodyBytes: this.#bodyBytes,
+			isComplete: isDelimitedByClose ? ended === 'closed' : this.isFramedEnd,
+			isDelimitedByClose,
+			ended,
+		};
+	}
+
+	get #isChunked() {
+		return this.#head.headers['transfer-encoding'] === 'chunked';
+	}
+
+	#readHead() {
+		const end = this.#bytes.indexOf('\r\n\r\n');
+		if (end === -1) {
+			return;
+		}
+
+		const [statusLine, ...lines] = this.#bytes
+			.subarray(0, end)
+			.toString('latin1')
+			.split('\r\n');
+		const headers = {};
+		for (const line of lines) {
+			const colon = line.indexOf(':');
+			headers[line.slice(0, colon).toLowerCase()] = line
+				.slice(colon + 1)
+				.trim();
+		}
+
+		this.#head = {status: Number(statusLine.split(' ')[1]), headers};
+		this.#bytes = this.#bytes.subarray(end + 4);
+	}
+
+	#readChunks() {
+		while (!this.#isLastChunk) {
+			if (this.#chunkLeft === undefined) {
+				const end = this.#bytes.indexOf('\r\n');
+				if (end === -1) {
+					return;
+				}
+
+				const size = Number.parseInt(
+					this.#bytes.subarray(0, end).toString('latin1'),
+					16,
+				);
+				this.#bytes = this.#bytes.subarray(end + 2);
+				if (size === 0) {
+					this.#isLastChunk = true;
+					return;
+				}
+
+				this.#chunkLeft = size + 2;
+			}
+
+			const taken = Math.min(this.#chunkLeft, this.#bytes.length);
+			const payload = Math.min(taken, Math.max(0, this.#chunkLeft - 2));
+			this.#bodyBytes += payload;
+			this.#bytes = this.#bytes.subarray(taken);
+			this.#chunkLeft -= taken;
+			if (this.#chunkLeft > 0) {
+				return;
+			}
+
+			this.#chunkLeft = undefined;
+		}
+	}
+}
