--- a/review/lib/client.js
+++ b/review/lib/client.js
@@ -1,6 +1,7 @@
 /** A client that sends one request on a connection of its own and reads the answer byte by byte. */
 
 import {Buffer} from 'node:buffer';
+import {Agent, get} from 'node:http';
 import {connect} from 'node:net';
 import {host} from './documents.js';
 
@@ -178,3 +179,53 @@
 		}
 	}
 }
+
+/** A client that keeps one connection for all its requests while the entry process does. */
+export class KeptClient {
+	#front;
+	#agent = new Agent({keepAlive: true, maxSockets: 1});
+
+	/** @param {{host: string, port: number}} front - Where the entry process accepts clients. */
+	constructor(front) {
+		this.#front = front;
+	}
+
+	/** Sends a request; `isKept` says whether its connection has carried an answer before. */
+	async send({id, path, deadlineMs = 3000}) {
+		return new Promise((resolve) => {
+			const request = get(
+				{
+					...this.#front,
+					path,
+					agent: this.#agent,
+					headers: {
+						Host: host,
+						'Bilberryscale-Request-Id': id,
+						'Bilberryscale-Deadline-Ms': String(deadlineMs),
+					},
+				},
+				(response) => {
+					response.resume();
+					response.once('close', () => {
+						finish(response.complete ? response.statusCode : 0);
+					});
+				},
+			);
+			const finish = (status) => {
+				clearTimeout(timer);
+				resolve({id, status, isKept: request.reusedSocket});
+			};
+
+			const timer = setTimeout(() => {
+				request.destroy();
+			}, deadlineMs + 1000);
+			request.once('error', () => {
+				finish(0);
+			});
+		});
+	}
+
+	close() {
+		this.#agent.destroy();
+	}
+}
--- a/review/lib/fleet.js
+++ b/review/lib/fleet.js
@@ -46,7 +46,10 @@
 	}
 
 	start() {
-		const log = openSync(path.join(this.#folder, `entry-${this.index}.log`), 'a');
+		const log = openSync(
+			path.join(this.#folder, `entry-${this.index}.log`),
+			'a',
+		);
 		this.child = spawn('node', ['target/bilberryscaled.cjs', 'entry'], {
 			cwd: root,
 			env: {
@@ -74,7 +77,10 @@
 	}
 
 	readLog() {
-		return readFileSync(path.join(this.#folder, `entry-${this.index}.log`), 'utf8');
+		return readFileSync(
+			path.join(this.#folder, `entry-${this.index}.log`),
+			'utf8',
+		);
 	}
 
 	async waitUntilReady() {
