Review case 4: a stopping process passes on requests that it then cuts

Cause: during a stop, requests behind a pending one on their connection are taken and passed on until the time for the stop is over.

--- a/review/lib/client.js
+++ b/review/lib/client.js
@@ -84,10 +84,23 @@
 
 		if (this.#isChunked) {
 			this.#readChunks();
-		} else {
-			this.#bodyBytes += this.#bytes.length;
-			this.#bytes = Buffer.alloc(0);
+			return;
 		}
+
+		const {'content-length': length} = this.#head.headers;
+		const taken = Math.min(
+			this.#bytes.length,
+			length === undefined
+				? this.#bytes.length
+				: Number(length) - this.#bodyBytes,
+		);
+		this.#bodyBytes += taken;
+		this.#bytes = this.#bytes.subarray(taken);
+	}
+
+	/** The bytes after the answer, if it has ended. */
+	get rest() {
+		return this.#bytes;
 	}
 
 	get isFramedEnd() {
@@ -229,3 +242,70 @@
 		this.#agent.destroy();
 	}
 }
+
+/** A client that sends safe requests on one connection without waiting for the answers before. */
+export class PipeliningClient {
+	#socket;
+	#reader = new AnswerReader();
+	/** The requests without a whole answer, the oldest first. */
+	#pending = [];
+	#ended = undefined;
+
+	/** @param {{host: string, port: number}} front - Where the entry process accepts clients. */
+	constructor(front) {
+		this.#socket = connect(front);
+		this.#socket.on('data', (bytes) => {
+			this.#read(bytes);
+		});
+		this.#socket.once('end', () => {
+			this.#end('closed');
+		});
+		this.#socket.once('error', () => {
+			this.#end('reset');
+		});
+	}
+
+	async send({id, path, deadlineMs = 10_000}) {
+		return new Promise((resolve) => {
+			const finish = (answer) => {
+				resolve({id, ...answer});
+			};
+
+			if (this.#ended !== undefined) {
+				finish(this.#reader.getResult(this.#ended));
+				return;
+			}
+
+			this.#pending.push(finish);
+			const head = [
+				`GET ${path} HTTP/1.1`,
+				`Host: ${host}`,
+				`Bilberryscale-Request-Id: ${id}`,
+				`Bilberryscale-Deadline-Ms: ${deadlineMs}`,
+			];
+			this.#socket.write(`${head.join('\r\n')}\r\n\r\n`);
+		});
+	}
+
+	close() {
+		this.#end('closed by the client');
+		this.#socket.destroy();
+	}
+
+	#read(bytes) {
+		this.#reader.add(bytes);
+		while (this.#reader.isFramedEnd) {
+			const {rest} = this.#reader;
+			this.#pending.shift()?.(this.#reader.getResult('answered'));
+			this.#reader = new AnswerReader();
+			this.#reader.add(rest);
+		}
+	}
+
+	#end(ended) {
+		this.#ended = ended;
+		for (const finish of this.#pending.splice(0)) {
+			finish(this.#reader.getResult(ended));
+		}
+	}
+}
