--- a/review/3/case.js
+++ b/review/3/case.js
@@ -9,9 +9,11 @@
 import {Server} from '../lib/server.js';
 import {Store} from '../lib/store.js';
 
-const serverCount = 8;
-const foreignCount = 6;
-const clientsPerEntry = 9;
+const serverCount = 16;
+const foreignCount = 20;
+/** At most 0.15 of the servers of a service crash. */
+const crashedCount = 2;
+const clientsPerEntry = 16;
 const workMs = 250;
 const crashAtMs = 3000;
 const endsAtMs = 7500;
@@ -94,10 +96,13 @@
 					}),
 				);
 				await sleep(crashAtMs);
-				const [crashed] = servers;
+				const crashed = servers.slice(0, crashedCount);
+				const crashedIds = new Set(crashed.map(({id}) => id));
 				if (hasTrouble) {
-					record.add(`server ${crashed.id} crashes`);
-					crashed.close();
+					for (const server of crashed) {
+						record.add(`server ${server.id} crashes`);
+						server.close();
+					}
 				}
 
 				await Promise.all(clients);
@@ -106,7 +111,7 @@
 						status === 0 &&
 						isKept &&
 						runs.has(id) &&
-						runs.get(id) !== crashed.id,
+						!crashedIds.has(runs.get(id)),
 				);
 				for (const {id} of lost) {
 					record.add(
