--- a/review/lib/fleet.js
+++ b/review/lib/fleet.js
@@ -103,10 +103,7 @@
 export async function withFleet({count, storeAddress}, body) {
 	const folder = mkdtempSync(path.join(tmpdir(), 'bilberryscale-review-'));
 	const firstPort = await findFreePorts(count);
-	const entries = Array.from(
-		{length: count},
-		(_, index) => new Entry({index, firstPort, folder, storeAddress}),
-	);
+	const entries = [];
 	const endAll = () => {
 		for (const entry of entries) {
 			entry.child?.kill('SIGKILL');
@@ -125,6 +122,10 @@
 	process.once('SIGTERM', endOnSignal);
 	process.once('SIGINT', endOnSignal);
 	try {
+		for (let index = 0; index < count; index++) {
+			entries.push(new Entry({index, firstPort, folder, storeAddress}));
+		}
+
 		for (const entry of entries) {
 			entry.start();
 		}
