Tell what a stopping process leaves unanswered, and how late its signal was handled

Cause: no log line told the hypotheses of LOST apart. 'process stopping' didn't say that the signal had waited, and no line named the requests that a process leaves without an answer. Change: an event loop monitor gives the earliest time at which SIGTERM may have been sent (signalDelayMs); 'process stopped' names up to 20 open requests, each waiting for a target, sent to one, or with an answer that isn't written yet. No decision depends on either. The tests of the changed modules pass.

--- a/packages/daemon/src/edge.ts
+++ b/packages/daemon/src/edge.ts
@@ -6,6 +6,7 @@
 	type CallerListener,
 	type CallerListenerOptions,
 } from './http/caller-listener.js';
+export type {OpenRequest, OpenRequestPhase} from './http/open-request.js';
 export {getForwardedHeaders} from './http/forwarded-headers.js';
 export {waitForPendingIo} from './http/wait-for-pending-io.js';
 export {getRequestSignature} from './dispatch/request-signature.js';
--- a/packages/daemon/src/http/caller-listener.ts
+++ b/packages/daemon/src/http/caller-listener.ts
@@ -17,6 +17,7 @@
 import {CallerConnections, writeProblem} from './caller-connections.js';
 import {defaultCallerProtocol, type CallerProtocol} from './caller-protocol.js';
 import {checkRequest} from './check-request.js';
+import type {OpenRequest} from './open-request.js';
 import {addIssuedKey, scopeRunStateToKey} from './scope-run-state.js';
 import {getProblemAnswer} from './problem-answer.js';
 import {writeAnswer} from './write-answer.js';
@@ -54,6 +55,8 @@
 		error: NodeJS.ErrnoException,
 		socket: Socket,
 	) => void;
+	/** Gets the requests whose answers the operating system hasn't taken yet. */
+	readonly getOpenRequests: () => readonly OpenRequest[];
 };
 
 const requestIdPattern = /^[\w\-]{1,64}$/v;
@@ -68,10 +71,15 @@
 	options: CallerListenerOptions,
 ): CallerListener {
 	const connections = new CallerConnections();
+	const exchanges = new Map<ServerResponse, Exchange>();
 	return {
 		onRequest(request, response) {
-			void handleRequest(request, response, connections, options);
+			void handleRequest(request, response, {connections, exchanges}, options);
 		},
+		getOpenRequests: () =>
+			[...exchanges].map(([response, exchange]) =>
+				describeOpenRequest(response, exchange),
+			),
 		onConnect(_request, socket) {
 			writeProblem(
 				socket,
@@ -87,10 +95,16 @@
 	};
 }
 
+type ListenerState = {
+	readonly connections: CallerConnections;
+	/** The open requests, by their responses. */
+	readonly exchanges: Map<ServerResponse, Exchange>;
+};
+
 async function handleRequest(
 	request: IncomingMessage,
 	response: ServerResponse,
-	connections: CallerConnections,
+	{connections, exchanges}: ListenerState,
 	options: CallerListenerOptions,
 ): Promise<void> {
 	const {
@@ -106,12 +120,14 @@
 
 	const controller = new AbortController();
 	response.once('close', () => {
+		exchanges.delete(response);
 		connections.removeRequest(request.socket);
 		if (!response.writableFinished) {
 			controller.abort();
 		}
 	});
 	const exchange = makeExchange(request, options, controller.signal);
+	exchanges.set(response, exchange);
 	const {requestId} = exchange.incoming;
 	const failure = checkRequest(request);
 	const answer =
@@ -161,6 +177,19 @@
 	writeAnswer({...deliveryOptions, answer});
 }
 
+function describeOpenRequest(
+	{headersSent}: ServerResponse,
+	{incoming, mayHaveRun}: Exchange,
+): OpenRequest {
+	const {requestId, receivedAtMs} = incoming;
+	const unansweredPhase = mayHaveRun ? 'sent' : 'waiting';
+	return {
+		requestId,
+		receivedAtMs,
+		phase: headersSent ? 'answering' : unansweredPhase,
+	};
+}
+
 function makeExchange(
 	request: IncomingMessage,
 	{clock, protocol = defaultCallerProtocol}: CallerListenerOptions,
--- a/packages/daemon/src/pipeline/exchange.ts
+++ b/packages/daemon/src/pipeline/exchange.ts
@@ -71,6 +71,8 @@
 	issuedKey: IdempotencyKey | undefined;
 	/** Whether the run state of a failure covers every request with the same key. */
 	isRunStateOfKey = false;
+	/** How many of the copies that were sent targets may have run or may be at work on; undefined if nobody counts them. */
+	unsettledCopies: number | undefined;
 	#identity: CallIdentity | undefined;
 
 	/**
@@ -85,6 +87,11 @@
 		return this.#identity;
 	}
 
+	/** Whether a target may have run the request or may be at work on it. */
+	get mayHaveRun(): boolean {
+		return this.unsettledCopies !== 0;
+	}
+
 	/** Sets the result of the identify filter. */
 	setIdentity(identity: CallIdentity): void {
 		this.#identity = identity;
--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -4,6 +4,7 @@
 import {
 	makeCallerListener,
 	waitForPendingIo,
+	type CallerListener,
 	type CallerProtocol,
 	type Exchange,
 	type FilterResult,
@@ -73,6 +74,8 @@
 /** Targets that are probed to tell a crashed target from lost links. */
 const linkCheckTargets = 2;
 const pollIntervalMs = 50;
+/** How many requests without an answer the last line of a process names. */
+const maxLoggedRequests = 20;
 const okStatus = 200;
 const unavailableStatus = 503;
 
@@ -92,6 +95,7 @@
 	readonly #pathRecovery: PathRecovery;
 	readonly #forwarder: Forwarder;
 	readonly #forwardingServer: ForwardingServer;
+	readonly #callerListener: CallerListener;
 	readonly #relay: Relay;
 	readonly #readinessServer;
 	readonly #metricsServer;
@@ -270,21 +274,20 @@
 				this.#fleet.sendFailure(state.registration.incarnation);
 			},
 		});
-		options.callerServer.setListener(
-			makeCallerListener({
-				pipeline: async (exchange) => this.#run(exchange),
-				clock,
-				log: {
-					error(message: string, fields: Record<string, unknown>) {
-						log.warn(message, fields);
-					},
+		this.#callerListener = makeCallerListener({
+			pipeline: async (exchange) => this.#run(exchange),
+			clock,
+			log: {
+				error(message: string, fields: Record<string, unknown>) {
+					log.warn(message, fields);
 				},
-				getUnavailableFailure: () => undefined,
-				isClosingConnections: () =>
-					this.#isShuttingDown || this.#plans.plan === undefined,
-				protocol: options.callerProtocol,
-			}),
-		);
+			},
+			getUnavailableFailure: () => undefined,
+			isClosingConnections: () =>
+				this.#isShuttingDown || this.#plans.plan === undefined,
+			protocol: options.callerProtocol,
+		});
+		options.callerServer.setListener(this.#callerListener);
 		this.#forwardingServer = new ForwardingServer({
 			...options,
 			address: settings.callers.address,
@@ -336,15 +339,22 @@
 	/**
 	 * Shuts down gracefully: reports not ready, keeps serving until the load
 	 * balancer has noticed, gives the open requests time to finish and closes.
+	 *
+	 * @param earliestRequestMs - The earliest time at which the shutdown may have been requested, on the monotonic clock, in milliseconds; now by default.
 	 */
-	async stop(): Promise<void> {
+	async stop(earliestRequestMs?: number): Promise<void> {
 		const {clock, log} = this.#options;
 		const {shutdownMs} = this.#settings.current;
 		const availableMs = Math.max(0, shutdownMs - shutdownReserveMs);
 		const deadlineMs = clock.monotonicMs() + availableMs;
 		this.#isShuttingDown = true;
 		this.#isReady = false;
-		log.writeState('process stopping', {openCalls: this.#openRequestCount});
+		log.writeState('process stopping', {
+			openCalls: this.#openRequestCount,
+			signalDelayMs: Math.round(
+				clock.monotonicMs() - (earliestRequestMs ?? clock.monotonicMs()),
+			),
+		});
 		await this.#sleep(Math.min(loadBalancerDetectionMs, availableMs));
 		await waitForPendingIo();
 		this.#options.callerServer.close();
@@ -357,7 +367,7 @@
 		}
 
 		await this.#sleep(pollIntervalMs);
-		log.writeState('process stopped', {openCalls: this.#openRequestCount});
+		this.#logOpenRequests();
 		this.#feed.stop();
 		this.#allotments.stop();
 		this.#fleet.stop();
@@ -368,6 +378,27 @@
 		this.#metricsServer.close();
 	}
 
+	/** Writes how many requests this process leaves without an answer, and names some of them. */
+	#logOpenRequests(): void {
+		const {clock, log} = this.#options;
+		const nowMs = clock.monotonicMs();
+		const requests = [
+			...this.#callerListener.getOpenRequests(),
+			...this.#forwardingServer.getOpenRequests(),
+		];
+		log.writeState('process stopped', {
+			openCalls: this.#openRequestCount,
+			unanswered: requests.length,
+			requests: requests
+				.slice(0, maxLoggedRequests)
+				.map(({requestId, receivedAtMs, phase}) => ({
+					requestId,
+					phase,
+					ageMs: Math.round(nowMs - receivedAtMs),
+				})),
+		});
+	}
+
 	async #run(
 		exchange: Exchange,
 		forwardedAttempts?: number,
--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -19,6 +19,7 @@
 import type {RoutedRequest} from '../relay/request-reader.js';
 import {SilenceDetector} from '../relay/silence-detector.js';
 import {TargetAttempt} from '../relay/target-attempt.js';
+import {addCopy, settleCopy} from '../relay/unsettled-copies.js';
 import {ConnectionPool} from '../targets/connection-pool.js';
 import type {TargetProtocol} from '../targets/target-protocol.js';
 import {TargetState} from '../targets/target-state.js';
@@ -164,6 +165,7 @@
 		const protocol = this.#makeProtocol(attemptsLeft);
 		const {headers} = exchange.incoming;
 		state.addSend(startedAtMs);
+		addCopy(exchange);
 		const result = await new TargetAttempt({
 			incoming: exchange.incoming,
 			body,
@@ -180,6 +182,7 @@
 			stallTimeoutMs: undefined,
 			canRetry: () => false,
 		}).run();
+		settleCopy(exchange, result);
 		metrics.recordForward(result.kind);
 		log.write('request forwarded', {
 			requestId: exchange.incoming.requestId,
--- a/packages/gateway/src/forwarding/forwarding-server.ts
+++ b/packages/gateway/src/forwarding/forwarding-server.ts
@@ -4,9 +4,11 @@
 import {notRunFailure, type Clock} from '@bilberryscale/core';
 import {
 	makeCallerListener,
+	type CallerListener,
 	type CallerProtocol,
 	type Exchange,
 	type FilterResult,
+	type OpenRequest,
 } from '@bilberryscale/daemon/edge';
 import {Err, Ok} from 'ts-results-es';
 import type {Endpoint} from '../context/gateway-settings.js';
@@ -45,6 +47,7 @@
 export class ForwardingServer {
 	readonly #options: ForwardingServerOptions;
 	readonly #server = new CallerServer();
+	readonly #listener: CallerListener;
 
 	/**
 	 * @param options - This host and how it handles requests.
@@ -52,20 +55,19 @@
 	constructor(options: ForwardingServerOptions) {
 		this.#options = options;
 		const {clock, log, callerProtocol, isShuttingDown} = options;
-		this.#server.setListener(
-			makeCallerListener({
-				pipeline: async (exchange) => this.#handle(exchange),
-				clock,
-				log: {
-					error(message: string, fields: Record<string, unknown>) {
-						log.warn(message, fields);
-					},
+		this.#listener = makeCallerListener({
+			pipeline: async (exchange) => this.#handle(exchange),
+			clock,
+			log: {
+				error(message: string, fields: Record<string, unknown>) {
+					log.warn(message, fields);
 				},
-				getUnavailableFailure: () => undefined,
-				isClosingConnections: isShuttingDown,
-				protocol: callerProtocol,
-			}),
-		);
+			},
+			getUnavailableFailure: () => undefined,
+			isClosingConnections: isShuttingDown,
+			protocol: callerProtocol,
+		});
+		this.#server.setListener(this.#listener);
 	}
 
 	/**
@@ -77,6 +79,11 @@
 		await this.#server.listen(endpoint);
 	}
 
+	/** Gets the requests of other hosts that have no answer yet. */
+	getOpenRequests(): readonly OpenRequest[] {
+		return this.#listener.getOpenRequests();
+	}
+
 	/** Stops accepting connections and closes idle ones. */
 	close(): void {
 		this.#server.close();
--- a/packages/gateway/src/relay/attempt-dispatcher.ts
+++ b/packages/gateway/src/relay/attempt-dispatcher.ts
@@ -17,6 +17,7 @@
 import type {TargetProtocol} from '../targets/target-protocol.js';
 import type {TargetState} from '../targets/target-state.js';
 import type {RoutedRequest} from './request-reader.js';
+import {addCopy, settleCopy} from './unsettled-copies.js';
 import {
 	isTargetFault,
 	minServerErrorStatus,
@@ -118,6 +119,7 @@
 		const startedAtMs = clock.monotonicMs();
 		const slowdownFactor = report?.slowdownFactor ?? 1;
 		const limitPerSecond = state.availability.limit.perSecond;
+		addCopy(exchange);
 		const result = await new TargetAttempt({
 			incoming: exchange.incoming,
 			body,
@@ -145,6 +147,7 @@
 				: undefined,
 			...control,
 		}).run();
+		settleCopy(exchange, result);
 		const durationMs = clock.monotonicMs() - startedAtMs;
 		this.#options.fullTargets.add(
 			request.service,
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -113,6 +113,7 @@
 		exchange: Exchange,
 		forwardedAttempts?: number,
 	): Promise<FilterResult> {
+		exchange.unsettledCopies = 0;
 		const result = await this.#options.reader.read(exchange);
 		if (result.isErr()) {
 			this.#options.recorder.recordRefusal(exchange, result.error);
--- a/packages/gateway/test/edge/caller-server.test.ts
+++ b/packages/gateway/test/edge/caller-server.test.ts
@@ -18,6 +18,7 @@
 		onConnect: (_request, socket) => socket.destroy(),
 		onExpectation: (_request, response) => response.end(),
 		onClientError: (_error, socket) => socket.destroy(),
+		getOpenRequests: () => [],
 	};
 }
 
