Keep a request open until its answer is with its caller

What callers saw: connections that a stopping process closed without a whole answer. Cause: a request counted as done when the relay had returned it. The process exited while it delivered the rest of an answer over 1 MiB; Node's closeIdleConnections, called each 50 ms of a stop, destroys connections whose last answer is made but not written; a response that closes its connection was followed by a close() that resets the connection if the caller has sent more, and the reset can overtake the answer. Requests behind a pending one, and those on connections that had carried none (not idle for Node), were taken until the end. Class: accepted, then ended without a whole answer. The connection, not the relay, knows whether an answer is delivered. Change: CallerConnections knows all connections. It drains them: idle and unused ones are shut down in order, the latest request of the others is their last; later ones are left unread, as behind any answer that closes a connection. After the last answer it reads on until the caller closes (1 s at most). Both programs that serve callers use it, and the server for forwarded requests; a stopping gateway ends when no connection is left. Problem documents for bytes that are no HTTP are delivered the same way.

--- a/packages/daemon/src/http/caller-connections.ts
+++ b/packages/daemon/src/http/caller-connections.ts
@@ -5,6 +5,7 @@
 import {
 	makeId,
 	notRunFailure,
+	type Clock,
 	type Failure,
 	type RequestId,
 } from '@bilberryscale/core';
@@ -13,23 +14,54 @@
 
 type ConnectionState = {
 	pendingCount: number;
-	/** The latest request on the connection. */
-	request: IncomingMessage;
+	/** The latest request on the connection; undefined before the first. */
+	request: IncomingMessage | undefined;
 	/** The response to the latest request. */
-	response: ServerResponse;
+	response: ServerResponse | undefined;
 	/** Whether the bytes after the latest request failed to parse as HTTP. */
 	hasParseError: boolean;
-	/** Whether a response that closes the connection has been chosen. */
+	/** Whether later requests are left unread, as a response that closes the connection has been chosen or the server drains. */
 	isClosing: boolean;
+	cancelLinger: (() => void) | undefined;
 };
 
+/** How long a connection stays open for its caller to read the last response and close it, in milliseconds. */
+const lingerTimeoutMs = 1000;
+
 /**
  * Counts the pending responses of each connection, so that a connection is
  * closed only after its last response and no problem document is written to
  * the socket between responses.
+ *
+ * @remarks Connections are closed in order: after the last response this end is
+ * shut down, and what still arrives is read and dropped until the caller closes
+ * its end. Closing the socket with unread bytes would reset the connection, and
+ * the caller could lose the response.
  */
 export class CallerConnections {
-	readonly #states = new WeakMap<Socket, ConnectionState>();
+	readonly #clock: Clock;
+	readonly #states = new Map<Socket, ConnectionState>();
+
+	/**
+	 * @param clock - The clock.
+	 */
+	constructor(clock: Clock) {
+		this.#clock = clock;
+	}
+
+	/** The number of connections that aren't closed at both ends. */
+	get size(): number {
+		return this.#states.size;
+	}
+
+	/**
+	 * Registers a connection, unless it is registered already.
+	 *
+	 * @param socket - The connection.
+	 */
+	addConnection(socket: Socket): void {
+		this.#getState(socket);
+	}
 
 	/**
 	 * Registers a request whose response is pending.
@@ -40,19 +72,9 @@
 	 * response that closes it has been chosen.
 	 */
 	addRequest(request: IncomingMessage, response: ServerResponse): boolean {
-		const state = this.#states.get(request.socket);
-		if (state === undefined) {
-			this.#states.set(request.socket, {
-				pendingCount: 1,
-				request,
-				response,
-				hasParseError: false,
-				isClosing: false,
-			});
-			return true;
-		}
-
+		const state = this.#getState(request.socket);
 		if (state.isClosing) {
+			request.resume();
 			return false;
 		}
 
@@ -80,7 +102,7 @@
 	}
 
 	/**
-	 * Unregisters a request whose response has closed, and ends the connection if
+	 * Unregisters a request whose response has closed, and closes the connection if
 	 * a parse error was waiting for the last pending response.
 	 *
 	 * @param socket - The connection of the request.
@@ -93,10 +115,75 @@
 
 		state.pendingCount--;
 		if (state.pendingCount === 0 && state.hasParseError) {
+			this.close(socket);
+		}
+	}
+
+	/** Accepts no more requests on any connection, and closes each after its last pending response. */
+	drain(): void {
+		for (const [socket, state] of this.#states) {
+			if (state.pendingCount === 0) {
+				this.close(socket);
+			} else {
+				state.isClosing = true;
+			}
+		}
+	}
+
+	/**
+	 * Closes a connection in order: once its bytes are written, the caller has some
+	 * time to close the other end.
+	 *
+	 * @param socket - The connection.
+	 */
+	close(socket: Socket): void {
+		const state = this.#states.get(socket);
+		if (state === undefined || socket.destroyed) {
+			return;
+		}
+
+		state.isClosing = true;
+		const linger = () => {
+			state.cancelLinger ??= this.#clock.schedule(lingerTimeoutMs, () => {
+				socket.destroy();
+			});
+		};
+
+		if (socket.writableFinished) {
+			linger();
+		} else {
+			socket.once('finish', linger);
 			socket.end();
 		}
 	}
 
+	#getState(socket: Socket): ConnectionState {
+		const existing = this.#states.get(socket);
+		if (existing !== undefined) {
+			return existing;
+		}
+
+		const state: ConnectionState = {
+			pendingCount: 0,
+			request: undefined,
+			response: undefined,
+			hasParseError: false,
+			isClosing: false,
+			cancelLinger: undefined,
+		};
+		this.#states.set(socket, state);
+		socket.once('close', () => {
+			state.cancelLinger?.();
+			this.#states.delete(socket);
+		});
+		// Node calls this after a response that closes the connection; its own version doesn't wait for the caller.
+		socket.destroySoon = () => {
+			this.close(socket);
+		};
+
+		return state;
+	}
+
 	/**
 	 * Handles bytes that could not be parsed as a request: rejects them with a
 	 * problem document or, if responses to earlier requests are pending, ends the
@@ -112,6 +199,10 @@
 		}
 
 		const state = this.#states.get(socket);
+		if (state?.isClosing === true && state.pendingCount === 0) {
+			return;
+		}
+
 		if (
 			state === undefined ||
 			state.pendingCount === 0 ||
@@ -136,12 +227,10 @@
 	const head = Object.entries({...answer.headers, connection: 'close'})
 		.map(([name, value]) => `${name}: ${String(value)}\r\n`)
 		.join('');
-	socket.end(
+	socket.write(
 		`HTTP/1.1 ${answer.status} Refused\r\n${head}\r\n${answer.body.toString()}`,
-		() => {
-			socket.destroy();
-		},
 	);
+	socket.destroySoon();
 }
 
 /** Tells whether the bytes belong to the body of the only pending request. */
@@ -150,7 +239,11 @@
 	request,
 	response,
 }: ConnectionState): boolean {
-	return pendingCount === 1 && !request.complete && !response.headersSent;
+	return (
+		pendingCount === 1 &&
+		request?.complete === false &&
+		response?.headersSent === false
+	);
 }
 
 function getParseFailure({code}: NodeJS.ErrnoException): Failure {
--- a/packages/daemon/src/http/caller-listener.ts
+++ b/packages/daemon/src/http/caller-listener.ts
@@ -42,6 +42,7 @@
 
 /** Handlers for the events of an HTTP server. */
 export type CallerListener = {
+	readonly onConnection: (socket: Socket) => void;
 	readonly onRequest: (
 		request: IncomingMessage,
 		response: ServerResponse,
@@ -57,6 +58,10 @@
 	) => void;
 	/** Gets the requests whose answers the operating system hasn't taken yet. */
 	readonly getOpenRequests: () => readonly OpenRequest[];
+	/** Gets the number of connections that aren't closed at both ends. */
+	readonly getConnectionCount: () => number;
+	/** Accepts no more requests, and closes each connection after its last pending response. */
+	readonly drain: () => void;
 };
 
 const requestIdPattern = /^[\w\-]{1,64}$/v;
@@ -70,9 +75,12 @@
 export function makeCallerListener(
 	options: CallerListenerOptions,
 ): CallerListener {
-	const connections = new CallerConnections();
+	const connections = new CallerConnections(options.clock);
 	const exchanges = new Map<ServerResponse, Exchange>();
 	return {
+		onConnection(socket) {
+			connections.addConnection(socket);
+		},
 		onRequest(request, response) {
 			void handleRequest(request, response, {connections, exchanges}, options);
 		},
@@ -80,6 +88,10 @@
 			[...exchanges].map(([response, exchange]) =>
 				describeOpenRequest(response, exchange),
 			),
+		getConnectionCount: () => connections.size,
+		drain() {
+			connections.drain();
+		},
 		onConnect(_request, socket) {
 			writeProblem(
 				socket,
@@ -143,7 +155,7 @@
 		getUnavailableFailure() !== undefined || isClosingConnections?.() === true;
 	response.once('finish', () => {
 		if (isHostClosing() && connections.closeAfterResponse(request)) {
-			request.socket.end();
+			connections.close(request.socket);
 		}
 	});
 	const mustClose =
--- a/packages/daemon/src/http/caller-server.ts
+++ b/packages/daemon/src/http/caller-server.ts
@@ -50,6 +50,12 @@
 		void reply.hijack();
 		listener.onRequest(request.raw, reply.raw);
 	});
+	server.server.on('connection', listener.onConnection);
+	server.server.closeIdleConnections = () => {
+		// Node's own version also destroys connections whose last response isn't written yet.
+		listener.drain();
+	};
+
 	server.server.on('connect', listener.onConnect);
 	server.server.on('checkExpectation', listener.onExpectation);
 	return server;
--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -359,14 +359,10 @@
 		await waitForPendingIo();
 		this.#options.callerServer.close();
 		this.#forwardingServer.close();
-		while (this.#openRequestCount > 0 && clock.monotonicMs() < deadlineMs) {
+		while (this.#hasConnections() && clock.monotonicMs() < deadlineMs) {
 			await this.#sleep(pollIntervalMs);
-			await waitForPendingIo();
-			this.#options.callerServer.closeIdleConnections();
-			this.#forwardingServer.closeIdleConnections();
 		}
 
-		await this.#sleep(pollIntervalMs);
 		this.#logOpenRequests();
 		this.#feed.stop();
 		this.#allotments.stop();
@@ -378,6 +374,14 @@
 		this.#metricsServer.close();
 	}
 
+	/** Whether a connection is open on which a response is pending or being delivered. */
+	#hasConnections(): boolean {
+		return (
+			this.#callerListener.getConnectionCount() > 0 ||
+			this.#forwardingServer.getConnectionCount() > 0
+		);
+	}
+
 	/** Writes how many requests this process leaves without an answer, and names some of them. */
 	#logOpenRequests(): void {
 		const {clock, log} = this.#options;
--- a/packages/gateway/src/edge/caller-server.ts
+++ b/packages/gateway/src/edge/caller-server.ts
@@ -47,6 +47,11 @@
 			connectionsCheckingInterval: timeoutCheckIntervalMs,
 			requireHostHeader: false,
 		});
+		this.#server.on('connection', (socket) => {
+			this.#deliver(socket, (listener) => {
+				listener.onConnection(socket);
+			});
+		});
 		this.#server.on('request', (request, response) => {
 			this.#deliver(request.socket, (listener) => {
 				listener.onRequest(request, response);
@@ -115,14 +120,11 @@
 		});
 	}
 
-	/** Stops accepting connections and closes idle ones. */
+	/** Stops accepting connections and requests; each connection closes after its last pending response. */
 	close(): void {
+		// Node would also destroy connections whose last response isn't written yet.
+		this.#server.closeIdleConnections = () => undefined;
 		this.#server.close();
-		this.#server.closeIdleConnections();
-	}
-
-	/** Closes all connections that are currently idle. */
-	closeIdleConnections(): void {
-		this.#server.closeIdleConnections();
+		this.#listener?.drain();
 	}
 }
--- a/packages/gateway/src/forwarding/forwarding-server.ts
+++ b/packages/gateway/src/forwarding/forwarding-server.ts
@@ -84,14 +84,14 @@
 		return this.#listener.getOpenRequests();
 	}
 
-	/** Stops accepting connections and closes idle ones. */
-	close(): void {
-		this.#server.close();
+	/** Gets the number of connections from other hosts. */
+	getConnectionCount(): number {
+		return this.#listener.getConnectionCount();
 	}
 
-	/** Closes all connections that are currently idle. */
-	closeIdleConnections(): void {
-		this.#server.closeIdleConnections();
+	/** Stops accepting connections and requests; each connection closes after its last pending response. */
+	close(): void {
+		this.#server.close();
 	}
 
 	async #handle(exchange: Exchange): Promise<FilterResult> {
--- a/packages/gateway/test/edge/caller-server.test.ts
+++ b/packages/gateway/test/edge/caller-server.test.ts
@@ -18,7 +18,10 @@
 		onConnect: (_request, socket) => socket.destroy(),
 		onExpectation: (_request, response) => response.end(),
 		onClientError: (_error, socket) => socket.destroy(),
+		onConnection: () => undefined,
 		getOpenRequests: () => [],
+		getConnectionCount: () => 0,
+		drain: () => undefined,
 	};
 }
 
