Time a shutdown from the earliest moment of its signal

What callers saw: connections cut by SIGKILL at processes with little processor time. Cause: a stop was timed from when the process handled SIGTERM, which with little processor time, or while it starts, is later than the platform counts. Connections stayed open to new requests over 3 s after the signal, and the end of the grace period came before the end of the stop. Requests that were read after the close were served as well. Change: the steps are counted from the earliest moment at which the signal may have come (the event loop monitor), the end of open requests from its handling, but before the time is over. Requests that are read over 200 ms after the close are refused at once, with 503 and a short Retry-After, as other hosts serve them. Evidence: 'takes its time from the signal' of planned-stop.test.ts, red before, passes. In the record a process that handles its signal late looks as those do; that the users' processes did is suspected, not shown.

--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -1,6 +1,6 @@
 /** The composition root of a gateway process: builds and owns its objects. */
 
-import {makeSeededRandom, type Clock} from '@bilberryscale/core';
+import {makeSeededRandom, notRunFailure, type Clock} from '@bilberryscale/core';
 import {
 	makeCallerListener,
 	waitForPendingIo,
@@ -10,6 +10,7 @@
 	type FilterResult,
 } from '@bilberryscale/daemon/edge';
 import {CrashSuspects} from '@bilberryscale/decisions';
+import {Err} from 'ts-results-es';
 import {AllotmentGate} from '../accounts/allotment-gate.js';
 import {defaultAllotmentBound} from '../accounts/allotment-tolerance.js';
 import {getPrioritizedServices} from '../capacity/has-priority-classes.js';
@@ -44,6 +45,10 @@
 import {LiveSettings, type SettingsChange} from './live-settings.js';
 import type {HedgingOptions} from './make-hedged-dispatcher.js';
 import {makeRelay} from './make-relay.js';
+import {
+	makeShutdownSchedule,
+	type ShutdownSchedule,
+} from './shutdown-schedule.js';
 
 /** The settings of a gateway host and its external dependencies. */
 export type GatewayHostOptions = {
@@ -64,16 +69,11 @@
 	readonly hedging?: HedgingOptions | undefined;
 };
 
-/**
- * Time until load balancers have noticed that a host is not ready, in
- * milliseconds: they check every second and drop a host after two failures.
- */
-const loadBalancerDetectionMs = 2600;
-/** Time left of the shutdown when the last requests are cut off, in milliseconds. */
-const shutdownReserveMs = 800;
 /** Targets that are probed to tell a crashed target from lost links. */
 const linkCheckTargets = 2;
 const pollIntervalMs = 50;
+/** Retry delay for callers of a host that shuts down, in milliseconds; others serve them at once. */
+const shutdownRetryAfterMs = 20;
 /** How many requests without an answer the last line of a process names. */
 const maxLoggedRequests = 20;
 const okStatus = 200;
@@ -101,7 +101,8 @@
 	readonly #metricsServer;
 	#targetCount = 0;
 	#openRequestCount = 0;
-	#isShuttingDown = false;
+	/** The schedule of the shutdown; undefined before it has been requested. */
+	#shutdown: ShutdownSchedule | undefined;
 	#isReady = false;
 	#isCaughtUp = false;
 
@@ -237,7 +238,7 @@
 				this.#probe(state);
 			},
 		});
-		const isShuttingDown = () => this.#isShuttingDown;
+		const isShuttingDown = () => this.#shutdown !== undefined;
 		this.#forwarder = new Forwarder({
 			...options,
 			metrics: this.#metrics,
@@ -284,7 +285,7 @@
 			},
 			getUnavailableFailure: () => undefined,
 			isClosingConnections: () =>
-				this.#isShuttingDown || this.#plans.plan === undefined,
+				isShuttingDown() || this.#plans.plan === undefined,
 			protocol: options.callerProtocol,
 		});
 		options.callerServer.setListener(this.#callerListener);
@@ -345,23 +346,23 @@
 	async stop(earliestRequestMs?: number): Promise<void> {
 		const {clock, log} = this.#options;
 		const {shutdownMs} = this.#settings.current;
-		const availableMs = Math.max(0, shutdownMs - shutdownReserveMs);
-		const deadlineMs = clock.monotonicMs() + availableMs;
-		this.#isShuttingDown = true;
+		const handledMs = clock.monotonicMs();
+		const schedule = makeShutdownSchedule({
+			earliestRequestMs: earliestRequestMs ?? handledMs,
+			handledMs,
+			shutdownMs,
+		});
+		this.#shutdown = schedule;
 		this.#isReady = false;
 		log.writeState('process stopping', {
 			openCalls: this.#openRequestCount,
-			signalDelayMs: Math.round(
-				clock.monotonicMs() - (earliestRequestMs ?? clock.monotonicMs()),
-			),
+			signalDelayMs: Math.round(handledMs - (earliestRequestMs ?? handledMs)),
 		});
-		await this.#sleep(Math.min(loadBalancerDetectionMs, availableMs));
+		await this.#sleep(schedule.closesAtMs - clock.monotonicMs());
 		await waitForPendingIo();
 		this.#options.callerServer.close();
 		this.#forwardingServer.close();
-		while (this.#hasConnections() && clock.monotonicMs() < deadlineMs) {
-			await this.#sleep(pollIntervalMs);
-		}
+		await this.#waitForConnections(schedule.endsRequestsAtMs);
 
 		this.#logOpenRequests();
 		this.#feed.stop();
@@ -374,12 +375,14 @@
 		this.#metricsServer.close();
 	}
 
-	/** Whether a connection is open on which a response is pending or being delivered. */
-	#hasConnections(): boolean {
-		return (
+	/** Waits until no connection is left on which a response is pending or being delivered, or until a time. */
+	async #waitForConnections(untilMs: number): Promise<void> {
+		const hasConnections = () =>
 			this.#callerListener.getConnectionCount() > 0 ||
-			this.#forwardingServer.getConnectionCount() > 0
-		);
+			this.#forwardingServer.getConnectionCount() > 0;
+		while (hasConnections() && this.#options.clock.monotonicMs() < untilMs) {
+			await this.#sleep(pollIntervalMs);
+		}
 	}
 
 	/** Writes how many requests this process leaves without an answer, and names some of them. */
@@ -407,6 +410,17 @@
 		exchange: Exchange,
 		forwardedAttempts?: number,
 	): Promise<FilterResult> {
+		const receivedAtMs = this.#options.clock.monotonicMs();
+		if (receivedAtMs > (this.#shutdown?.acceptsUntilMs ?? Infinity)) {
+			return Err(
+				notRunFailure(
+					'shutting-down',
+					'This host is shutting down.',
+					shutdownRetryAfterMs,
+				),
+			);
+		}
+
 		this.#openRequestCount++;
 		try {
 			return await this.#relay.run(exchange, forwardedAttempts);
@@ -471,7 +485,7 @@
 
 	#updateReadiness(): void {
 		const isReady =
-			!this.#isShuttingDown &&
+			this.#shutdown === undefined &&
 			this.#isCaughtUp &&
 			this.#plans.plan !== undefined &&
 			this.#targetCount > 0;
