Answer every accepted request before a shutdown is over

What callers saw: safe requests on connections of their own, sent to a target, closed without a status at hosts that were stopping: what the users' record shows. Cause: at the end of a stop the process exited with its open requests. Those that waited for a target, and those whose target was silent (while a host stops, silence ends no attempt), had no answer, though nobody worked on them any more. Class: accepted, then ended without a whole answer. Change: before the time is over, each open request is answered: 503 where no target can have run it, 504 where one may have. A request that cannot be answered before the end is refused at once with when to come back, not at the end, and no attempt is begun for it.

--- a/packages/daemon/src/http/caller-listener.ts
+++ b/packages/daemon/src/http/caller-listener.ts
@@ -62,8 +62,12 @@
 	readonly getConnectionCount: () => number;
 	/** Accepts no more requests, and closes each connection after its last pending response. */
 	readonly drain: () => void;
+	/** Answers all requests that have no response yet: with the failure that their run state calls for. */
+	readonly endRequests: () => void;
 };
 
+/** Retry delay for callers whose request a host ended without sending it, in milliseconds; others serve them at once. */
+const endedRetryAfterMs = 20;
 const requestIdPattern = /^[\w\-]{1,64}$/v;
 
 /**
@@ -76,7 +80,7 @@
 	options: CallerListenerOptions,
 ): CallerListener {
 	const connections = new CallerConnections(options.clock);
-	const exchanges = new Map<ServerResponse, Exchange>();
+	const exchanges: ListenerState['exchanges'] = new Map();
 	return {
 		onConnection(socket) {
 			connections.addConnection(socket);
@@ -85,13 +89,18 @@
 			void handleRequest(request, response, {connections, exchanges}, options);
 		},
 		getOpenRequests: () =>
-			[...exchanges].map(([response, exchange]) =>
+			[...exchanges].map(([response, {exchange}]) =>
 				describeOpenRequest(response, exchange),
 			),
 		getConnectionCount: () => connections.size,
 		drain() {
 			connections.drain();
 		},
+		endRequests() {
+			for (const {end} of exchanges.values()) {
+				end();
+			}
+		},
 		onConnect(_request, socket) {
 			writeProblem(
 				socket,
@@ -110,7 +119,14 @@
 type ListenerState = {
 	readonly connections: CallerConnections;
 	/** The open requests, by their responses. */
-	readonly exchanges: Map<ServerResponse, Exchange>;
+	readonly exchanges: Map<
+		ServerResponse,
+		{
+			readonly exchange: Exchange;
+			/** Ends the request without waiting for its result. */
+			readonly end: () => void;
+		}
+	>;
 };
 
 async function handleRequest(
@@ -139,14 +155,28 @@
 		}
 	});
 	const exchange = makeExchange(request, options, controller.signal);
-	exchanges.set(response, exchange);
 	const {requestId} = exchange.incoming;
+	const ended = new Promise<Answer>((resolve) => {
+		const end = () => {
+			if (response.headersSent) {
+				return;
+			}
+
+			const failure = getEndFailure(exchange);
+			controller.abort();
+			resolve(getProblemAnswer(failure, requestId, protocol));
+		};
+
+		exchanges.set(response, {exchange, end});
+	});
 	const failure = checkRequest(request);
-	const answer =
+	const result =
 		failure === undefined
-			? await getAnswer(exchange, options)
+			? getAnswer(exchange, options)
 			: getProblemAnswer(failure, requestId, protocol);
-	if (response.destroyed || controller.signal.aborted) {
+	const answer = await Promise.race([ended, result]);
+	void discardOther(result, answer);
+	if (response.destroyed) {
 		discardBody(answer);
 		return;
 	}
@@ -264,6 +294,31 @@
 	}
 }
 
+/** Gets the failure of a request that ends before its result is known. */
+function getEndFailure(exchange: Exchange): Failure {
+	return exchange.mayHaveRun
+		? possiblyRunFailure(
+				'deadline-exceeded',
+				'This host shuts down before the target has answered.',
+			)
+		: notRunFailure(
+				'shutting-down',
+				'This host shuts down before a target was free.',
+				endedRetryAfterMs,
+			);
+}
+
+/** Discards a result that came after another answer was sent. */
+async function discardOther(
+	result: Answer | Promise<Answer>,
+	sent: Answer,
+): Promise<void> {
+	const other = await result;
+	if (other !== sent) {
+		discardBody(other);
+	}
+}
+
 /** Destroys the body of an answer that is not sent. */
 function discardBody({body}: Answer): void {
 	if (body instanceof Readable) {
--- a/packages/gateway/src/choice/target-picker.ts
+++ b/packages/gateway/src/choice/target-picker.ts
@@ -56,6 +56,8 @@
 	readonly fullTargets: FullTargetBehaviour;
 	/** The data centre of this host. */
 	readonly dataCentre: DataCentreId;
+	/** Gets when open requests are ended because the host shuts down, on the monotonic clock, in milliseconds; infinite before. */
+	readonly getShutdownMs: () => number;
 };
 
 /** A picked target, a connection to it and figures for the log. */
@@ -162,7 +164,8 @@
 			if (
 				decision === 'take' &&
 				best !== undefined &&
-				!request.signal.aborted
+				!request.signal.aborted &&
+				!this.#endsWithShutdown(request, best)
 			) {
 				const connection = this.#acquireConnection(best.state, request);
 				if (connection !== undefined) {
@@ -187,6 +190,7 @@
 			if (
 				decision === 'refuse' ||
 				lastEnd === 'late' ||
+				this.#endsWithShutdown(request, best) ||
 				this.#isUnservable(request, best)
 			) {
 				search.end(undefined);
@@ -273,6 +277,16 @@
 			: lastEnd === 'recheck' && !this.#mustQueue(queued);
 	}
 
+	/** Checks whether the host shuts down before a target could answer. */
+	#endsWithShutdown(
+		{serviceTimeMs}: PickRequest,
+		best: TargetCandidate | undefined,
+	): boolean {
+		const {clock, getShutdownMs} = this.#options;
+		const expectedMs = best?.expectedMs ?? serviceTimeMs;
+		return clock.monotonicMs() + expectedMs > getShutdownMs();
+	}
+
 	#getRecheckIntervalMs({service, priority}: PickRequest): number {
 		return this.#options.capacity.isShort(service, priority)
 			? shortReprobeIntervalMs
--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -264,6 +264,7 @@
 			getHostCount,
 			getSnapshotAgeMs: () => this.#feed.ageMs,
 			isShuttingDown,
+			getShutdownMs: () => this.#shutdown?.endsRequestsAtMs ?? Infinity,
 			hedging: options.hedging,
 			probe: (state) => {
 				this.#probe(state);
@@ -363,8 +364,11 @@
 		this.#options.callerServer.close();
 		this.#forwardingServer.close();
 		await this.#waitForConnections(schedule.endsRequestsAtMs);
-
-		this.#logOpenRequests();
+		this.#logOpenRequests('requests ended by the shutdown');
+		this.#callerListener.endRequests();
+		this.#forwardingServer.endRequests();
+		await this.#waitForConnections(schedule.exitsAtMs);
+		this.#logOpenRequests('process stopped');
 		this.#feed.stop();
 		this.#allotments.stop();
 		this.#fleet.stop();
@@ -385,15 +389,15 @@
 		}
 	}
 
-	/** Writes how many requests this process leaves without an answer, and names some of them. */
-	#logOpenRequests(): void {
+	/** Writes how many requests have no answer yet, and names some of them. */
+	#logOpenRequests(message: string): void {
 		const {clock, log} = this.#options;
 		const nowMs = clock.monotonicMs();
 		const requests = [
 			...this.#callerListener.getOpenRequests(),
 			...this.#forwardingServer.getOpenRequests(),
 		];
-		log.writeState('process stopped', {
+		log.writeState(message, {
 			openCalls: this.#openRequestCount,
 			unanswered: requests.length,
 			requests: requests
--- a/packages/gateway/src/context/make-relay.ts
+++ b/packages/gateway/src/context/make-relay.ts
@@ -58,6 +58,8 @@
 	/** Gets the time since the store confirmed the published state, in milliseconds. */
 	readonly getSnapshotAgeMs: () => number;
 	readonly isShuttingDown: () => boolean;
+	/** Gets when open requests are ended because the host shuts down, on the monotonic clock, in milliseconds; infinite before. */
+	readonly getShutdownMs: () => number;
 	/** How hedged requests are sent; undefined for none. */
 	readonly hedging: HedgingOptions | undefined;
 	/** Probes a target. */
@@ -178,6 +180,7 @@
 			lastSlotFactor,
 			fullTargets,
 			dataCentre,
+			getShutdownMs: dependencies.getShutdownMs,
 		}),
 		capacity: dependencies.capacity,
 		reader: new RequestReader({
@@ -217,6 +220,7 @@
 		serviceTimes,
 		recorder,
 		isShuttingDown,
+		getShutdownMs: dependencies.getShutdownMs,
 		getRetryBudgetLimit: () => settings.current.retryBound,
 		getHostCount,
 	});
--- a/packages/gateway/src/forwarding/forwarding-server.ts
+++ b/packages/gateway/src/forwarding/forwarding-server.ts
@@ -89,6 +89,11 @@
 		return this.#listener.getConnectionCount();
 	}
 
+	/** Answers all requests that have no response yet. */
+	endRequests(): void {
+		this.#listener.endRequests();
+	}
+
 	/** Stops accepting connections and requests; each connection closes after its last pending response. */
 	close(): void {
 		this.#server.close();
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -62,6 +62,8 @@
 	readonly getHostCount: () => number;
 	readonly recorder: RequestRecorder;
 	readonly isShuttingDown: () => boolean;
+	/** Gets when open requests are ended because the host shuts down, on the monotonic clock, in milliseconds; infinite before. */
+	readonly getShutdownMs: () => number;
 };
 
 /** What has become of a request so far. */
@@ -474,7 +476,9 @@
 			return false;
 		}
 
-		const remainingMs = deadlineMs - this.#options.clock.monotonicMs();
+		const {clock, getShutdownMs} = this.#options;
+		const remainingMs =
+			Math.min(deadlineMs, getShutdownMs()) - clock.monotonicMs();
 		return (
 			remainingMs > this.#getServiceTimeMs(route) / 2 &&
 			(route.isIdempotent || !mayHaveRun(result))
--- a/packages/gateway/test/edge/caller-server.test.ts
+++ b/packages/gateway/test/edge/caller-server.test.ts
@@ -22,6 +22,7 @@
 		getOpenRequests: () => [],
 		getConnectionCount: () => 0,
 		drain: () => undefined,
+		endRequests: () => undefined,
 	};
 }
 
