--- a/packages/gateway/src/targets/target-registry.ts
+++ b/packages/gateway/src/targets/target-registry.ts
@@ -127,8 +127,10 @@
 	getProbeableTargets(): TargetState[] {
 		const nowMs = this.#options.clock.monotonicMs();
 		return [...this.#states.values()].filter(
-			({availability}) =>
-				availability.isAvailable(nowMs) && availability.limit.canProbe(nowMs),
+			({availability, registration}) =>
+				this.#services.has(registration.service) &&
+				availability.isAvailable(nowMs) &&
+				availability.limit.canProbe(nowMs),
 		);
 	}
 
