Believe no answer without an id on a kept connection

What callers saw: 503 for a request that a target had run or was running (REFUSED), or such a request ran at a second target (TWICE). Cause: on a connection that had carried an answer before, a refusal without an id was believed, as targets were taken not to name what they refuse. A faulty target that writes an earlier refusal once more thus spoke for the next request. Change: an answer that names no request is believed only as the first on its connection; otherwise the request may have run.

--- a/packages/gateway/src/relay/target-attempt.ts
+++ b/packages/gateway/src/relay/target-attempt.ts
@@ -265,8 +265,8 @@
 
 	/**
 	 * Gets the reason why a response belongs to another request: targets may send
-	 * a response again, late, on a connection that is in use again. Targets don't
-	 * always name the request that they refuse.
+	 * a response again, late, on a connection that is in use again. One that names
+	 * no request is believed only as the first on its connection.
 	 */
 	#findMixUp({status, headers}: TargetAnswer): string | undefined {
 		const {protocol, incoming} = this.#options;
@@ -277,7 +277,7 @@
 				: `the answer belongs to request "${String(id)}"`;
 		}
 
-		return this.#isConnectionReused && !protocol.isNotRun(status, headers)
+		return this.#isConnectionReused
 			? `the answer with status ${status} names no request`
 			: undefined;
 	}
