--- a/packages/daemon/src/bin/bilberryscaled.ts
+++ b/packages/daemon/src/bin/bilberryscaled.ts
@@ -15,6 +15,8 @@
 const failedStartCode = 1;
 const invalidSettingsCode = 2;
 const abortedRequestsCode = 3;
+/** How long the responses to aborted requests may take to be delivered, in milliseconds. */
+const deliveryMs = 500;
 const exitCodeHelp = [
 	'  0  every request was finished, or the settings are valid',
 	'  1  the process could not start',
@@ -95,21 +97,28 @@
 
 function stopOnSignals(host: EntryHost, shutdownTimeoutMs: number): void {
 	let isStopping = false;
+	let exitCode = 0;
+	const abort = (reason: string) => {
+		process.stderr.write(`bilberryscaled: ${reason}, requests are aborted\n`);
+		exitCode = abortedRequestsCode;
+		host.endRequests();
+		systemClock.schedule(deliveryMs, () => {
+			process.exit(exitCode);
+		});
+	};
+
 	const shutDown = async () => {
 		if (isStopping) {
-			process.stderr.write('bilberryscaled: second signal, requests are cut\n');
-			process.exit(abortedRequestsCode);
+			abort('second signal');
+			return;
 		}
 
 		isStopping = true;
-		systemClock.schedule(shutdownTimeoutMs, () => {
-			process.stderr.write(
-				`bilberryscaled: shutdown timed out after ${shutdownTimeoutMs} ms, requests are cut\n`,
-			);
-			process.exit(abortedRequestsCode);
+		systemClock.schedule(Math.max(0, shutdownTimeoutMs - deliveryMs), () => {
+			abort(`shutdown not finished after ${shutdownTimeoutMs} ms`);
 		});
 		await host.stop();
-		process.exit(0);
+		process.exit(exitCode);
 	};
 
 	process.on('SIGTERM', () => {
--- a/packages/daemon/src/context/entry-host.ts
+++ b/packages/daemon/src/context/entry-host.ts
@@ -235,6 +235,11 @@
 		await this.#operatorServer.close();
 	}
 
+	/** Answers all requests that are still open, before the process exits without their results. */
+	endRequests(): void {
+		this.#callerServer.endRequests();
+	}
+
 	async #waitForBalancer(): Promise<void> {
 		const {clock, loaded} = this.#options;
 		const {leaveMs} = loaded.settings.limits;
--- a/packages/daemon/src/http/caller-server.ts
+++ b/packages/daemon/src/http/caller-server.ts
@@ -4,6 +4,7 @@
 import {fastify, type FastifyInstance} from 'fastify';
 import {
 	makeCallerListener,
+	type CallerListener,
 	type CallerListenerOptions,
 } from './caller-listener.js';
 
@@ -15,6 +16,10 @@
 	readonly headTimeoutMs?: number;
 };
 
+/** A server that can answer all open requests at once, before its process exits. */
+export type CallerServer = FastifyInstance &
+	Pick<CallerListener, 'endRequests'>;
+
 const defaultHeadTimeoutMs = 10_000;
 const headChecksPerTimeout = 10;
 
@@ -24,9 +29,7 @@
  * @param options - The request pipeline and the limits of request heads.
  * @returns The server.
  */
-export function makeCallerServer(
-	options: CallerServerOptions,
-): FastifyInstance {
+export function makeCallerServer(options: CallerServerOptions): CallerServer {
 	const listener = makeCallerListener(options);
 	const headTimeoutMs = options.headTimeoutMs ?? defaultHeadTimeoutMs;
 	const server = fastify({
@@ -58,5 +61,9 @@
 
 	server.server.on('connect', listener.onConnect);
 	server.server.on('checkExpectation', listener.onExpectation);
-	return server;
+	return Object.assign(server, {
+		endRequests() {
+			listener.endRequests();
+		},
+	});
 }
--- a/packages/daemon/test/http/caller-listener.test.ts
+++ b/packages/daemon/test/http/caller-listener.test.ts
@@ -72,6 +72,56 @@
 		});
 	});
 
+	describe('endRequests', () => {
+		function doTest(
+			name: string,
+			unsettledCopies: number | undefined,
+			expected: RegExp,
+		): void {
+			it(name, async () => {
+				const listener = makeCallerListener({
+					clock: systemClock,
+					log: {error: () => undefined},
+					getUnavailableFailure: () => undefined,
+					async pipeline(exchange) {
+						exchange.unsettledCopies = unsettledCopies;
+						return new Promise(() => {
+							// The target never answers.
+						});
+					},
+				});
+				const server = createServer(listener.onRequest);
+				await new Promise<void>((resolve) => {
+					server.listen(0, '127.0.0.1', resolve);
+				});
+				const socket = net.connect((server.address() as AddressInfo).port);
+				let text = '';
+				socket.on('data', (chunk) => {
+					text += chunk.toString();
+				});
+				socket.write(makeRequestText('/1'));
+				await sleep(50);
+				listener.endRequests();
+				await sleep(50);
+				socket.destroy();
+				server.close();
+				assert.match(text, expected);
+			});
+		}
+
+		doTest(
+			'promises that a request has not run if no copy was sent',
+			0,
+			/^HTTP\/1.1 503.*retry-after/isv,
+		);
+		doTest(
+			'promises nothing if a target may have run it',
+			1,
+			/^HTTP\/1.1 504/v,
+		);
+		doTest('promises nothing if nobody counts', undefined, /^HTTP\/1.1 504/v);
+	});
+
 	describe('a close-delimited response', () => {
 		it('is replaced by an error while later responses are pending', async () => {
 			const {text} = await sendPipelined(['/1', '/2'], {
