Move the shutdown of a host into a class of its own

Cause: gateway-host.ts, named in CONVENTIONS as a file of several jobs, had grown by the steps of the shutdown. Change: GracefulShutdown has the schedule, the waits and their log lines; no decision changes, but 'requests ended by the shutdown' is written only if there are any.

--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -3,7 +3,6 @@
 import {makeSeededRandom, notRunFailure, type Clock} from '@bilberryscale/core';
 import {
 	makeCallerListener,
-	waitForPendingIo,
 	type CallerListener,
 	type CallerProtocol,
 	type Exchange,
@@ -41,14 +40,11 @@
 import {getServiceRanks} from '../capacity/get-service-ranks.js';
 import {ServiceCapacity} from '../capacity/service-capacity.js';
 import {CrashDetector} from './crash-detector.js';
+import {GracefulShutdown} from './graceful-shutdown.js';
 import type {GatewaySettings} from './gateway-settings.js';
 import {LiveSettings, type SettingsChange} from './live-settings.js';
 import type {HedgingOptions} from './make-hedged-dispatcher.js';
 import {makeRelay} from './make-relay.js';
-import {
-	makeShutdownSchedule,
-	type ShutdownSchedule,
-} from './shutdown-schedule.js';
 
 /** The settings of a gateway host and its external dependencies. */
 export type GatewayHostOptions = {
@@ -71,11 +67,8 @@
 
 /** Targets that are probed to tell a crashed target from lost links. */
 const linkCheckTargets = 2;
-const pollIntervalMs = 50;
 /** Retry delay for callers of a host that shuts down, in milliseconds; others serve them at once. */
 const shutdownRetryAfterMs = 20;
-/** How many requests without an answer the last line of a process names. */
-const maxLoggedRequests = 20;
 const okStatus = 200;
 const unavailableStatus = 503;
 
@@ -97,12 +90,11 @@
 	readonly #forwardingServer: ForwardingServer;
 	readonly #callerListener: CallerListener;
 	readonly #relay: Relay;
+	readonly #shutdown: GracefulShutdown;
 	readonly #readinessServer;
 	readonly #metricsServer;
 	#targetCount = 0;
 	#openRequestCount = 0;
-	/** The schedule of the shutdown; undefined before it has been requested. */
-	#shutdown: ShutdownSchedule | undefined;
 	#isReady = false;
 	#isCaughtUp = false;
 
@@ -238,7 +230,21 @@
 				this.#probe(state);
 			},
 		});
-		const isShuttingDown = () => this.#shutdown !== undefined;
+		this.#shutdown = new GracefulShutdown({
+			clock,
+			log,
+			getServers: () => [
+				{
+					...this.#callerListener,
+					close() {
+						options.callerServer.close();
+					},
+				},
+				this.#forwardingServer,
+			],
+			getRunningCount: () => this.#openRequestCount,
+		});
+		const isShuttingDown = () => this.#shutdown.isRequested;
 		this.#forwarder = new Forwarder({
 			...options,
 			metrics: this.#metrics,
@@ -264,7 +270,7 @@
 			getHostCount,
 			getSnapshotAgeMs: () => this.#feed.ageMs,
 			isShuttingDown,
-			getShutdownMs: () => this.#shutdown?.endsRequestsAtMs ?? Infinity,
+			getShutdownMs: () => this.#shutdown.endsRequestsAtMs,
 			hedging: options.hedging,
 			probe: (state) => {
 				this.#probe(state);
@@ -345,30 +351,11 @@
 	 * @param earliestRequestMs - The earliest time at which the shutdown may have been requested, on the monotonic clock, in milliseconds; now by default.
 	 */
 	async stop(earliestRequestMs?: number): Promise<void> {
-		const {clock, log} = this.#options;
-		const {shutdownMs} = this.#settings.current;
-		const handledMs = clock.monotonicMs();
-		const schedule = makeShutdownSchedule({
-			earliestRequestMs: earliestRequestMs ?? handledMs,
-			handledMs,
-			shutdownMs,
-		});
-		this.#shutdown = schedule;
 		this.#isReady = false;
-		log.writeState('process stopping', {
-			openCalls: this.#openRequestCount,
-			signalDelayMs: Math.round(handledMs - (earliestRequestMs ?? handledMs)),
-		});
-		await this.#sleep(schedule.closesAtMs - clock.monotonicMs());
-		await waitForPendingIo();
-		this.#options.callerServer.close();
-		this.#forwardingServer.close();
-		await this.#waitForConnections(schedule.endsRequestsAtMs);
-		this.#logOpenRequests('requests ended by the shutdown');
-		this.#callerListener.endRequests();
-		this.#forwardingServer.endRequests();
-		await this.#waitForConnections(schedule.exitsAtMs);
-		this.#logOpenRequests('process stopped');
+		await this.#shutdown.run(
+			this.#settings.current.shutdownMs,
+			earliestRequestMs,
+		);
 		this.#feed.stop();
 		this.#allotments.stop();
 		this.#fleet.stop();
@@ -379,43 +366,11 @@
 		this.#metricsServer.close();
 	}
 
-	/** Waits until no connection is left on which a response is pending or being delivered, or until a time. */
-	async #waitForConnections(untilMs: number): Promise<void> {
-		const hasConnections = () =>
-			this.#callerListener.getConnectionCount() > 0 ||
-			this.#forwardingServer.getConnectionCount() > 0;
-		while (hasConnections() && this.#options.clock.monotonicMs() < untilMs) {
-			await this.#sleep(pollIntervalMs);
-		}
-	}
-
-	/** Writes how many requests have no answer yet, and names some of them. */
-	#logOpenRequests(message: string): void {
-		const {clock, log} = this.#options;
-		const nowMs = clock.monotonicMs();
-		const requests = [
-			...this.#callerListener.getOpenRequests(),
-			...this.#forwardingServer.getOpenRequests(),
-		];
-		log.writeState(message, {
-			openCalls: this.#openRequestCount,
-			unanswered: requests.length,
-			requests: requests
-				.slice(0, maxLoggedRequests)
-				.map(({requestId, receivedAtMs, phase}) => ({
-					requestId,
-					phase,
-					ageMs: Math.round(nowMs - receivedAtMs),
-				})),
-		});
-	}
-
 	async #run(
 		exchange: Exchange,
 		forwardedAttempts?: number,
 	): Promise<FilterResult> {
-		const receivedAtMs = this.#options.clock.monotonicMs();
-		if (receivedAtMs > (this.#shutdown?.acceptsUntilMs ?? Infinity)) {
+		if (this.#shutdown.isRefusing) {
 			return Err(
 				notRunFailure(
 					'shutting-down',
@@ -489,7 +444,7 @@
 
 	#updateReadiness(): void {
 		const isReady =
-			this.#shutdown === undefined &&
+			!this.#shutdown.isRequested &&
 			this.#isCaughtUp &&
 			this.#plans.plan !== undefined &&
 			this.#targetCount > 0;
@@ -502,10 +457,4 @@
 			});
 		}
 	}
-
-	async #sleep(durationMs: number): Promise<void> {
-		await new Promise<void>((resolve) => {
-			this.#options.clock.schedule(durationMs, resolve);
-		});
-	}
 }
--- /dev/null
+++ b/packages/gateway/src/context/graceful-shutdown.ts
@@ -0,0 +1,140 @@
+/** Shuts the servers for requests down so that each accepted request is answered. */
+
+import type {Clock} from '@bilberryscale/core';
+import {
+	waitForPendingIo,
+	type CallerListener,
+} from '@bilberryscale/daemon/edge';
+import type {EventLog} from '../records/event-log.js';
+import {
+	makeShutdownSchedule,
+	type ShutdownSchedule,
+} from './shutdown-schedule.js';
+
+/** A server whose requests are answered before the process exits. */
+export type DrainedServer = Pick<
+	CallerListener,
+	'endRequests' | 'getConnectionCount' | 'getOpenRequests'
+> & {
+	/** Stops accepting connections and requests; each connection closes after its last pending response. */
+	readonly close: () => void;
+};
+
+/** The servers and the dependencies. */
+export type GracefulShutdownOptions = {
+	readonly clock: Clock;
+	readonly log: EventLog;
+	/** Gets the servers for requests. */
+	readonly getServers: () => readonly DrainedServer[];
+	/** Gets how many requests the host works on. */
+	readonly getRunningCount: () => number;
+};
+
+const pollIntervalMs = 50;
+/** How many requests without an answer a log line names. */
+const maxLoggedRequests = 20;
+
+/** The shutdown of a host, from the request for it to the last answer. */
+export class GracefulShutdown {
+	readonly #options: GracefulShutdownOptions;
+	#schedule: ShutdownSchedule | undefined;
+
+	/**
+	 * @param options - The servers and the dependencies.
+	 */
+	constructor(options: GracefulShutdownOptions) {
+		this.#options = options;
+	}
+
+	/** Whether the shutdown has been requested. */
+	get isRequested(): boolean {
+		return this.#schedule !== undefined;
+	}
+
+	/** When open requests are ended, on the monotonic clock, in milliseconds; infinite before the request. */
+	get endsRequestsAtMs(): number {
+		return this.#schedule?.endsRequestsAtMs ?? Number.POSITIVE_INFINITY;
+	}
+
+	/** Whether a request that is read now is refused, as it came too late. */
+	get isRefusing(): boolean {
+		return (
+			this.#schedule !== undefined &&
+			this.#options.clock.monotonicMs() > this.#schedule.acceptsUntilMs
+		);
+	}
+
+	/**
+	 * Keeps serving until load balancers have noticed, closes the servers, gives
+	 * open requests time to finish and then answers those that are left.
+	 *
+	 * @param shutdownMs - How long the shutdown may take, in milliseconds.
+	 * @param earliestRequestMs - The earliest time at which it may have been requested, on the monotonic clock, in milliseconds; now by default.
+	 */
+	async run(shutdownMs: number, earliestRequestMs?: number): Promise<void> {
+		const {clock, log, getServers, getRunningCount} = this.#options;
+		const handledMs = clock.monotonicMs();
+		const schedule = makeShutdownSchedule({
+			earliestRequestMs: earliestRequestMs ?? handledMs,
+			handledMs,
+			shutdownMs,
+		});
+		this.#schedule = schedule;
+		log.writeState('process stopping', {
+			openCalls: getRunningCount(),
+			signalDelayMs: Math.round(handledMs - (earliestRequestMs ?? handledMs)),
+		});
+		await this.#sleep(schedule.closesAtMs - handledMs);
+		await waitForPendingIo();
+		const servers = getServers();
+		for (const server of servers) {
+			server.close();
+		}
+
+		await this.#waitForConnections(schedule.endsRequestsAtMs);
+		if (servers.some((server) => server.getOpenRequests().length > 0)) {
+			this.#logOpenRequests('requests ended by the shutdown');
+		}
+
+		for (const server of servers) {
+			server.endRequests();
+		}
+
+		await this.#waitForConnections(schedule.exitsAtMs);
+		this.#logOpenRequests('process stopped');
+	}
+
+	/** Waits until no connection is left on which a response is pending or being delivered, or until a time. */
+	async #waitForConnections(untilMs: number): Promise<void> {
+		const {clock, getServers} = this.#options;
+		const hasConnections = () =>
+			getServers().some((server) => server.getConnectionCount() > 0);
+		while (hasConnections() && clock.monotonicMs() < untilMs) {
+			await this.#sleep(pollIntervalMs);
+		}
+	}
+
+	/** Writes how many requests have no answer yet, and names some of them. */
+	#logOpenRequests(message: string): void {
+		const {clock, log, getServers, getRunningCount} = this.#options;
+		const nowMs = clock.monotonicMs();
+		const requests = getServers().flatMap((server) => server.getOpenRequests());
+		log.writeState(message, {
+			openCalls: getRunningCount(),
+			unanswered: requests.length,
+			requests: requests
+				.slice(0, maxLoggedRequests)
+				.map(({requestId, receivedAtMs, phase}) => ({
+					requestId,
+					phase,
+					ageMs: Math.round(nowMs - receivedAtMs),
+				})),
+		});
+	}
+
+	async #sleep(durationMs: number): Promise<void> {
+		await new Promise<void>((resolve) => {
+			this.#options.clock.schedule(durationMs, resolve);
+		});
+	}
+}
