--- a/packages/gateway/src/limits/retry-budget.ts
+++ b/packages/gateway/src/limits/retry-budget.ts
@@ -10,6 +10,18 @@
 	readonly windowMs: number;
 };
 
+/** What a host allows, knows and has used of the limit, for its log. */
+export type RetryBudgetState = {
+	/** Retries that this host allows itself in the window. */
+	readonly allowed: number;
+	/** Retries that it has sent in the window. */
+	readonly used: number;
+	/** Requests that it has counted in the window. */
+	readonly requests: number;
+	/** The number of hosts among which it divides the limit. */
+	readonly hosts: number;
+};
+
 /** Share of the limit that is left unused, because a host's count of hosts lags behind changes. */
 const unusedShare = 0.25;
 const bucketCount = 10;
@@ -68,13 +80,27 @@
 	 * @returns Whether {@link take} would allow it now.
 	 */
 	canTake(nowMs: number, reservedShare = 0): boolean {
+		const {allowed, used} = this.getState(nowMs);
+		return used + 1 <= (1 - reservedShare) * allowed;
+	}
+
+	/**
+	 * Gets what the budget allows and by which figures.
+	 *
+	 * @param nowMs - The monotonic time in milliseconds.
+	 * @returns The state of the window that ends now.
+	 */
+	getState(nowMs: number): RetryBudgetState {
 		this.#advance(nowMs);
 		const {ratio, slack} = this.#getLimit();
-		const allowed =
-			(1 - reservedShare) *
-			(1 - unusedShare) *
-			(ratio * sum(this.#requests) + slack / this.#getHostCount());
-		return sum(this.#retries) + 1 <= allowed;
+		const requests = sum(this.#requests);
+		const hosts = this.#getHostCount();
+		return {
+			allowed: (1 - unusedShare) * (ratio * requests + slack / hosts),
+			used: sum(this.#retries),
+			requests,
+			hosts,
+		};
 	}
 
 	#advance(nowMs: number): void {
--- a/packages/gateway/src/records/gateway-metrics.ts
+++ b/packages/gateway/src/records/gateway-metrics.ts
@@ -169,6 +169,13 @@
 		registers: [this.#registry],
 	});
 
+	readonly #retryDecisions = new Counter({
+		name: 'bilberryscale_retry_decisions_total',
+		help: 'Requests that were to be sent to another target, by service and by whether the retry budget allowed it',
+		labelNames: ['service', 'decision'],
+		registers: [this.#registry],
+	});
+
 	/** Gets the content type of the exported text. */
 	get contentType(): string {
 		return this.#registry.contentType;
@@ -203,6 +210,17 @@
 		this.#attemptSeconds.observe(durationMs / msPerSecond);
 	}
 
+	/**
+	 * Records whether a request may be sent to another target.
+	 *
+	 * @param service - The service.
+	 * @param isAllowed - Whether the retry budget allowed it.
+	 */
+	recordRetryDecision(service: string, isAllowed: boolean): void {
+		const decision = isAllowed ? 'allowed' : 'denied';
+		this.#retryDecisions.inc({service, decision});
+	}
+
 	/**
 	 * Records a read of the published snapshot or its changes.
 	 *
--- a/packages/gateway/src/records/request-recorder.ts
+++ b/packages/gateway/src/records/request-recorder.ts
@@ -7,6 +7,7 @@
 	IncomingCall,
 } from '@bilberryscale/daemon/edge';
 import type {AccountRefusal} from '../accounts/account-check.js';
+import type {RetryBudgetState} from '../limits/retry-budget.js';
 import type {ActivePlan} from '../plan/plan-holder.js';
 import type {Route} from '../plan/routing-plan.js';
 import type {AttemptResult} from '../relay/attempt-result.js';
@@ -53,6 +54,12 @@
 	readonly wastedMs: number;
 };
 
+/** A decision whether a request is sent to another target, and the figures it was based on. */
+export type RetryRecord = RetryBudgetState & {
+	readonly service: string;
+	readonly isAllowed: boolean;
+};
+
 /** Dependencies of the recorder. */
 export type RequestRecorderOptions = {
 	readonly log: EventLog;
@@ -136,6 +143,24 @@
 		});
 	}
 
+	/**
+	 * Records whether a request may be sent to another target.
+	 *
+	 * @param exchange - The request.
+	 * @param record - The decision.
+	 */
+	recordRetryDecision(
+		{incoming}: Exchange,
+		{allowed, ...record}: RetryRecord,
+	): void {
+		this.#options.metrics.recordRetryDecision(record.service, record.isAllowed);
+		this.#options.log.write('retry decided', {
+			requestId: incoming.requestId,
+			...record,
+			allowed: roundToTenth(allowed),
+		});
+	}
+
 	/** Counts a second copy of a request; its attempt is recorded when it ends. */
 	recordHedgeSent(): void {
 		this.#options.metrics.recordHedgeSent();
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -379,18 +379,23 @@
 	 * left to returning callers, because a refused caller retries once and gives up after a second refusal.
 	 */
 	#takeRetry(
-		{service, isReturning, priority}: RoutedRequest,
+		{service, isReturning, priority, exchange}: RoutedRequest,
 		best: AttemptResult,
 	): boolean {
-		const {clock, capacity} = this.#options;
+		const {clock, capacity, recorder} = this.#options;
 		const isFirstRefusal = best.kind === 'refused' && !isReturning;
 		const reservedShare = capacity.isShort(service, priority)
 			? urgentRequestShare
 			: returningCallerShare;
-		return this.#getRetryBudget(service).take(
-			clock.monotonicMs(),
-			isFirstRefusal ? reservedShare : 0,
-		);
+		const budget = this.#getRetryBudget(service);
+		const nowMs = clock.monotonicMs();
+		const isAllowed = budget.take(nowMs, isFirstRefusal ? reservedShare : 0);
+		recorder.recordRetryDecision(exchange, {
+			service,
+			isAllowed,
+			...budget.getState(nowMs),
+		});
+		return isAllowed;
 	}
 
 	/**
