--- a/packages/daemon/src/edge.ts
+++ b/packages/daemon/src/edge.ts
@@ -7,6 +7,7 @@
 	type CallerListenerOptions,
 } from './http/caller-listener.js';
 export {makeShutdownFailure} from './http/make-shutdown-failure.js';
+export {getProblemAnswer} from './http/problem-answer.js';
 export type {OpenRequest, OpenRequestPhase} from './http/open-request.js';
 export {getForwardedHeaders} from './http/forwarded-headers.js';
 export {waitForPendingIo} from './http/wait-for-pending-io.js';
--- a/packages/daemon/src/pipeline/exchange.ts
+++ b/packages/daemon/src/pipeline/exchange.ts
@@ -73,6 +73,8 @@
 	issuedKey: IdempotencyKey | undefined;
 	/** Whether the run state of a failure covers every request with the same key. */
 	isRunStateOfKey = false;
+	/** How many copies were sent to targets. */
+	sentCopies = 0;
 	/** How many of the copies that were sent targets may have run or may be at work on; undefined if nobody counts them. */
 	unsettledCopies: number | undefined;
 	/** Checks whether a target could no longer answer before the host shuts down; undefined until that is known. */
--- a/packages/gateway/src/accounts/allotment-gate.ts
+++ b/packages/gateway/src/accounts/allotment-gate.ts
@@ -1,20 +1,18 @@
 /** Decides whether a request is within the rate limit of its client account, which all hosts keep together. */
 
 import type {Clock, RandomSource} from '@bilberryscale/core';
-import type {HostPlace} from '../limits/get-rate-share.js';
 import type {ClientAccount, ClientAccountName} from '../plan/client-account.js';
 import type {EventLog} from '../records/event-log.js';
 import type {GatewayMetrics} from '../records/gateway-metrics.js';
+import type {KnownHosts} from '../fleet/known-hosts.js';
 import {AllotmentOwner} from './allotment-owner.js';
 import {
 	getIsolatedShare,
 	type AccountLimit,
 	type AllotmentBound,
 } from './allotment-tolerance.js';
-import type {AllotmentMessage} from './allotment-message.js';
+import {isReply, type AllotmentMessage} from './allotment-message.js';
 import {HostContacts} from './host-contacts.js';
-import {HostDirectory} from './host-directory.js';
-import {HostListExchange} from './host-list-exchange.js';
 import {HostReach} from './host-reach.js';
 import {IsolatedAllotment} from './isolated-allotment.js';
 import {OwnerRanking} from './owner-ranking.js';
@@ -30,10 +28,8 @@
 	readonly metrics: GatewayMetrics;
 	/** The IP address of this host. */
 	readonly self: string;
-	/** Gets the other hosts that gossip has brought; the same array until one is added or removed. */
-	readonly getPeers: () => ReadonlyArray<Pick<HostPlace, 'address'>>;
-	/** Gets the addresses of the seed hosts; some of them may no longer exist. */
-	readonly getSeeds: () => readonly string[];
+	/** The other hosts; it has to get the messages that the gate gets, before the gate. */
+	readonly knownHosts: KnownHosts;
 	/** Sends a datagram to another host. */
 	readonly send: (address: string, message: AllotmentMessage) => void;
 	readonly getBound: () => AllotmentBound;
@@ -83,10 +79,8 @@
 /** Takes tokens for requests of this host and answers the other hosts' messages. */
 export class AllotmentGate {
 	readonly #options: AllotmentGateOptions;
-	readonly #directory: HostDirectory;
 	readonly #contacts: HostContacts;
 	readonly #reach: HostReach;
-	readonly #exchange: HostListExchange;
 	readonly #pauses: PauseDetector;
 	readonly #owner: AllotmentOwner;
 	readonly #requester: TokenRequester;
@@ -98,9 +92,9 @@
 	 */
 	constructor(options: AllotmentGateOptions) {
 		this.#options = options;
-		const {clock, random, log, metrics, send} = options;
-		this.#directory = new HostDirectory(options);
-		const getHosts = () => this.#directory.getHosts();
+		const {clock, random, log, metrics, knownHosts, send} = options;
+		const {directory} = knownHosts;
+		const getHosts = () => directory.getHosts();
 		const ranking = new OwnerRanking(options.self, getHosts);
 		const contacts = new HostContacts({
 			clock,
@@ -124,10 +118,6 @@
 				log.write('share of reached hosts changed', {share});
 			},
 		});
-		this.#exchange = new HostListExchange({
-			...options,
-			directory: this.#directory,
-		});
 		this.#owner = new AllotmentOwner({
 			...options,
 			ranking,
@@ -139,7 +129,7 @@
 			...options,
 			ranking,
 			contacts,
-			directory: this.#directory,
+			directory,
 			answerLocally: (request) => this.#owner.answer(request, options.self),
 		});
 		this.#pauses = new PauseDetector(clock, (pauseMs) => {
@@ -176,14 +166,13 @@
 		}
 
 		if (limits.size > 0) {
-			this.#exchange.start();
+			this.#options.knownHosts.start();
 			this.#pauses.start();
 		}
 	}
 
 	/** Stops the timers. */
 	stop(): void {
-		this.#exchange.stop();
 		this.#reach.stop();
 		this.#pauses.stop();
 	}
@@ -262,7 +251,6 @@
 	 */
 	receive(message: AllotmentMessage, sender: string): void {
 		const {send} = this.#options;
-		this.#directory.add(sender);
 		if (isReply(message)) {
 			this.#contacts.recordReply(sender);
 		}
@@ -296,14 +284,9 @@
 				break;
 			}
 
-			case 'hosts-request': {
-				this.#exchange.answer(sender);
-				break;
-			}
-
-			case 'hosts-reply': {
-				this.#exchange.receive(message);
-			}
+			case 'hosts-request':
+			case 'hosts-reply':
+			// The list of hosts is kept by the known hosts.
 		}
 	}
 
@@ -333,7 +316,7 @@
 		}
 
 		state.isAsking = true;
-		this.#exchange.whenReady(() => {
+		this.#options.knownHosts.whenReady(() => {
 			const {ratePerSecond, burst} = account;
 			const needed = state.waiting.length;
 			state.askedCount = needed;
@@ -440,7 +423,7 @@
 		const bound = getBound();
 		const hostCount = Math.max(
 			minHostCount,
-			this.#directory.getHosts().length + 1,
+			this.#options.knownHosts.directory.getHosts().length + 1,
 		);
 		const limit = {planVersion: this.#planVersion, ratePerSecond, burst};
 		const perWindow = getIsolatedShare(limit, bound, hostCount);
@@ -471,12 +454,3 @@
 		});
 	}
 }
-
-/** Only replies prove that messages get there and back. */
-function isReply({method}: AllotmentMessage): boolean {
-	return (
-		method === 'token-reply' ||
-		method === 'contact-reply' ||
-		method === 'hosts-reply'
-	);
-}
--- a/packages/gateway/src/accounts/allotment-message.ts
+++ b/packages/gateway/src/accounts/allotment-message.ts
@@ -3,8 +3,8 @@
 import {makeId} from '@bilberryscale/core';
 import {isHostAddress} from '../fleet/is-host-address.js';
 import type {ClientAccountName} from '../plan/client-account.js';
+import type {HostListEntry} from '../fleet/host-directory.js';
 import type {AccountLimit} from './allotment-tolerance.js';
-import type {HostListEntry} from './host-directory.js';
 
 /** Asks an allotment owner for tokens. */
 export type TokenRequest = {
@@ -273,3 +273,17 @@
 function isAddress(value: unknown): value is string {
 	return typeof value === 'string' && isHostAddress(value);
 }
+
+/**
+ * Checks whether a message is a reply, which proves that messages get there and back.
+ *
+ * @param message - The message.
+ * @returns Whether its sender has received a message of this host.
+ */
+export function isReply({method}: Pick<AllotmentMessage, 'method'>): boolean {
+	return (
+		method === 'token-reply' ||
+		method === 'contact-reply' ||
+		method === 'hosts-reply'
+	);
+}
--- a/packages/gateway/src/accounts/token-requester.ts
+++ b/packages/gateway/src/accounts/token-requester.ts
@@ -2,10 +2,10 @@
 
 import type {Clock, RandomSource} from '@bilberryscale/core';
 import type {ClientAccountName} from '../plan/client-account.js';
+import type {HostDirectory} from '../fleet/host-directory.js';
 import type {AccountLimit} from './allotment-tolerance.js';
 import type {TokenReply, TokenRequest} from './allotment-message.js';
 import type {HostContacts} from './host-contacts.js';
-import type {HostDirectory} from './host-directory.js';
 import type {OwnerRanking} from './owner-ranking.js';
 
 /** The hosts and how to reach them. */
--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -12,17 +12,25 @@
 import {CrashSuspects} from '@bilberryscale/decisions';
 import {Err} from 'ts-results-es';
 import {AllotmentGate} from '../accounts/allotment-gate.js';
+import {isReply, type AllotmentMessage} from '../accounts/allotment-message.js';
 import {defaultAllotmentBound} from '../accounts/allotment-tolerance.js';
 import {getPrioritizedServices} from '../capacity/has-priority-classes.js';
 import {AccountDirectory} from '../accounts/account-directory.js';
 import {TargetProbe} from '../choice/target-probe.js';
 import type {CallerServer} from '../edge/caller-server.js';
 import {TextServer} from '../edge/text-server.js';
+import {HostAnnouncement} from '../fleet/host-announcement.js';
+import {KnownHosts} from '../fleet/known-hosts.js';
 import {Fleet} from '../fleet/fleet.js';
 import {Forwarder} from '../forwarding/forwarder.js';
 import {ForwardingServer} from '../forwarding/forwarding-server.js';
 import {PathRecovery} from '../forwarding/path-recovery.js';
+import type {ForwardedRequest} from '../forwarding/forwarding-protocol.js';
 import {LimitShares} from '../limits/limit-shares.js';
+import type {LoanMessage} from '../limits/loan-message.js';
+import {RetryBudgets} from '../limits/retry-budgets.js';
+import {RetryLoans} from '../limits/retry-loans.js';
+import {RetryPartTracker} from '../limits/retry-part.js';
 import {SnapshotFeed} from '../snapshot/snapshot-feed.js';
 import type {
 	ItemDecoder,
@@ -77,6 +85,9 @@
 	readonly #settings: LiveSettings;
 	readonly #metrics = new GatewayMetrics();
 	readonly #fleet: Fleet;
+	readonly #knownHosts: KnownHosts;
+	readonly #announcement: HostAnnouncement;
+	readonly #retryLoans: RetryLoans;
 	readonly #allotments: AllotmentGate;
 	readonly #crashSuspects = new CrashSuspects();
 	readonly #crashDetector: CrashDetector;
@@ -143,24 +154,79 @@
 				this.#targetRegistry.addRemoteLimit(notice);
 			},
 			onAllotment: (message, sender) => {
+				this.#knownHosts.receive(message, sender);
+				if (isReply(message)) {
+					this.#announcement.recordReply(sender);
+				}
+
 				this.#allotments.receive(message, sender);
 			},
+			onLoan: (message, sender) => {
+				this.#retryLoans.receive(message, sender);
+			},
 			getCapacity: () => this.#capacity.getRecords(),
 			onCapacity: (records) => {
 				this.#capacity.addRecords(records);
 			},
 		});
+		const {address} = settings.callers;
+		const getSeeds = () =>
+			this.#settings.current.seeds.map((seed) => seed.address);
+		const hasOtherSeeds = () => getSeeds().some((seed) => seed !== address);
+		const send = (
+			recipient: string,
+			message: AllotmentMessage | LoanMessage,
+		) => {
+			this.#fleet.sendTo(recipient, message);
+		};
+
+		this.#knownHosts = new KnownHosts({
+			clock,
+			random,
+			self: address,
+			getPeers: () => this.#fleet.knownPeers,
+			getSeeds,
+			send,
+		});
+		const {directory} = this.#knownHosts;
+		this.#announcement = new HostAnnouncement({
+			clock,
+			directory,
+			hasOtherSeeds,
+			send,
+		});
+		const retryPart = new RetryPartTracker({
+			clock,
+			isFirstStart: settings.isFirstStart,
+			directory,
+			announcement: this.#announcement,
+			onChange(part) {
+				log.write('part of the retry budget changed', part);
+			},
+		});
+		const retryBudgets = new RetryBudgets({
+			getLimit: () => this.#settings.current.retryBound,
+			getPart: (windowMs) => retryPart.getPart(windowMs),
+		});
+		this.#retryLoans = new RetryLoans({
+			clock,
+			random,
+			metrics: this.#metrics,
+			dataCentre: settings.dataCentre,
+			getPeers: () => this.#fleet.getShuffledPeers(),
+			send,
+			getBudget: (service) => retryBudgets.get(service),
+			hasService: (service) =>
+				this.#targetRegistry.getServicePlan(service) !== undefined,
+		});
 		this.#allotments = new AllotmentGate({
 			clock,
 			random,
 			log,
 			metrics: this.#metrics,
-			self: settings.callers.address,
-			getPeers: () => this.#fleet.knownPeers,
-			getSeeds: () => this.#settings.current.seeds.map(({address}) => address),
-			send: (address, message) => {
-				this.#fleet.sendAllotment(address, message);
-			},
+			self: address,
+			knownHosts: this.#knownHosts,
+			send,
 			getBound: () =>
 				this.#settings.current.allotmentBound ?? defaultAllotmentBound,
 		});
@@ -174,10 +240,7 @@
 			address: settings.callers.address,
 			getSources: (hasSnapshot) => this.#fleet.getSources(hasSnapshot),
 			getHostCount: () => this.#fleet.hostCount,
-			expectsPeers: () =>
-				this.#settings.current.seeds.some(
-					({address}) => address !== settings.callers.address,
-				),
+			expectsPeers: hasOtherSeeds,
 			onSnapshot: (snapshot) => {
 				this.#applySnapshot(snapshot);
 			},
@@ -265,6 +328,8 @@
 			forwarder: this.#forwarder,
 			plans: this.#plans,
 			allotments: this.#allotments,
+			retryBudgets,
+			retryLoans: this.#retryLoans,
 			crashSuspects: this.#crashSuspects,
 			getHostCount,
 			getSnapshotAgeMs: () => this.#feed.ageMs,
@@ -302,7 +367,7 @@
 				this.#isReady && !this.#targetRegistry.pathMonitor.isLost,
 			isShuttingDown,
 			getOpenRequestCount: () => this.#openRequestCount,
-			run: async (exchange, attemptsLeft) => this.#run(exchange, attemptsLeft),
+			run: async (exchange, forwarding) => this.#run(exchange, forwarding),
 		});
 		this.#readinessServer = new TextServer(() => ({
 			status: this.#isReady ? okStatus : unavailableStatus,
@@ -321,12 +386,15 @@
 		const {settings, log, hedging} = this.#options;
 		log.writeState('process started', {
 			dataCentre: settings.dataCentre,
+			isFirstStart: settings.isFirstStart,
 			...(hedging && {hedgeLimit: hedging.limit}),
 		});
 		void this.#feed.run();
 		await this.#readinessServer.listen(settings.readiness);
 		await this.#metricsServer.listen(settings.metrics);
 		await this.#fleet.start();
+		this.#knownHosts.start();
+		this.#announcement.start();
 		await this.#forwardingServer.listen({
 			address: settings.callers.address,
 			port: settings.forwardingPort,
@@ -356,6 +424,8 @@
 			earliestRequestMs,
 		);
 		this.#feed.stop();
+		this.#knownHosts.stop();
+		this.#announcement.stop();
 		this.#allotments.stop();
 		this.#fleet.stop();
 		this.#pathRecovery.stop();
@@ -367,7 +437,7 @@
 
 	async #run(
 		exchange: Exchange,
-		forwardedAttempts?: number,
+		forwarding?: ForwardedRequest,
 	): Promise<FilterResult> {
 		if (this.#shutdown.isRefusing) {
 			return Err(makeShutdownFailure('This host is shutting down.'));
@@ -375,7 +445,7 @@
 
 		this.#openRequestCount++;
 		try {
-			return await this.#relay.run(exchange, forwardedAttempts);
+			return await this.#relay.run(exchange, forwarding);
 		} finally {
 			this.#openRequestCount--;
 		}
--- a/packages/gateway/src/context/gateway-settings.ts
+++ b/packages/gateway/src/context/gateway-settings.ts
@@ -39,6 +39,8 @@
 	 * accepted, in milliseconds; undefined if the last known keys always are.
 	 */
 	readonly maxAccountsAgeMs: number | undefined;
+	/** Whether the whole fleet starts for the first time, so that no host has run before. */
+	readonly isFirstStart: boolean;
 	/** Maximum duration of a shutdown, in milliseconds. */
 	readonly shutdownMs: number;
 };
--- a/packages/gateway/src/context/live-settings.ts
+++ b/packages/gateway/src/context/live-settings.ts
@@ -18,6 +18,7 @@
 	'questionsPerTargetSecond',
 	'maxAccountsAgeMs',
 	'shutdownMs',
+	'isFirstStart',
 ]);
 
 /** Holds the settings in force. */
@@ -57,7 +58,7 @@
 			questionsPerTargetSecond,
 			shutdownMs,
 		} = next;
-		const {maxAccountsAgeMs} = next;
+		const {maxAccountsAgeMs, isFirstStart} = next;
 		this.#current = {
 			...this.#current,
 			seeds,
@@ -66,6 +67,7 @@
 			questionsPerTargetSecond,
 			maxAccountsAgeMs,
 			shutdownMs,
+			isFirstStart,
 		};
 		return {
 			taken: changed.filter((key) => reloadableKeys.has(key)),
--- a/packages/gateway/src/context/make-relay.ts
+++ b/packages/gateway/src/context/make-relay.ts
@@ -17,6 +17,8 @@
 import {TargetProber} from '../choice/target-prober.js';
 import {TargetPicker} from '../choice/target-picker.js';
 import type {Forwarder} from '../forwarding/forwarder.js';
+import type {RetryBudgets} from '../limits/retry-budgets.js';
+import type {RetryLoans} from '../limits/retry-loans.js';
 import type {PlanHolder} from '../plan/plan-holder.js';
 import {TrafficSplitter} from '../plan/traffic-splitter.js';
 import {writeSpilloverChange} from '../records/write-spillover-change.js';
@@ -53,6 +55,8 @@
 	readonly plans: PlanHolder;
 	/** The rate limits of client accounts. */
 	readonly allotments: AllotmentGate;
+	readonly retryBudgets: RetryBudgets;
+	readonly retryLoans: RetryLoans;
 	/** The requests that may have crashed targets. */
 	readonly crashSuspects: CrashSuspects;
 	readonly getHostCount: () => number;
@@ -227,7 +231,7 @@
 		recorder,
 		isShuttingDown,
 		shutdownLimit,
-		getRetryBudgetLimit: () => settings.current.retryBound,
-		getHostCount,
+		retryBudgets: dependencies.retryBudgets,
+		retryLoans: dependencies.retryLoans,
 	});
 }
--- a/packages/gateway/src/fleet/fleet.ts
+++ b/packages/gateway/src/fleet/fleet.ts
@@ -9,6 +9,7 @@
 import type {TargetIncarnation} from '../plan/registered-target.js';
 import type {EventLog} from '../records/event-log.js';
 import type {HostPlace} from '../limits/get-rate-share.js';
+import type {LoanMessage} from '../limits/loan-message.js';
 import type {LimitNotice} from '../targets/limit-notice.js';
 import {Gossip} from './gossip.js';
 import type {CrashNotice} from './gossip-message.js';
@@ -32,6 +33,7 @@
 	readonly onFailure: (incarnation: TargetIncarnation) => void;
 	readonly onLimit: (notice: LimitNotice) => void;
 	readonly onAllotment: (message: AllotmentMessage, sender: string) => void;
+	readonly onLoan: (message: LoanMessage, sender: string) => void;
 	/** Gets the estimates of capacity that are sent to other hosts. */
 	readonly getCapacity: () => readonly CapacityRecord[];
 	readonly onCapacity: (records: readonly CapacityRecord[]) => void;
@@ -71,7 +73,7 @@
 		});
 	}
 
-	/** Gets the assumed number of hosts, which share the targets, the probe rate and the retry budget. */
+	/** Gets the assumed number of hosts, which share the targets and the probe rate. */
 	get hostCount(): number {
 		return Math.max(minHostCount, this.#membership.memberCount);
 	}
@@ -162,13 +164,13 @@
 	}
 
 	/**
-	 * Sends a message about rate limits to one host.
+	 * Sends a message about rate limits or retries to one host.
 	 *
 	 * @param address - The IP address of the host.
 	 * @param message - The message.
 	 */
-	sendAllotment(address: string, message: AllotmentMessage): void {
-		this.#gossip.sendAllotment(address, message);
+	sendTo(address: string, message: AllotmentMessage | LoanMessage): void {
+		this.#gossip.sendTo(address, message);
 	}
 
 	#getPeer({address, dataCentre}: MemberRecord): PeerReader {
--- a/packages/gateway/src/fleet/gossip-message.ts
+++ b/packages/gateway/src/fleet/gossip-message.ts
@@ -13,6 +13,12 @@
 	encodeCapacityRecords,
 	type CapacityRecord,
 } from '../capacity/capacity-record.js';
+import {
+	decodeLoanMessage,
+	encodeLoanParameters,
+	isLoanMessage,
+	type LoanMessage,
+} from '../limits/loan-message.js';
 import type {TargetIncarnation} from '../plan/registered-target.js';
 import type {LimitNotice} from '../targets/limit-notice.js';
 import {isHostAddress} from './is-host-address.js';
@@ -38,6 +44,7 @@
 	| {readonly method: 'crash'; readonly notice: CrashNotice}
 	| {readonly method: 'failure'; readonly incarnation: TargetIncarnation}
 	| {readonly method: 'limit'; readonly notice: LimitNotice}
+	| LoanMessage
 	| AllotmentMessage;
 
 type JsonRpcNotification = {
@@ -117,7 +124,10 @@
 		}
 
 		default: {
-			return decodeAllotmentMessage(method, parameters);
+			return (
+				decodeAllotmentMessage(method, parameters) ??
+				decodeLoanMessage(method, parameters)
+			);
 		}
 	}
 }
@@ -147,6 +157,10 @@
 		return encodeAllotmentParameters(message);
 	}
 
+	if (isLoanMessage(message)) {
+		return encodeLoanParameters(message);
+	}
+
 	switch (message.method) {
 		case 'members': {
 			const members = message.members.map(
--- a/packages/gateway/src/fleet/gossip.ts
+++ b/packages/gateway/src/fleet/gossip.ts
@@ -7,6 +7,7 @@
 	type AllotmentMessage,
 } from '../accounts/allotment-message.js';
 import type {EventLog} from '../records/event-log.js';
+import {isLoanMessage, type LoanMessage} from '../limits/loan-message.js';
 import type {TargetIncarnation} from '../plan/registered-target.js';
 import type {CapacityRecord} from '../capacity/capacity-record.js';
 import type {LimitNotice} from '../targets/limit-notice.js';
@@ -35,6 +36,7 @@
 	readonly onFailure: (incarnation: TargetIncarnation) => void;
 	readonly onLimit: (notice: LimitNotice) => void;
 	readonly onAllotment: (message: AllotmentMessage, sender: string) => void;
+	readonly onLoan: (message: LoanMessage, sender: string) => void;
 	/** Gets the estimates that are sent along with members. */
 	readonly getCapacity: () => readonly CapacityRecord[];
 	readonly onCapacity: (records: readonly CapacityRecord[]) => void;
@@ -126,12 +128,12 @@
 	}
 
 	/**
-	 * Sends a message about rate limits to one host.
+	 * Sends a message about rate limits or retries to one host.
 	 *
 	 * @param address - The IP address of the host.
 	 * @param message - The message.
 	 */
-	sendAllotment(address: string, message: AllotmentMessage): void {
+	sendTo(address: string, message: AllotmentMessage | LoanMessage): void {
 		this.#send(address, message);
 	}
 
@@ -206,8 +208,8 @@
 	}
 
 	#receive(datagram: Uint8Array, sender: string): void {
-		const {membership, onCrash, onFailure, onLimit, onAllotment, log} =
-			this.#options;
+		const {membership, onCrash, onFailure, onLimit, log} = this.#options;
+		const {onAllotment, onLoan} = this.#options;
 		const message = decodeMessage(datagram);
 		if (message !== undefined && isAllotmentMessage(message)) {
 			membership.recordResponse(sender);
@@ -215,6 +217,12 @@
 			return;
 		}
 
+		if (message !== undefined && isLoanMessage(message)) {
+			membership.recordResponse(sender);
+			onLoan(message, sender);
+			return;
+		}
+
 		switch (message?.method) {
 			case 'members': {
 				this.#logNewMembers(membership.add(message.members));
--- a/packages/gateway/src/accounts/host-directory.ts
+++ b/packages/gateway/src/fleet/host-directory.ts
@@ -1,4 +1,4 @@
-/** Remembers the hosts among which allotment owners are ranked. */
+/** Remembers the other hosts, among which allotment owners are ranked and shared limits are divided. */
 
 import type {Clock} from '@bilberryscale/core';
 import type {HostPlace} from '../limits/get-rate-share.js';
@@ -20,11 +20,13 @@
  * too rarely; and the hosts on the other side of a partition must still count, or both sides would use the whole limit.
  */
 const memoryMs = 300_000;
+/** Hosts with later evidence count as up, in milliseconds; much shorter than the memory, so that the smaller side of a partition knows that it is one before the larger side forgets it. */
+const recentMs = 150_000;
 /** Interval at which the members known by gossip are read again, in milliseconds. */
 const refreshIntervalMs = 10_000;
 const msPerSecond = 1000;
 
-/** The other hosts that were known within the last five minutes. */
+/** The other hosts that were known within the last five minutes, or longer while most of them are silent. */
 export class HostDirectory {
 	readonly #options: HostDirectoryOptions;
 	/** When there was last evidence of each host, on the monotonic clock. */
@@ -65,6 +67,12 @@
 		]);
 	}
 
+	/** Whether this host and those of which there was evidence lately are more than half of all. */
+	get hasMajority(): boolean {
+		this.#refresh();
+		return this.#hasMajority();
+	}
+
 	/**
 	 * Adds a host.
 	 *
@@ -102,6 +110,11 @@
 			this.add(address);
 		}
 
+		// The smaller side of a partition would take itself for the whole fleet.
+		if (!this.#hasMajority()) {
+			return;
+		}
+
 		for (const [address, seenAtMs] of this.#seenAtMs) {
 			if (nowMs - seenAtMs > memoryMs) {
 				this.#seenAtMs.delete(address);
@@ -109,4 +122,12 @@
 			}
 		}
 	}
+
+	#hasMajority(): boolean {
+		const nowMs = this.#options.clock.monotonicMs();
+		const recentCount = [...this.#seenAtMs.values()].filter(
+			(seenAtMs) => nowMs - seenAtMs <= recentMs,
+		).length;
+		return 2 * (recentCount + 1) > this.#seenAtMs.size + 1;
+	}
 }
--- a/packages/gateway/src/accounts/host-list-exchange.ts
+++ b/packages/gateway/src/fleet/host-list-exchange.ts
@@ -1,7 +1,7 @@
 /** Fetches the hosts that others know, since gossip takes a minute to bring all of them to a host that has started. */
 
 import type {CancelFunction, Clock, RandomSource} from '@bilberryscale/core';
-import type {HostsReply, HostsRequest} from './allotment-message.js';
+import type {HostsReply, HostsRequest} from '../accounts/allotment-message.js';
 import type {HostDirectory} from './host-directory.js';
 
 /** The hosts to ask and where to store the result. */
--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -15,7 +15,7 @@
 import type {TargetIncarnation} from '../plan/registered-target.js';
 import type {EventLog} from '../records/event-log.js';
 import type {GatewayMetrics} from '../records/gateway-metrics.js';
-import type {AttemptResult} from '../relay/attempt-result.js';
+import {mayHaveRun, type AttemptResult} from '../relay/attempt-result.js';
 import type {RoutedRequest} from '../relay/request-reader.js';
 import {SilenceDetector} from '../relay/silence-detector.js';
 import {TargetAttempt} from '../relay/target-attempt.js';
@@ -26,6 +26,11 @@
 import {
 	forwardingHealthPath,
 	makeForwardingProtocol,
+	readForwardedCopies,
+	sentCopiesHeader,
+	uncountedHeader,
+	unsettledCopiesHeader,
+	type ForwardedRequest,
 } from './forwarding-protocol.js';
 
 /** This host, the others and the protocols. */
@@ -50,13 +55,20 @@
 	readonly hasAccounts: () => boolean;
 };
 
+/** The result of a request at another host. */
+export type ForwardedResult = {
+	readonly result: AttemptResult;
+	/** How many targets may have run the request there, beyond the one that the result stands for. */
+	readonly otherExecutions: number;
+};
+
 /** How many hosts are asked at once whether they take a request. */
 const probedHostCount = 4;
 /** How often hosts are asked for one request. */
 const maxProbeRounds = 3;
 /** How many hosts a request is sent to if they refuse it at once. */
 const maxHostsPerRequest = 3;
-/** A refusal within this time, in milliseconds, says that the host can't take any request, not that targets are busy. */
+/** A host that refuses a request within this time, in milliseconds, and has sent it to no target can't take any request. */
 const immediateRefusalMs = 100;
 /** How long a host that takes no requests is not asked again, in milliseconds. */
 const unavailableAvoidMs = 500;
@@ -102,19 +114,20 @@
 
 	/**
 	 * Sends a request through another host. The next one is tried if a host
-	 * refuses it at once or can't be reached.
+	 * can't be reached, or refuses it at once without sending it to a target:
+	 * another send would be a retry, for which that host has its budget.
 	 *
 	 * @param request - The request.
-	 * @param attemptsLeft - How many targets it may still be sent to.
+	 * @param forwarding - What the other host has to know of it.
 	 * @returns The result of the first host that has tried to serve it; undefined if none has.
 	 */
 	async forward(
 		request: RoutedRequest,
-		attemptsLeft: number,
-	): Promise<AttemptResult | undefined> {
+		forwarding: ForwardedRequest,
+	): Promise<ForwardedResult | undefined> {
 		const {clock} = this.#options;
 		const tried = new Set<TargetState>();
-		let keyRefusal: AttemptResult | undefined;
+		let keyRefusal: ForwardedResult | undefined;
 		while (tried.size < maxHostsPerRequest) {
 			const state = await this.#findHost(request.route.isIdempotent, tried);
 			if (state === undefined || request.exchange.isTooLate?.() === true) {
@@ -123,14 +136,17 @@
 
 			tried.add(state);
 			const startedAtMs = clock.monotonicMs();
-			const result = await this.#send(request, state, attemptsLeft);
-			if (!isNextWorthTrying(result, clock.monotonicMs() - startedAtMs)) {
-				return result;
+			const result = await this.#send(request, state, forwarding);
+			if (
+				result !== undefined &&
+				!isNextWorthTrying(result, clock.monotonicMs() - startedAtMs)
+			) {
+				return readForwardedResult(result, forwarding);
 			}
 
 			if (result?.kind === 'refused' && result.status === keyRefusedStatus) {
 				// The host serves other requests; it may have read another version of the plan.
-				keyRefusal = result;
+				keyRefusal = {result, otherExecutions: 0};
 			} else {
 				state.avoidUntilMs = clock.monotonicMs() + unavailableAvoidMs;
 			}
@@ -150,7 +166,7 @@
 	async #send(
 		request: RoutedRequest,
 		state: TargetState,
-		attemptsLeft: number,
+		{attemptsLeft, isCounted}: ForwardedRequest,
 	): Promise<AttemptResult | undefined> {
 		const {clock, log, metrics} = this.#options;
 		const {exchange, route, body, deadlineMs, hasAccounts} = request;
@@ -174,9 +190,11 @@
 			protocol,
 			clock,
 			deadlineMs,
-			accountHeaders: hasAccounts
-				? getHostAccountHeaders(protocol, headers[protocol.credentialHeader])
-				: {},
+			accountHeaders: {
+				...(hasAccounts &&
+					getHostAccountHeaders(protocol, headers[protocol.credentialHeader])),
+				[uncountedHeader]: isCounted ? undefined : '1',
+			},
 			onNotice: () => undefined,
 			silenceDetector: route.isIdempotent ? this.#silenceDetector : undefined,
 			stallTimeoutMs: undefined,
@@ -311,13 +329,39 @@
 	return health?.isHealthy === true ? 0 : 1;
 }
 
-function isNextWorthTrying(
-	result: AttemptResult | undefined,
-	durationMs: number,
-): boolean {
-	return (
-		result === undefined ||
-		(result.kind === 'refused' && durationMs < immediateRefusalMs) ||
-		(result.kind === 'failed' && result.cause === 'unreachable')
-	);
+function isNextWorthTrying(result: AttemptResult, durationMs: number): boolean {
+	if (result.kind === 'refused') {
+		const wasSent = readForwardedCopies(result.headers)?.sent !== 0;
+		return (
+			result.status === keyRefusedStatus ||
+			(!wasSent && durationMs < immediateRefusalMs)
+		);
+	}
+
+	return result.kind === 'failed' && result.cause === 'unreachable';
+}
+
+/** Takes the other host's figures out of a result. If they are unknown, it may have used all attempts. */
+function readForwardedResult(
+	result: AttemptResult,
+	{attemptsLeft}: ForwardedRequest,
+): ForwardedResult {
+	if (!mayHaveRun(result)) {
+		return {result, otherExecutions: 0};
+	}
+
+	if (result.kind !== 'answered') {
+		return {result, otherExecutions: attemptsLeft - 1};
+	}
+
+	const {answer} = result;
+	const unsettled =
+		readForwardedCopies(answer.headers)?.unsettled ?? attemptsLeft;
+	const headers = {...answer.headers};
+	Reflect.deleteProperty(headers, sentCopiesHeader);
+	Reflect.deleteProperty(headers, unsettledCopiesHeader);
+	return {
+		result: {kind: 'answered', answer: {...answer, headers}},
+		otherExecutions: Math.max(0, unsettled - 1),
+	};
 }
--- a/packages/gateway/src/forwarding/forwarding-server.ts
+++ b/packages/gateway/src/forwarding/forwarding-server.ts
@@ -3,7 +3,9 @@
 import {Buffer} from 'node:buffer';
 import {notRunFailure, type Clock} from '@bilberryscale/core';
 import {
+	getProblemAnswer,
 	makeCallerListener,
+	type Answer,
 	type CallerListener,
 	type CallerProtocol,
 	type Exchange,
@@ -20,6 +22,10 @@
 	forwardingHealthPath,
 	hostHeader,
 	openRequestsHeader,
+	sentCopiesHeader,
+	uncountedHeader,
+	unsettledCopiesHeader,
+	type ForwardedRequest,
 } from './forwarding-protocol.js';
 
 /** This host and how it handles requests. */
@@ -33,10 +39,10 @@
 	readonly isAvailable: () => boolean;
 	readonly isShuttingDown: () => boolean;
 	readonly getOpenRequestCount: () => number;
-	/** Relays a request to at most as many targets as given. */
+	/** Relays a request as the other host has asked. */
 	readonly run: (
 		exchange: Exchange,
-		attemptsLeft: number,
+		forwarding: ForwardedRequest,
 	) => Promise<FilterResult>;
 };
 
@@ -113,15 +119,39 @@
 
 		// Targets get the request as the caller sent it.
 		Reflect.deleteProperty(headers, attemptsLeftHeader);
+		const isCounted = headers[uncountedHeader] === undefined;
+		Reflect.deleteProperty(headers, uncountedHeader);
 		const attemptsLeft = Number(text);
-		return Number.isSafeInteger(attemptsLeft) && attemptsLeft > 0
-			? this.#options.run(exchange, attemptsLeft)
-			: Err(
-					notRunFailure(
-						'bad-request',
-						`The forwarded request allows "${String(text)}" attempts.`,
-					),
-				);
+		if (!Number.isSafeInteger(attemptsLeft) || attemptsLeft <= 0) {
+			return Err(
+				notRunFailure(
+					'bad-request',
+					`The forwarded request allows "${String(text)}" attempts.`,
+				),
+			);
+		}
+
+		const result = await this.#options.run(exchange, {attemptsLeft, isCounted});
+		return Ok(this.#addCopies(exchange, result));
+	}
+
+	/** Adds to an answer or a failure how often the request was sent, which the other host has to count. */
+	#addCopies(
+		{incoming, sentCopies, unsettledCopies = 0}: Exchange,
+		result: FilterResult,
+	): Answer {
+		const {callerProtocol} = this.#options;
+		const answer = result.isOk()
+			? result.value
+			: getProblemAnswer(result.error, incoming.requestId, callerProtocol);
+		return {
+			...answer,
+			headers: {
+				...answer.headers,
+				[sentCopiesHeader]: String(sentCopies),
+				[unsettledCopiesHeader]: String(unsettledCopies),
+			},
+		};
 	}
 
 	#describeHealth(): FilterResult {
--- a/packages/gateway/src/limits/retry-budget.ts
+++ b/packages/gateway/src/limits/retry-budget.ts
@@ -1,4 +1,7 @@
-/** Limits the retries of requests to a service. */
+/** Limits the retries of requests to a service, for all hosts together. */
+
+import {RetryLedger} from './retry-ledger.js';
+import type {RetryPart} from './retry-part.js';
 
 /** The limit for all hosts together. */
 export type RetryBudgetLimit = {
@@ -10,128 +13,173 @@
 	readonly windowMs: number;
 };
 
-/** What a host allows, knows and has used of the limit, for its log. */
-export type RetryBudgetState = {
-	/** Retries that this host allows itself in the window. */
-	readonly allowed: number;
-	/** Retries that it has sent in the window. */
-	readonly used: number;
-	/** Requests that it has counted in the window. */
-	readonly requests: number;
-	/** The number of hosts among which it divides the limit. */
-	readonly hosts: number;
+/** What a host may spend, for its log. */
+export type RetryBudgetState = RetryPart & {
+	/** Retries that this host may send now. */
+	readonly tokens: number;
+	/** The most that it may save up. */
+	readonly capacity: number;
+};
+
+/** The limit and this host's part of it. */
+export type RetryBudgetOptions = {
+	/** Gets the limit for all hosts together. */
+	readonly getLimit: () => RetryBudgetLimit;
+	/** Gets this host's part of the slack. */
+	readonly getPart: (windowMs: number) => RetryPart;
 };
 
-/** Share of the limit that is left unused, because a host's count of hosts lags behind changes. */
-const unusedShare = 0.25;
-const bucketCount = 10;
+/** The most that a host may save up which has no part of the slack. */
+const maxEarnedTokens = 1;
+/** Sums of fractions may miss a whole number by less. */
+const tolerance = 1e-6;
 
-/** Counts this host's requests and retries for one service in a sliding window. */
+/**
+ * A token bucket that each request fills by the ratio and that regains what was
+ * spent when a window has passed. Its capacity is this host's part of the slack,
+ * so that the buckets of all hosts together never hold more than the slack. Hosts
+ * lend each other tokens.
+ */
 export class RetryBudget {
-	readonly #getLimit: () => RetryBudgetLimit;
-	readonly #getHostCount: () => number;
-	readonly #requests: number[] = Array.from({length: bucketCount}, () => 0);
-	readonly #retries: number[] = Array.from({length: bucketCount}, () => 0);
-	/** The number of the current bucket, counted from time 0; its index is the remainder modulo the bucket count. */
-	#bucket = 0;
-	#windowMs: number;
+	readonly #options: RetryBudgetOptions;
+	readonly #ledger = new RetryLedger();
 
 	/**
-	 * @param getLimit - Gets the limit for all hosts together.
-	 * @param getHostCount - Gets the number of hosts that share the limit.
+	 * @param options - The limit and this host's part of it.
 	 */
-	constructor(getLimit: () => RetryBudgetLimit, getHostCount: () => number) {
-		this.#getLimit = getLimit;
-		this.#windowMs = getLimit().windowMs;
-		this.#getHostCount = getHostCount;
+	constructor(options: RetryBudgetOptions) {
+		this.#options = options;
 	}
 
 	/**
-	 * Counts a request, however often it is sent.
+	 * Counts a request, however often it is sent; a request that is forwarded counts at one host only.
 	 *
 	 * @param nowMs - The monotonic time in milliseconds.
 	 */
 	addRequest(nowMs: number): void {
-		this.#advance(nowMs);
-		this.#requests[this.#bucket % bucketCount]!++;
+		this.#ledger.earn(this.#options.getLimit().ratio, nowMs);
 	}
 
 	/**
 	 * Takes a retry out of the budget.
 	 *
 	 * @param nowMs - The monotonic time in milliseconds.
-	 * @param reservedShare - The share of the budget that must stay free for other requests, from 0 to 1.
+	 * @param reservedShare - The share of the capacity beyond one retry that must stay free for other requests, from 0 to 1.
+	 * @param loan - Tokens that other hosts have just given for it. What is left of them is added to the budget.
 	 * @returns Whether the retry is allowed.
 	 */
-	take(nowMs: number, reservedShare = 0): boolean {
-		if (!this.canTake(nowMs, reservedShare)) {
+	take(nowMs: number, reservedShare = 0, loan = 0): boolean {
+		const missing = this.getMissing(nowMs, reservedShare);
+		if (missing > loan + tolerance) {
+			this.#ledger.earn(loan, nowMs);
 			return false;
 		}
 
-		this.#retries[this.#bucket % bucketCount]!++;
+		// The lenders have counted the loan as spent.
+		const ownPart = Math.max(0, 1 - loan);
+		if (ownPart > 0) {
+			this.#ledger.spend(ownPart, nowMs);
+		}
+
+		if (loan > 1) {
+			this.#ledger.earn(loan - 1, nowMs);
+		}
+
 		return true;
 	}
 
+	/**
+	 * Gives back a retry that was taken and not sent.
+	 *
+	 * @param nowMs - The monotonic time in milliseconds.
+	 */
+	giveBack(nowMs: number): void {
+		this.#ledger.earn(1, nowMs);
+	}
+
+	/**
+	 * Takes a retry again that was taken earlier and is sent only now, so that it counts in the windows of this moment.
+	 *
+	 * @param nowMs - The monotonic time in milliseconds.
+	 * @returns Whether the retry is still allowed.
+	 */
+	renew(nowMs: number): boolean {
+		this.giveBack(nowMs);
+		return this.take(nowMs);
+	}
+
 	/**
 	 * Checks whether a retry is allowed.
 	 *
 	 * @param nowMs - The monotonic time in milliseconds.
-	 * @param reservedShare - The share of the budget that must stay free for other requests, from 0 to 1.
+	 * @param reservedShare - The share of the capacity beyond one retry that must stay free for other requests, from 0 to 1.
 	 * @returns Whether {@link take} would allow it now.
 	 */
 	canTake(nowMs: number, reservedShare = 0): boolean {
-		const {allowed, used} = this.getState(nowMs);
-		return used + 1 <= (1 - reservedShare) * allowed;
+		return this.getMissing(nowMs, reservedShare) === 0;
 	}
 
 	/**
-	 * Gets what the budget allows and by which figures.
+	 * Gets what this host would have to borrow for a retry.
 	 *
 	 * @param nowMs - The monotonic time in milliseconds.
-	 * @returns The state of the window that ends now.
+	 * @param reservedShare - The share of the capacity beyond one retry that must stay free for other requests, from 0 to 1.
+	 * @returns The missing part of a token, from 0 to 1.
 	 */
-	getState(nowMs: number): RetryBudgetState {
-		this.#advance(nowMs);
-		const {ratio, slack} = this.#getLimit();
-		const requests = sum(this.#requests);
-		const hosts = this.#getHostCount();
-		return {
-			allowed: (1 - unusedShare) * (ratio * requests + slack / hosts),
-			used: sum(this.#retries),
-			requests,
-			hosts,
-		};
+	getMissing(nowMs: number, reservedShare = 0): number {
+		const missing = 1 - Math.max(0, this.#getFree(nowMs, reservedShare));
+		return missing > tolerance ? missing : 0;
 	}
 
-	#advance(nowMs: number): void {
-		const {windowMs} = this.#getLimit();
-		const current = Math.floor(nowMs / (windowMs / bucketCount));
-		if (windowMs !== this.#windowMs) {
-			this.#windowMs = windowMs;
-			this.#moveAllInto(current);
+	/**
+	 * Gives tokens to another host.
+	 *
+	 * @param nowMs - The monotonic time in milliseconds.
+	 * @param wanted - How many it asks for.
+	 * @param reservedShare - The share of the capacity beyond one retry that must stay free for other requests, from 0 to 1.
+	 * @returns How many it gets.
+	 */
+	lend(nowMs: number, wanted: number, reservedShare: number): number {
+		const amount = Math.max(
+			0,
+			Math.min(wanted, this.#getFree(nowMs, reservedShare)),
+		);
+		if (amount > 0) {
+			this.#ledger.spend(amount, nowMs);
 		}
 
-		const firstStale = Math.max(this.#bucket + 1, current - bucketCount + 1);
-		for (let bucket = firstStale; bucket <= current; bucket++) {
-			this.#requests[bucket % bucketCount] = 0;
-			this.#retries[bucket % bucketCount] = 0;
-		}
+		return amount;
+	}
 
-		this.#bucket = Math.max(this.#bucket, current);
+	/**
+	 * Adds tokens that another host has given too late for the request that they were for.
+	 *
+	 * @param nowMs - The monotonic time in milliseconds.
+	 * @param amount - How many.
+	 */
+	addLoan(nowMs: number, amount: number): void {
+		this.#ledger.earn(amount, nowMs);
 	}
 
-	/** Moves all counts to the current bucket, because the buckets have another length after a change of the window. */
-	#moveAllInto(bucket: number): void {
-		const requests = sum(this.#requests);
-		const retries = sum(this.#retries);
-		this.#requests.fill(0);
-		this.#retries.fill(0);
-		this.#bucket = bucket;
-		this.#requests[bucket % bucketCount] = requests;
-		this.#retries[bucket % bucketCount] = retries;
+	/**
+	 * Gets what this host may spend and by which figures.
+	 *
+	 * @param nowMs - The monotonic time in milliseconds.
+	 * @returns The state now.
+	 */
+	getState(nowMs: number): RetryBudgetState {
+		const {getLimit, getPart} = this.#options;
+		const {slack, windowMs} = getLimit();
+		const part = getPart(windowMs);
+		const share = slack / part.hostCount;
+		const capacity = part.hasSlack ? share : Math.min(maxEarnedTokens, share);
+		const free = capacity - this.#ledger.getDebt(nowMs, windowMs);
+		const tokens = part.isNew ? Math.min(free, this.#ledger.net) : free;
+		return {...part, capacity, tokens};
 	}
-}
 
-function sum(values: readonly number[]): number {
-	return values.reduce((total, value) => total + value, 0);
+	#getFree(nowMs: number, reservedShare: number): number {
+		const {tokens, capacity} = this.getState(nowMs);
+		return tokens - reservedShare * Math.max(0, capacity - 1);
+	}
 }
--- a/packages/gateway/src/records/gateway-metrics.ts
+++ b/packages/gateway/src/records/gateway-metrics.ts
@@ -176,6 +176,27 @@
 		registers: [this.#registry],
 	});
 
+	readonly #retryTokens = new Gauge({
+		name: 'bilberryscale_retry_tokens',
+		help: 'Retries that this host may send now, by service',
+		labelNames: ['service'],
+		registers: [this.#registry],
+	});
+
+	readonly #retryCapacity = new Gauge({
+		name: 'bilberryscale_retry_capacity',
+		help: 'The most retries that this host may save up, by service',
+		labelNames: ['service'],
+		registers: [this.#registry],
+	});
+
+	readonly #retryLoans = new Counter({
+		name: 'bilberryscale_retry_loans_total',
+		help: 'Retries lent to and borrowed from other hosts, by service',
+		labelNames: ['service', 'direction'],
+		registers: [this.#registry],
+	});
+
 	/** Gets the content type of the exported text. */
 	get contentType(): string {
 		return this.#registry.contentType;
@@ -221,6 +242,33 @@
 		this.#retryDecisions.inc({service, decision});
 	}
 
+	/**
+	 * Records what this host may spend of the retry budget.
+	 *
+	 * @param service - The service.
+	 * @param tokens - The retries that it may send now.
+	 * @param capacity - The most that it may save up.
+	 */
+	recordRetryTokens(service: string, tokens: number, capacity: number): void {
+		this.#retryTokens.set({service}, tokens);
+		this.#retryCapacity.set({service}, capacity);
+	}
+
+	/**
+	 * Records retries that one host has given to another.
+	 *
+	 * @param service - The service.
+	 * @param direction - Whether this host has lent or borrowed them.
+	 * @param amount - How many; may be a fraction.
+	 */
+	recordRetryLoan(
+		service: string,
+		direction: 'lent' | 'borrowed',
+		amount: number,
+	): void {
+		this.#retryLoans.inc({service, direction}, amount);
+	}
+
 	/**
 	 * Records a read of the published snapshot or its changes.
 	 *
--- a/packages/gateway/src/records/request-recorder.ts
+++ b/packages/gateway/src/records/request-recorder.ts
@@ -58,6 +58,8 @@
 export type RetryRecord = RetryBudgetState & {
 	readonly service: string;
 	readonly isAllowed: boolean;
+	/** What other hosts have lent for it. */
+	readonly loan: number;
 };
 
 /** Dependencies of the recorder. */
@@ -151,13 +153,17 @@
 	 */
 	recordRetryDecision(
 		{incoming}: Exchange,
-		{allowed, ...record}: RetryRecord,
+		{tokens, capacity, loan, ...record}: RetryRecord,
 	): void {
-		this.#options.metrics.recordRetryDecision(record.service, record.isAllowed);
-		this.#options.log.write('retry decided', {
+		const {metrics, log} = this.#options;
+		metrics.recordRetryDecision(record.service, record.isAllowed);
+		metrics.recordRetryTokens(record.service, tokens, capacity);
+		log.write('retry decided', {
 			requestId: incoming.requestId,
 			...record,
-			allowed: roundToTenth(allowed),
+			tokens: roundToTenth(tokens),
+			capacity: roundToTenth(capacity),
+			loan: roundToTenth(loan),
 		});
 	}
 
--- a/packages/gateway/src/relay/attempt-result.ts
+++ b/packages/gateway/src/relay/attempt-result.ts
@@ -1,5 +1,6 @@
 /** The result of one attempt to send a request to a target. */
 
+import type {IncomingHttpHeaders} from 'node:http';
 import type {Answer} from '@bilberryscale/daemon/edge';
 
 /** Why an attempt brought no usable response. */
@@ -25,7 +26,11 @@
 export type AttemptResult =
 	| {readonly kind: 'answered'; readonly answer: Answer}
 	/** The target states that it did not run the request. */
-	| {readonly kind: 'refused'; readonly status: number}
+	| {
+			readonly kind: 'refused';
+			readonly status: number;
+			readonly headers?: IncomingHttpHeaders;
+	  }
 	| {
 			readonly kind: 'failed';
 			readonly cause: FailureCause;
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -19,7 +19,9 @@
 import type {AccountCheck} from '../accounts/account-check.js';
 import type {PickedTarget, TargetPicker} from '../choice/target-picker.js';
 import type {Forwarder} from '../forwarding/forwarder.js';
-import {RetryBudget, type RetryBudgetLimit} from '../limits/retry-budget.js';
+import type {ForwardedRequest} from '../forwarding/forwarding-protocol.js';
+import type {RetryBudgets} from '../limits/retry-budgets.js';
+import type {RetryLoans} from '../limits/retry-loans.js';
 import type {Route} from '../plan/routing-plan.js';
 import type {RequestRecorder} from '../records/request-recorder.js';
 import type {TargetRegistry} from '../targets/target-registry.js';
@@ -63,8 +65,9 @@
 	readonly returnSchedules: ReturnSchedules;
 	/** Sends second copies of idempotent requests; undefined if the operator has set no limit for them. */
 	readonly hedging: HedgedDispatcher | undefined;
-	readonly getRetryBudgetLimit: () => RetryBudgetLimit;
-	readonly getHostCount: () => number;
+	readonly retryBudgets: RetryBudgets;
+	/** Borrows retries from other hosts. */
+	readonly retryLoans: Pick<RetryLoans, 'borrow'>;
 	readonly recorder: RequestRecorder;
 	readonly isShuttingDown: () => boolean;
 	readonly shutdownLimit: Pick<ShutdownLimit, 'isTooLate'>;
@@ -76,12 +79,13 @@
 const urgentRequestShare = 0.85;
 /** Share of the retry budget that hedges leave to retries. */
 const retryShare = 0.6;
+/** Time after which a retry that has waited for a target is taken again, in milliseconds. */
+const maxRetryHoldMs = 250;
 /** Maximum attempts beyond the route's limit, to targets that refused the request at random before. */
 const maxRepeatedAttempts = 3;
 /** Relays requests to targets within the retry budget of each service. */
 export class Relay {
 	readonly #options: RelayOptions;
-	readonly #retryBudgets = new Map<string, RetryBudget>();
 
 	/**
 	 * @param options - The dependencies.
@@ -94,12 +98,12 @@
 	 * Relays a request.
 	 *
 	 * @param exchange - The request.
-	 * @param forwardedAttempts - To how many targets it may be sent if another host has forwarded it; undefined for a caller's own request.
+	 * @param forwarding - What another host says about a request that it has forwarded; undefined for a caller's own request.
 	 * @returns The response, or the reason for the failure.
 	 */
 	async run(
 		exchange: Exchange,
-		forwardedAttempts?: number,
+		forwarding?: ForwardedRequest,
 	): Promise<FilterResult> {
 		exchange.unsettledCopies = 0;
 		const result = await this.#options.reader.read(exchange);
@@ -108,13 +112,13 @@
 			return result;
 		}
 
-		const request = limitAttempts(result.value, forwardedAttempts);
+		const request = limitAttempts(result.value, forwarding?.attemptsLeft);
 		const refusal =
 			this.#options.dispatcher.getBlockedFailure(request) ??
 			this.#getShutdownRefusal(request);
 		const outcome =
 			refusal === undefined
-				? await this.#sendUnderLimit(request, forwardedAttempts === undefined)
+				? await this.#sendUnderLimit(request, forwarding)
 				: Err(refusal);
 		this.#options.recorder.recordCompletion(
 			exchange,
@@ -138,14 +142,15 @@
 	/** Sends a request within the rate limit of its client account, which the host that received it from the caller checks. */
 	async #sendUnderLimit(
 		request: RoutedRequest,
-		isFromCaller: boolean,
+		forwarding: ForwardedRequest | undefined,
 	): Promise<FilterResult> {
-		const permit = isFromCaller ? this.#makePermit(request) : undefined;
+		const permit =
+			forwarding === undefined ? this.#makePermit(request) : undefined;
 		const refusal =
 			permit?.isScarce === true ? await permit.getRefusal() : undefined;
 		const outcome =
 			refusal === undefined
-				? await this.#sendWithRetries(request, isFromCaller, permit)
+				? await this.#sendWithRetries(request, forwarding, permit)
 				: Err(refusal);
 		if (outcome.isErr() && outcome.error.ran === 'not-run') {
 			permit?.giveBack();
@@ -164,21 +169,28 @@
 
 	async #sendWithRetries(
 		request: RoutedRequest,
-		canForward: boolean,
+		forwarding: ForwardedRequest | undefined,
 		permit: AllotmentPermit | undefined,
 	): Promise<FilterResult> {
-		const {clock, reader} = this.#options;
-		this.#getRetryBudget(request.service).addRequest(clock.monotonicMs());
+		const {reader} = this.#options;
+		const canForward = forwarding === undefined;
+		const progress = makeRequestProgress(permit, forwarding?.isCounted);
+		if (!canForward || !this.#options.registry.pathMonitor.isLost) {
+			this.#countRequest(request, progress);
+		}
+
 		this.#options.returnSchedules.addArrival(request);
 		if (canForward) {
 			// A forwarded request counts at the host of its caller.
 			this.#options.hedging?.addRequest(request.service);
 		}
 
-		const progress = makeRequestProgress(permit);
 		for (;;) {
 			const {best} = progress;
-			if (best !== undefined && !this.#takeRetry(request, best)) {
+			if (
+				best !== undefined &&
+				!(await this.#takeRetry(request, best, progress))
+			) {
 				return buildResult(
 					best,
 					progress.executions,
@@ -188,6 +200,7 @@
 
 			const attempt = await this.#attempt(request, progress, canForward);
 			if (attempt.isErr()) {
+				this.#giveBackRetry(request, progress);
 				if (progress.executions === 0 && isAccountFailure(attempt.error)) {
 					return attempt;
 				}
@@ -224,6 +237,8 @@
 			if (forwarded !== undefined) {
 				return forwarded;
 			}
+
+			this.#countRequest(request, progress);
 		}
 
 		const picked = await this.#pick(request, progress, !wasLost);
@@ -266,6 +281,13 @@
 			return Err(refusal);
 		}
 
+		if (!this.#renewRetry(request, progress)) {
+			this.#release(request.service, picked);
+			return Err(
+				notRunFailure('over-capacity', 'The retry allowance is used up.'),
+			);
+		}
+
 		progress.triedTargets.add(picked.state.registration.id);
 		const [{target, result}, ...others] = await this.#sendCopies(
 			checked.value,
@@ -309,7 +331,7 @@
 			return [{target, result}];
 		}
 
-		const budget = this.#getRetryBudget(request.service);
+		const budget = this.#options.retryBudgets.get(request.service);
 		return hedging.send(request, picked, {
 			attempt,
 			executions,
@@ -328,9 +350,10 @@
 	 */
 	async #forward(
 		request: RoutedRequest,
-		{attempts, executions, permit}: RequestProgress,
+		progress: RequestProgress,
 		canForward: boolean,
 	): Promise<Result<AttemptResult, Failure> | undefined> {
+		const {attempts, executions, permit} = progress;
 		if (!canForward) {
 			return Err(notRunFailure('no-target', 'This host reaches no target.'));
 		}
@@ -350,11 +373,11 @@
 			return Err(tooLate);
 		}
 
-		const result = await this.#options.forwarder.forward(
-			checked.value,
-			request.route.maxAttempts - executions,
-		);
-		if (result === undefined) {
+		const forwarded = await this.#options.forwarder.forward(checked.value, {
+			attemptsLeft: request.route.maxAttempts - executions,
+			isCounted: progress.isCounted,
+		});
+		if (forwarded === undefined) {
 			if (attempts === 0) {
 				permit?.resumeWait();
 			}
@@ -362,6 +385,11 @@
 			return undefined;
 		}
 
+		const {result, otherExecutions} = forwarded;
+		progress.retryTakenAtMs = undefined;
+		progress.isCounted = true;
+		progress.executions += otherExecutions;
+
 		if (result.kind !== 'refused') {
 			return Ok(result);
 		}
@@ -374,30 +402,69 @@
 		);
 	}
 
+	/** Counts a request for the retry budget, unless another host has or this one has before. */
+	#countRequest({service}: RoutedRequest, progress: RequestProgress): void {
+		if (!progress.isCounted) {
+			progress.isCounted = true;
+			const {clock, retryBudgets} = this.#options;
+			retryBudgets.get(service).addRequest(clock.monotonicMs());
+		}
+	}
+
 	/**
-	 * Takes a retry from the budget. After the first refusal of a caller, a share of the budget is
+	 * Takes a retry from the budget, borrowing from other hosts if need be. After the first refusal of a caller, a share of the budget is
 	 * left to returning callers, because a refused caller retries once and gives up after a second refusal.
 	 */
-	#takeRetry(
+	async #takeRetry(
 		{service, isReturning, priority, exchange}: RoutedRequest,
 		best: AttemptResult,
-	): boolean {
-		const {clock, capacity, recorder} = this.#options;
+		progress: RequestProgress,
+	): Promise<boolean> {
+		const {clock, capacity, recorder, retryBudgets, retryLoans} = this.#options;
 		const isFirstRefusal = best.kind === 'refused' && !isReturning;
-		const reservedShare = capacity.isShort(service, priority)
+		const firstRefusalShare = capacity.isShort(service, priority)
 			? urgentRequestShare
 			: returningCallerShare;
-		const budget = this.#getRetryBudget(service);
+		const reservedShare = isFirstRefusal ? firstRefusalShare : 0;
+		const budget = retryBudgets.get(service);
+		const hasEnough = budget.take(clock.monotonicMs(), reservedShare);
+		const loan = hasEnough
+			? 0
+			: await retryLoans.borrow(service, reservedShare);
 		const nowMs = clock.monotonicMs();
-		const isAllowed = budget.take(nowMs, isFirstRefusal ? reservedShare : 0);
+		const isAllowed = hasEnough || budget.take(nowMs, reservedShare, loan);
+		progress.retryTakenAtMs = isAllowed ? nowMs : undefined;
 		recorder.recordRetryDecision(exchange, {
 			service,
 			isAllowed,
+			loan,
 			...budget.getState(nowMs),
 		});
 		return isAllowed;
 	}
 
+	/** Counts a retry in the present if it has waited for a target, as windows that have begun since then would miss it. */
+	#renewRetry({service}: RoutedRequest, progress: RequestProgress): boolean {
+		const {clock, retryBudgets} = this.#options;
+		const takenAtMs = progress.retryTakenAtMs;
+		const nowMs = clock.monotonicMs();
+		progress.retryTakenAtMs = undefined;
+		return (
+			takenAtMs === undefined ||
+			nowMs - takenAtMs <= maxRetryHoldMs ||
+			retryBudgets.get(service).renew(nowMs)
+		);
+	}
+
+	/** Gives back a retry for which no target was found. */
+	#giveBackRetry({service}: RoutedRequest, progress: RequestProgress): void {
+		if (progress.retryTakenAtMs !== undefined) {
+			progress.retryTakenAtMs = undefined;
+			const {clock, retryBudgets} = this.#options;
+			retryBudgets.get(service).giveBack(clock.monotonicMs());
+		}
+	}
+
 	/**
 	 * Checks whether an attempt that has stalled may be cancelled for another one.
 	 * While the host shuts down, the other one might not complete in time.
@@ -406,11 +473,11 @@
 		{service, route}: RoutedRequest,
 		previousExecutions: number,
 	): boolean {
-		const {clock, isShuttingDown} = this.#options;
+		const {clock, isShuttingDown, retryBudgets} = this.#options;
 		return (
 			!isShuttingDown() &&
 			previousExecutions + 1 < route.maxAttempts &&
-			this.#getRetryBudget(service).canTake(clock.monotonicMs())
+			retryBudgets.get(service).canTake(clock.monotonicMs())
 		);
 	}
 
@@ -481,15 +548,6 @@
 			(route.isIdempotent || !mayHaveRun(result))
 		);
 	}
-
-	#getRetryBudget(service: string): RetryBudget {
-		const {getRetryBudgetLimit, getHostCount} = this.#options;
-		const existing = this.#retryBudgets.get(service);
-		const budget =
-			existing ?? new RetryBudget(getRetryBudgetLimit, getHostCount);
-		this.#retryBudgets.set(service, budget);
-		return budget;
-	}
 }
 
 /** Checks whether a request was refused because of its client account, which a retry does not change. */
--- a/packages/gateway/src/relay/request-progress.ts
+++ b/packages/gateway/src/relay/request-progress.ts
@@ -12,6 +12,10 @@
 	readonly refusingTargets: Set<TargetId>;
 	/** The permission under the rate limit of its client account; undefined without a limit. */
 	readonly permit: AllotmentPermit | undefined;
+	/** Whether the request counts for the retry budget of this host or another one. */
+	isCounted: boolean;
+	/** When a retry was taken out of the budget that is not sent yet, on the monotonic clock; undefined if there is none. */
+	retryTakenAtMs: number | undefined;
 	attempts: number;
 	/** The number of attempts in which a target may have run the request. */
 	executions: number;
@@ -25,15 +29,19 @@
  * Makes the progress of a request that has not been sent yet.
  *
  * @param permit - The permission under the rate limit of its client account; undefined without a limit.
+ * @param isCounted - Whether another host has counted it for the retry budget.
  * @returns The progress.
  */
 export function makeRequestProgress(
 	permit: AllotmentPermit | undefined,
+	isCounted = false,
 ): RequestProgress {
 	return {
 		triedTargets: new Set(),
 		refusingTargets: new Set(),
 		permit,
+		isCounted,
+		retryTakenAtMs: undefined,
 		attempts: 0,
 		executions: 0,
 		best: undefined,
--- a/packages/gateway/src/relay/target-attempt.ts
+++ b/packages/gateway/src/relay/target-attempt.ts
@@ -226,7 +226,7 @@
 		}
 
 		if (protocol.isNotRun(status, headers)) {
-			this.#settle({kind: 'refused', status}, false);
+			this.#settle({kind: 'refused', status, headers}, false);
 			this.#discardBody(body);
 			return;
 		}
--- a/packages/gateway/src/relay/unsettled-copies.ts
+++ b/packages/gateway/src/relay/unsettled-copies.ts
@@ -1,4 +1,4 @@
-/** Counts the copies of a request that targets may have run or may be at work on. */
+/** Counts the copies of a request that were sent, and those that targets may have run or may be at work on. */
 
 import type {Exchange} from '@bilberryscale/daemon/edge';
 import {mayHaveRun, type AttemptResult} from './attempt-result.js';
@@ -9,6 +9,7 @@
  * @param exchange - The request.
  */
 export function addCopy(exchange: Exchange): void {
+	exchange.sentCopies++;
 	exchange.unsettledCopies = (exchange.unsettledCopies ?? 0) + 1;
 }
 
--- a/packages/gateway/test/accounts/allotment-gate-replies.test.ts
+++ b/packages/gateway/test/accounts/allotment-gate-replies.test.ts
@@ -11,6 +11,7 @@
 	TokenRequest,
 } from '../../src/accounts/allotment-message.js';
 import {defaultAllotmentBound} from '../../src/accounts/allotment-tolerance.js';
+import {KnownHosts} from '../../src/fleet/known-hosts.js';
 import {EventLog} from '../../src/records/event-log.js';
 import {GatewayMetrics} from '../../src/records/gateway-metrics.js';
 import {getRendezvousRank} from '../../src/targets/get-rendezvous-rank.js';
@@ -32,14 +33,21 @@
 	const requests: Array<TokenRequest & {readonly address: string}> = [];
 	/** The hosts that got a token back. */
 	const returnedTo: string[] = [];
+	const knownHosts = new KnownHosts({
+		clock,
+		random: () => 0,
+		self,
+		getPeers: () => peers,
+		getSeeds: () => [],
+		send: () => undefined,
+	});
 	const gate = new AllotmentGate({
 		clock,
 		random: () => 0,
 		log: new EventLog({clock, origin: {}, writeLine: () => undefined}),
 		metrics: new GatewayMetrics(),
 		self,
-		getPeers: () => peers,
-		getSeeds: () => [],
+		knownHosts,
 		send(address: string, message: AllotmentMessage) {
 			if (message.method === 'token-request') {
 				requests.push({...message, address});
--- a/packages/gateway/test/context/live-settings.test.ts
+++ b/packages/gateway/test/context/live-settings.test.ts
@@ -21,6 +21,7 @@
 	retryBound: {ratio: 0.2, slack: 60, windowMs: 10_000},
 	questionsPerTargetSecond: 60,
 	maxAccountsAgeMs: undefined,
+	isFirstStart: false,
 	shutdownMs: 6000,
 };
 
--- a/packages/gateway/test/accounts/host-list-exchange.test.ts
+++ b/packages/gateway/test/fleet/host-list-exchange.test.ts
@@ -1,8 +1,8 @@
 import {ManualClock} from '@bilberryscale/core';
 import {describe, it} from '@bilberryscale/testing';
 import * as assert from 'uvu/assert';
-import {HostDirectory} from '../../src/accounts/host-directory.js';
-import {HostListExchange} from '../../src/accounts/host-list-exchange.js';
+import {HostDirectory} from '../../src/fleet/host-directory.js';
+import {HostListExchange} from '../../src/fleet/host-list-exchange.js';
 
 const self = '10.0.0.1';
 const seed = '10.0.0.2';
