Tell a host that has started which requests crash targets

Crashes are reported to all hosts when they happen; one that starts later knew nothing of them and sent a request again that the others block, so that it crashed two more targets after each wave of restarts. Change: a host that is asked for the list of hosts, as each does at its start, also sends the crashes that it knows, with their age, at most 40. Result: the new tests of crash-detector and gossip-message pass; 'lets a host that has started block what others block' can't be run on the former code, which has no such message.

--- a/packages/gateway/src/context/crash-detector.ts
+++ b/packages/gateway/src/context/crash-detector.ts
@@ -1,8 +1,9 @@
 /** Detects targets that crash while they run a request and notifies other hosts. */
 
-import type {Clock, Digest} from '@bilberryscale/core';
+import {makeId, type Clock, type Digest} from '@bilberryscale/core';
 import type {CrashSuspects} from '@bilberryscale/decisions';
 import type {CrashNotice} from '../fleet/gossip-message.js';
+import type {TargetIncarnation} from '../plan/registered-target.js';
 import type {EventLog} from '../records/event-log.js';
 import type {TargetState} from '../targets/target-state.js';
 
@@ -23,6 +24,9 @@
 /** Delay between a broken connection and the probe of its target, in milliseconds. */
 const confirmDelayMs = 40;
 
+/** Notices that a host gets which has started; each is a datagram. */
+const maxNoticeCount = 40;
+
 /** Confirms crashes with a probe and records those that other hosts report. */
 export class CrashDetector {
 	readonly #options: CrashDetectorOptions;
@@ -62,7 +66,7 @@
 						signature,
 					});
 					onConfirmed();
-					broadcast({incarnation, signature});
+					broadcast({incarnation, signature, ageMs: 0});
 				});
 			});
 		});
@@ -93,14 +97,33 @@
 		}
 	}
 
+	/**
+	 * Gets what a host that has started has to know, which may have lost its own record.
+	 *
+	 * @returns A notice for each known crash, the latest suspects last.
+	 */
+	getNotices(): CrashNotice[] {
+		const {clock, suspects} = this.#options;
+		return suspects
+			.getSuspects(clock.monotonicMs())
+			.flatMap(({signature, incidents}) =>
+				incidents.map(({incarnation, ageMs}) => ({
+					signature,
+					incarnation: makeId<TargetIncarnation>(incarnation),
+					ageMs,
+				})),
+			)
+			.slice(-maxNoticeCount);
+	}
+
 	/**
 	 * Records a crash that another host reported.
 	 *
-	 * @param notice - The signature of the request and the incarnation of the target that crashed.
+	 * @param notice - The signature of the request, the incarnation of the target that crashed and the time since.
 	 */
-	addNotice({signature, incarnation}: CrashNotice): void {
+	addNotice({signature, incarnation, ageMs}: CrashNotice): void {
 		const {log, clock, suspects} = this.#options;
-		const incidents = [{incarnation, ageMs: 0}];
+		const incidents = [{incarnation, ageMs}];
 		suspects.addSuspects([{signature, incidents}], clock.monotonicMs());
 		log.write('crash notice received', {life: incarnation, signature});
 	}
--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -159,6 +159,10 @@
 					this.#announcement.recordReply(sender);
 				}
 
+				if (message.method === 'hosts-request') {
+					this.#sendCrashes(sender);
+				}
+
 				this.#allotments.receive(message, sender);
 			},
 			onLoan: (message, sender) => {
@@ -451,6 +455,13 @@
 		}
 	}
 
+	/** Tells a host that has started which requests crash targets. */
+	#sendCrashes(recipient: string): void {
+		for (const notice of this.#crashDetector.getNotices()) {
+			this.#fleet.sendCrash(recipient, notice);
+		}
+	}
+
 	#probe(state: TargetState, onEnd: () => void = () => undefined): void {
 		const {clock, log, targetProtocol} = this.#options;
 		const plan = this.#targetRegistry.getServicePlan(
--- a/packages/gateway/src/fleet/fleet.ts
+++ b/packages/gateway/src/fleet/fleet.ts
@@ -145,6 +145,16 @@
 		this.#gossip.broadcastCrash(notice);
 	}
 
+	/**
+	 * Tells one host of a target that crashed while it ran a request.
+	 *
+	 * @param address - The IP address of the host.
+	 * @param notice - The signature of the request and the incarnation of the target.
+	 */
+	sendCrash(address: string, notice: CrashNotice): void {
+		this.#gossip.sendCrash(address, notice);
+	}
+
 	/**
 	 * Notifies some other hosts that a target failed a request.
 	 *
--- a/packages/gateway/src/fleet/gossip-message.ts
+++ b/packages/gateway/src/fleet/gossip-message.ts
@@ -29,6 +29,8 @@
 	/** Identifies the request. */
 	readonly signature: Digest;
 	readonly incarnation: TargetIncarnation;
+	/** The time since the crash, in milliseconds. */
+	readonly ageMs: number;
 };
 
 /** A message from one host to another. */
@@ -101,15 +103,8 @@
 		}
 
 		case 'crash': {
-			return typeof first === 'string' && typeof second === 'string'
-				? {
-						method,
-						notice: {
-							signature: makeId<Digest>(first),
-							incarnation: makeId<TargetIncarnation>(second),
-						},
-					}
-				: undefined;
+			const notice = decodeCrashNotice(first, second, third);
+			return notice && {method, notice};
 		}
 
 		case 'failure': {
@@ -132,6 +127,26 @@
 	}
 }
 
+/** Notices of earlier versions have no age and were sent at once. */
+function decodeCrashNotice(
+	signature: unknown,
+	incarnation: unknown,
+	ageMs: unknown = 0,
+): CrashNotice | undefined {
+	const isValid =
+		typeof signature === 'string' &&
+		typeof incarnation === 'string' &&
+		typeof ageMs === 'number' &&
+		ageMs >= 0;
+	return isValid
+		? {
+				signature: makeId<Digest>(signature),
+				incarnation: makeId<TargetIncarnation>(incarnation),
+				ageMs,
+			}
+		: undefined;
+}
+
 function decodeLimitNotice(
 	incarnation: unknown,
 	perSecond: unknown,
@@ -178,7 +193,8 @@
 		}
 
 		case 'crash': {
-			return [message.notice.signature, message.notice.incarnation];
+			const {signature, incarnation, ageMs} = message.notice;
+			return [signature, incarnation, Math.round(ageMs)];
 		}
 
 		case 'failure': {
--- a/packages/gateway/src/fleet/gossip.ts
+++ b/packages/gateway/src/fleet/gossip.ts
@@ -106,6 +106,16 @@
 		this.#broadcast({method: 'crash', notice});
 	}
 
+	/**
+	 * Tells one host of a target that crashed while it ran a request.
+	 *
+	 * @param address - The IP address of the host.
+	 * @param notice - The signature of the request and the incarnation of the target.
+	 */
+	sendCrash(address: string, notice: CrashNotice): void {
+		this.#send(address, {method: 'crash', notice});
+	}
+
 	/**
 	 * Notifies all live hosts that a target has named a limit or has lifted it.
 	 *
--- a/packages/gateway/test/context/crash-detector.test.ts
+++ b/packages/gateway/test/context/crash-detector.test.ts
@@ -77,6 +77,7 @@
 		const notice = {
 			incarnation: makeRegisteredTarget('a').incarnation,
 			signature,
+			ageMs: 0,
 		};
 		doTest(
 			'broadcasts the crash of a target that accepts no connection while others respond',
@@ -105,4 +106,53 @@
 			[],
 		);
 	});
+
+	describe('getNotices', () => {
+		function makeDetector(clock: ManualClock, suspects: CrashSuspects) {
+			return new CrashDetector({
+				clock,
+				log: makeTestLog(clock).log,
+				suspects,
+				probe: () => undefined,
+				getOtherTargets: () => [],
+				broadcast: () => undefined,
+			});
+		}
+
+		// Guards against hosts that after a restart send a request again which has crashed targets before.
+		it('lets a host that has started block what others block, for no longer than they do', () => {
+			const clock = new ManualClock();
+			const detector = makeDetector(clock, new CrashSuspects());
+			for (const id of ['a', 'b']) {
+				const {incarnation} = makeRegisteredTarget(id);
+				detector.addNotice({signature, incarnation, ageMs: 0});
+			}
+
+			clock.advance(200_000);
+			const suspects = new CrashSuspects();
+			const started = makeDetector(clock, suspects);
+			for (const notice of detector.getNotices()) {
+				started.addNotice(notice);
+			}
+
+			assert.ok(suspects.isBlocked(signature, clock.monotonicMs()));
+			clock.advance(100_000);
+			assert.not.ok(suspects.isBlocked(signature, clock.monotonicMs()));
+		});
+
+		it('gets a bounded number of notices', () => {
+			const clock = new ManualClock();
+			const detector = makeDetector(clock, new CrashSuspects());
+			for (let index = 0; index < 500; index++) {
+				detector.addNotice({
+					signature: makeId<Digest>(`s${index}`),
+					incarnation: makeRegisteredTarget('a').incarnation,
+					ageMs: 0,
+				});
+			}
+
+			assert.is(detector.getNotices().length, 40);
+			assert.is(detector.getNotices().at(-1)?.signature, 's499');
+		});
+	});
 });
--- a/packages/gateway/test/fleet/gossip-message.test.ts
+++ b/packages/gateway/test/fleet/gossip-message.test.ts
@@ -9,7 +9,7 @@
 } from '../../src/fleet/gossip-message.js';
 import type {ClientAccountName} from '../../src/plan/client-account.js';
 import type {TargetIncarnation} from '../../src/plan/registered-target.js';
-import {east} from '../fixtures.js';
+import {east, reading} from '../fixtures.js';
 
 const incarnation = makeId<TargetIncarnation>('i-1@5');
 
@@ -30,13 +30,52 @@
 		});
 		doTest('round-trip a crash notice', {
 			method: 'crash',
-			notice: {signature: makeId<Digest>('abc'), incarnation},
+			notice: {signature: makeId<Digest>('abc'), incarnation, ageMs: 20},
 		});
 		doTest('round-trip a failure notice', {method: 'failure', incarnation});
 		doTest('round-trip a limit', {
 			method: 'limit',
 			notice: {incarnation, perSecond: 1.4, source: 'probe'},
 		});
+		doTest('round-trip a request for a loan', {
+			method: 'retry-loan',
+			requestNumber: 7,
+			service: reading,
+			amount: 0.375,
+			reservedShare: 0.6,
+		});
+		doTest('round-trip a loan', {
+			method: 'retry-loan-reply',
+			requestNumber: 7,
+			amount: 0.375,
+			left: 2.5,
+		});
+		it('take a crash notice of an earlier version as new', () => {
+			const datagram = Buffer.from(
+				'{"jsonrpc":"2.0","method":"crash","params":["abc","i"]}',
+			);
+			assert.equal(decodeMessage(datagram), {
+				method: 'crash',
+				notice: {signature: 'abc', incarnation: 'i', ageMs: 0},
+			});
+		});
+
+		for (const parameters of [
+			'[1,"s",1001,0]',
+			'[1,"s",-1,0]',
+			'[1,"s",1,2]',
+			'["1","s",1,0]',
+			'[1,2,3,4]',
+			'[]',
+		]) {
+			it(`read no request for a loan from ${parameters}`, () => {
+				const datagram = Buffer.from(
+					`{"jsonrpc":"2.0","method":"retry-loan","params":${parameters}}`,
+				);
+				assert.is(decodeMessage(datagram), undefined);
+			});
+		}
+
 		doTest('round-trip a lifted limit', {
 			method: 'limit',
 			notice: {incarnation, perSecond: undefined, source: 'attempt'},
