Count a retry as under way for 250 ms, and give one back that was not sent without loss

Cause: a host with a small capacity could save up nothing for half a second after each retry, and could not take again a retry that had waited for a target. Change: 250 ms in place of 500, and a retry that is given back is no longer under way; it is taken again after 100 ms.

--- a/packages/gateway/src/limits/retry-budget.ts
+++ b/packages/gateway/src/limits/retry-budget.ts
@@ -91,20 +91,22 @@
 	/**
 	 * Gives back a retry that was taken and not sent.
 	 *
+	 * @param takenAtMs - When it was taken, on the monotonic clock, in milliseconds.
 	 * @param nowMs - The monotonic time in milliseconds.
 	 */
-	giveBack(nowMs: number): void {
-		this.#ledger.earn(1, nowMs);
+	giveBack(takenAtMs: number, nowMs: number): void {
+		this.#ledger.takeBack(1, takenAtMs, nowMs);
 	}
 
 	/**
 	 * Takes a retry again that was taken earlier and is sent only now, so that it counts in the windows of this moment.
 	 *
+	 * @param takenAtMs - When it was taken, on the monotonic clock, in milliseconds.
 	 * @param nowMs - The monotonic time in milliseconds.
 	 * @returns Whether the retry is still allowed.
 	 */
-	renew(nowMs: number): boolean {
-		this.giveBack(nowMs);
+	renew(takenAtMs: number, nowMs: number): boolean {
+		this.giveBack(takenAtMs, nowMs);
 		return this.take(nowMs);
 	}
 
--- a/packages/gateway/src/limits/retry-ledger.ts
+++ b/packages/gateway/src/limits/retry-ledger.ts
@@ -13,8 +13,8 @@
 	readonly arrivesByMs: number;
 };
 
-/** How long after it was taken a retry, or a loan, may take effect, in milliseconds. */
-const transitMs = 500;
+/** How long after it was taken a retry, or a loan, may reach a target, in milliseconds. */
+const transitMs = 250;
 
 /**
  * Keeps, for each moment at which a window may start, what was spent since minus
@@ -61,6 +61,26 @@
 		this.#addInterval(nowMs);
 	}
 
+	/**
+	 * Takes back what was spent, as it was not sent.
+	 *
+	 * @param amount - The amount, in retries.
+	 * @param spentAtMs - When it was spent, on the monotonic clock, in milliseconds.
+	 * @param nowMs - The monotonic time in milliseconds.
+	 */
+	takeBack(amount: number, spentAtMs: number, nowMs: number): void {
+		this.#settle(nowMs);
+		const index = this.#underWay.findIndex(
+			({arrivesByMs}) => arrivesByMs === spentAtMs + transitMs,
+		);
+		if (index !== -1) {
+			this.#underWay.splice(index, 1);
+		}
+
+		this.#balance -= amount;
+		this.#addInterval(nowMs);
+	}
+
 	/**
 	 * Gets the most that was spent beyond what was earned since any moment of a window.
 	 *
--- a/packages/gateway/src/limits/retry-loans.ts
+++ b/packages/gateway/src/limits/retry-loans.ts
@@ -52,7 +52,7 @@
 /** Time after which a request does not wait for replies any more, in milliseconds. */
 const replyTimeoutMs = 40;
 /** Replies are accepted for so long, in milliseconds; less than the time that lenders count a loan as under way. */
-const validMs = 250;
+const validMs = 150;
 /** Pause after a loan that was too small, in milliseconds, since other hosts then lack retries too. */
 const fruitlessPauseMs = 100;
 /** Time for which what a host had left says something about what it has, in milliseconds. */
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -80,7 +80,7 @@
 /** Share of the retry budget that hedges leave to retries. */
 const retryShare = 0.6;
 /** Time after which a retry that has waited for a target is taken again, in milliseconds. */
-const maxRetryHoldMs = 250;
+const maxRetryHoldMs = 100;
 /** Maximum attempts beyond the route's limit, to targets that refused the request at random before. */
 const maxRepeatedAttempts = 3;
 /** Relays requests to targets within the retry budget of each service. */
@@ -452,16 +452,17 @@
 		return (
 			takenAtMs === undefined ||
 			nowMs - takenAtMs <= maxRetryHoldMs ||
-			retryBudgets.get(service).renew(nowMs)
+			retryBudgets.get(service).renew(takenAtMs, nowMs)
 		);
 	}
 
 	/** Gives back a retry for which no target was found. */
 	#giveBackRetry({service}: RoutedRequest, progress: RequestProgress): void {
-		if (progress.retryTakenAtMs !== undefined) {
+		const takenAtMs = progress.retryTakenAtMs;
+		if (takenAtMs !== undefined) {
 			progress.retryTakenAtMs = undefined;
 			const {clock, retryBudgets} = this.#options;
-			retryBudgets.get(service).giveBack(clock.monotonicMs());
+			retryBudgets.get(service).giveBack(takenAtMs, clock.monotonicMs());
 		}
 	}
 
--- a/packages/gateway/test/limits/retry-budget.test.ts
+++ b/packages/gateway/test/limits/retry-budget.test.ts
@@ -124,14 +124,22 @@
 		it('counts a retry in the windows of the moment at which it is sent', () => {
 			const budget = makeBudget(15);
 			assert.is(countTaken(budget, 0), 4);
-			assert.is(budget.renew(9000), true);
+			assert.is(budget.renew(0, 9000), true);
 			assert.is(countTaken(budget, 10_501), 3);
 		});
 
+		it('renews a retry that is still under way, if the budget holds no other', () => {
+			const budget = makeBudget(60);
+			assert.is(budget.take(0), true);
+			assert.is(budget.take(0), false);
+			assert.is(budget.renew(0, 120), true);
+			assert.is(budget.take(120), false);
+		});
+
 		it('gives back a retry that was not sent', () => {
 			const budget = makeBudget(15);
 			assert.is(countTaken(budget, 0), 4);
-			budget.giveBack(1000);
+			budget.giveBack(0, 1000);
 			assert.is(countTaken(budget, 1000), 1);
 		});
 	});
--- a/packages/gateway/test/limits/retry-ledger.test.ts
+++ b/packages/gateway/test/limits/retry-ledger.test.ts
@@ -4,7 +4,7 @@
 import {RetryLedger} from '../../src/limits/retry-ledger.js';
 
 const windowMs = 1000;
-const transitMs = 500;
+const transitMs = 250;
 
 type Entry = {readonly afterMs: number; readonly amount: number};
 
