--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -12,14 +12,13 @@
 import {CrashSuspects} from '@bilberryscale/decisions';
 import {Err} from 'ts-results-es';
 import {AllotmentGate} from '../accounts/allotment-gate.js';
-import {isReply, type AllotmentMessage} from '../accounts/allotment-message.js';
+import type {AllotmentMessage} from '../accounts/allotment-message.js';
 import {defaultAllotmentBound} from '../accounts/allotment-tolerance.js';
 import {getPrioritizedServices} from '../capacity/has-priority-classes.js';
 import {AccountDirectory} from '../accounts/account-directory.js';
 import {TargetProbe} from '../choice/target-probe.js';
 import type {CallerServer} from '../edge/caller-server.js';
 import {TextServer} from '../edge/text-server.js';
-import {HostAnnouncement} from '../fleet/host-announcement.js';
 import {KnownHosts} from '../fleet/known-hosts.js';
 import {Fleet} from '../fleet/fleet.js';
 import {Forwarder} from '../forwarding/forwarder.js';
@@ -28,9 +27,6 @@
 import type {ForwardedRequest} from '../forwarding/forwarding-protocol.js';
 import {LimitShares} from '../limits/limit-shares.js';
 import type {LoanMessage} from '../limits/loan-message.js';
-import {RetryBudgets} from '../limits/retry-budgets.js';
-import {RetryLoans} from '../limits/retry-loans.js';
-import {RetryPartTracker} from '../limits/retry-part.js';
 import {SnapshotFeed} from '../snapshot/snapshot-feed.js';
 import type {
 	ItemDecoder,
@@ -54,6 +50,7 @@
 import {LiveSettings, type SettingsChange} from './live-settings.js';
 import type {HedgingOptions} from './make-hedged-dispatcher.js';
 import {makeRelay} from './make-relay.js';
+import {SharedRetries} from './shared-retries.js';
 
 /** The settings of a gateway host and its external dependencies. */
 export type GatewayHostOptions = {
@@ -86,8 +83,7 @@
 	readonly #metrics = new GatewayMetrics();
 	readonly #fleet: Fleet;
 	readonly #knownHosts: KnownHosts;
-	readonly #announcement: HostAnnouncement;
-	readonly #retryLoans: RetryLoans;
+	readonly #retries: SharedRetries;
 	readonly #allotments: AllotmentGate;
 	readonly #crashSuspects = new CrashSuspects();
 	readonly #crashDetector: CrashDetector;
@@ -155,9 +151,7 @@
 			},
 			onAllotment: (message, sender) => {
 				this.#knownHosts.receive(message, sender);
-				if (isReply(message)) {
-					this.#announcement.recordReply(sender);
-				}
+				this.#retries.addEvidence(message, sender);
 
 				if (message.method === 'hosts-request') {
 					this.#sendCrashes(sender);
@@ -166,7 +160,7 @@
 				this.#allotments.receive(message, sender);
 			},
 			onLoan: (message, sender) => {
-				this.#retryLoans.receive(message, sender);
+				this.#retries.loans.receive(message, sender);
 			},
 			getCapacity: () => this.#capacity.getRecords(),
 			onCapacity: (records) => {
@@ -192,36 +186,20 @@
 			getSeeds,
 			send,
 		});
-		const {directory} = this.#knownHosts;
-		this.#announcement = new HostAnnouncement({
-			clock,
-			directory,
-			hasOtherSeeds,
-			send,
-		});
-		const retryPart = new RetryPartTracker({
-			clock,
-			isFirstStart: settings.isFirstStart,
-			directory,
-			announcement: this.#announcement,
-			onChange(part) {
-				log.write('part of the retry budget changed', part);
-			},
-		});
-		const retryBudgets = new RetryBudgets({
-			getLimit: () => this.#settings.current.retryBound,
-			getPart: (windowMs) => retryPart.getPart(windowMs),
-		});
-		this.#retryLoans = new RetryLoans({
+		this.#retries = new SharedRetries({
 			clock,
 			random,
+			log,
 			metrics: this.#metrics,
 			dataCentre: settings.dataCentre,
+			isFirstStart: settings.isFirstStart,
+			directory: this.#knownHosts.directory,
+			hasOtherSeeds,
 			getPeers: () => this.#fleet.getShuffledPeers(),
-			send,
-			getBudget: (service) => retryBudgets.get(service),
+			getLimit: () => this.#settings.current.retryBound,
 			hasService: (service) =>
 				this.#targetRegistry.getServicePlan(service) !== undefined,
+			send,
 		});
 		this.#allotments = new AllotmentGate({
 			clock,
@@ -332,8 +310,7 @@
 			forwarder: this.#forwarder,
 			plans: this.#plans,
 			allotments: this.#allotments,
-			retryBudgets,
-			retryLoans: this.#retryLoans,
+			retries: this.#retries,
 			crashSuspects: this.#crashSuspects,
 			getHostCount,
 			getSnapshotAgeMs: () => this.#feed.ageMs,
@@ -398,7 +375,7 @@
 		await this.#metricsServer.listen(settings.metrics);
 		await this.#fleet.start();
 		this.#knownHosts.start();
-		this.#announcement.start();
+		this.#retries.start();
 		await this.#forwardingServer.listen({
 			address: settings.callers.address,
 			port: settings.forwardingPort,
@@ -429,7 +406,7 @@
 		);
 		this.#feed.stop();
 		this.#knownHosts.stop();
-		this.#announcement.stop();
+		this.#retries.stop();
 		this.#allotments.stop();
 		this.#fleet.stop();
 		this.#pathRecovery.stop();
--- a/packages/gateway/src/context/make-relay.ts
+++ b/packages/gateway/src/context/make-relay.ts
@@ -17,8 +17,6 @@
 import {TargetProber} from '../choice/target-prober.js';
 import {TargetPicker} from '../choice/target-picker.js';
 import type {Forwarder} from '../forwarding/forwarder.js';
-import type {RetryBudgets} from '../limits/retry-budgets.js';
-import type {RetryLoans} from '../limits/retry-loans.js';
 import type {PlanHolder} from '../plan/plan-holder.js';
 import {TrafficSplitter} from '../plan/traffic-splitter.js';
 import {writeSpilloverChange} from '../records/write-spillover-change.js';
@@ -31,11 +29,13 @@
 import {AttemptDispatcher} from '../relay/attempt-dispatcher.js';
 import {SilenceDetector} from '../relay/silence-detector.js';
 import {ServiceTimes} from '../relay/service-times.js';
+import {RetryAllowance} from '../relay/retry-allowance.js';
 import {ShutdownLimit} from '../relay/shutdown-limit.js';
 import type {TargetRegistry} from '../targets/target-registry.js';
 import type {TargetProtocol} from '../targets/target-protocol.js';
 import type {TargetState} from '../targets/target-state.js';
 import type {LiveSettings} from './live-settings.js';
+import type {SharedRetries} from './shared-retries.js';
 import {
 	makeHedgedDispatcher,
 	type HedgingOptions,
@@ -55,8 +55,7 @@
 	readonly plans: PlanHolder;
 	/** The rate limits of client accounts. */
 	readonly allotments: AllotmentGate;
-	readonly retryBudgets: RetryBudgets;
-	readonly retryLoans: RetryLoans;
+	readonly retries: Pick<SharedRetries, 'budgets' | 'loans'>;
 	/** The requests that may have crashed targets. */
 	readonly crashSuspects: CrashSuspects;
 	readonly getHostCount: () => number;
@@ -191,7 +190,6 @@
 			fullTargets,
 			dataCentre,
 		}),
-		capacity: dependencies.capacity,
 		reader: new RequestReader({
 			clock,
 			trafficSplitter: new TrafficSplitter(random),
@@ -231,7 +229,12 @@
 		recorder,
 		isShuttingDown,
 		shutdownLimit,
-		retryBudgets: dependencies.retryBudgets,
-		retryLoans: dependencies.retryLoans,
+		retryAllowance: new RetryAllowance({
+			clock,
+			budgets: dependencies.retries.budgets,
+			loans: dependencies.retries.loans,
+			capacity: dependencies.capacity,
+			recorder,
+		}),
 	});
 }
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -14,14 +14,11 @@
 import {Err, Ok, type Result} from 'ts-results-es';
 import type {AllotmentGate} from '../accounts/allotment-gate.js';
 import {AllotmentPermit} from '../accounts/allotment-permit.js';
-import type {ServiceCapacity} from '../capacity/service-capacity.js';
 import type {ReturnSchedules} from '../capacity/return-schedules.js';
 import type {AccountCheck} from '../accounts/account-check.js';
 import type {PickedTarget, TargetPicker} from '../choice/target-picker.js';
 import type {Forwarder} from '../forwarding/forwarder.js';
 import type {ForwardedRequest} from '../forwarding/forwarding-protocol.js';
-import type {RetryBudgets} from '../limits/retry-budgets.js';
-import type {RetryLoans} from '../limits/retry-loans.js';
 import type {Route} from '../plan/routing-plan.js';
 import type {RequestRecorder} from '../records/request-recorder.js';
 import type {TargetRegistry} from '../targets/target-registry.js';
@@ -47,6 +44,7 @@
 	type AttemptResult,
 } from './attempt-result.js';
 import type {ServiceTimes} from './service-times.js';
+import type {RetryAllowance} from './retry-allowance.js';
 import type {ShutdownLimit} from './shutdown-limit.js';
 
 /** Dependencies of the relay. */
@@ -54,7 +52,6 @@
 	readonly clock: Clock;
 	readonly picker: TargetPicker;
 	readonly reader: RequestReader;
-	readonly capacity: Pick<ServiceCapacity, 'isShort'>;
 	readonly accountCheck: AccountCheck;
 	readonly serviceTimes: ServiceTimes;
 	readonly dispatcher: AttemptDispatcher;
@@ -65,22 +62,14 @@
 	readonly returnSchedules: ReturnSchedules;
 	/** Sends second copies of idempotent requests; undefined if the operator has set no limit for them. */
 	readonly hedging: HedgedDispatcher | undefined;
-	readonly retryBudgets: RetryBudgets;
-	/** Borrows retries from other hosts. */
-	readonly retryLoans: Pick<RetryLoans, 'borrow'>;
+	readonly retryAllowance: RetryAllowance;
 	readonly recorder: RequestRecorder;
 	readonly isShuttingDown: () => boolean;
 	readonly shutdownLimit: Pick<ShutdownLimit, 'isTooLate'>;
 };
 
-/** Share of the retry budget that is reserved for returning callers. */
-const returningCallerShare = 0.6;
-/** The same while less urgent requests of the service leave slots to urgent ones, which would otherwise find the budget used up. */
-const urgentRequestShare = 0.85;
 /** Share of the retry budget that hedges leave to retries. */
 const retryShare = 0.6;
-/** Time after which a retry that has waited for a target is taken again, in milliseconds. */
-const maxRetryHoldMs = 100;
 /** Maximum attempts beyond the route's limit, to targets that refused the request at random before. */
 const maxRepeatedAttempts = 3;
 /** Relays requests to targets within the retry budget of each service. */
@@ -172,11 +161,11 @@
 		forwarding: ForwardedRequest | undefined,
 		permit: AllotmentPermit | undefined,
 	): Promise<FilterResult> {
-		const {reader} = this.#options;
+		const {reader, registry, retryAllowance} = this.#options;
 		const canForward = forwarding === undefined;
 		const progress = makeRequestProgress(permit, forwarding?.isCounted);
-		if (!canForward || !this.#options.registry.pathMonitor.isLost) {
-			this.#countRequest(request, progress);
+		if (!canForward || !registry.pathMonitor.isLost) {
+			retryAllowance.countRequest(request, progress);
 		}
 
 		this.#options.returnSchedules.addArrival(request);
@@ -189,7 +178,7 @@
 			const {best} = progress;
 			if (
 				best !== undefined &&
-				!(await this.#takeRetry(request, best, progress))
+				!(await retryAllowance.take(request, best, progress))
 			) {
 				return buildResult(
 					best,
@@ -200,7 +189,7 @@
 
 			const attempt = await this.#attempt(request, progress, canForward);
 			if (attempt.isErr()) {
-				this.#giveBackRetry(request, progress);
+				retryAllowance.giveBack(request, progress);
 				if (progress.executions === 0 && isAccountFailure(attempt.error)) {
 					return attempt;
 				}
@@ -238,7 +227,7 @@
 				return forwarded;
 			}
 
-			this.#countRequest(request, progress);
+			this.#options.retryAllowance.countRequest(request, progress);
 		}
 
 		const picked = await this.#pick(request, progress, !wasLost);
@@ -267,7 +256,7 @@
 		picked: PickedTarget,
 		progress: RequestProgress,
 	): Promise<Result<AttemptResult, Failure>> {
-		const {picker, accountCheck} = this.#options;
+		const {picker, accountCheck, retryAllowance} = this.#options;
 		const checked = accountCheck.recheck(request);
 		if (checked.isErr()) {
 			this.#release(request.service, picked);
@@ -281,7 +270,7 @@
 			return Err(refusal);
 		}
 
-		if (!this.#renewRetry(request, progress)) {
+		if (!retryAllowance.use(request, progress)) {
 			this.#release(request.service, picked);
 			return Err(
 				notRunFailure('over-capacity', 'The retry allowance is used up.'),
@@ -320,7 +309,7 @@
 		picked: PickedTarget,
 		{triedTargets, attempts, executions}: RequestProgress,
 	): Promise<SentCopies> {
-		const {dispatcher, hedging, clock} = this.#options;
+		const {dispatcher, hedging, clock, retryAllowance} = this.#options;
 		const attempt = attempts + 1;
 		const canRetry = () => this.#canLeaveStalledTarget(request, executions);
 		if (hedging === undefined) {
@@ -331,7 +320,7 @@
 			return [{target, result}];
 		}
 
-		const budget = this.#options.retryBudgets.get(request.service);
+		const budget = retryAllowance.getBudget(request);
 		return hedging.send(request, picked, {
 			attempt,
 			executions,
@@ -402,83 +391,19 @@
 		);
 	}
 
-	/** Counts a request for the retry budget, unless another host has or this one has before. */
-	#countRequest({service}: RoutedRequest, progress: RequestProgress): void {
-		if (!progress.isCounted) {
-			progress.isCounted = true;
-			const {clock, retryBudgets} = this.#options;
-			retryBudgets.get(service).addRequest(clock.monotonicMs());
-		}
-	}
-
-	/**
-	 * Takes a retry from the budget, borrowing from other hosts if need be. After the first refusal of a caller, a share of the budget is
-	 * left to returning callers, because a refused caller retries once and gives up after a second refusal.
-	 */
-	async #takeRetry(
-		{service, isReturning, priority, exchange}: RoutedRequest,
-		best: AttemptResult,
-		progress: RequestProgress,
-	): Promise<boolean> {
-		const {clock, capacity, recorder, retryBudgets, retryLoans} = this.#options;
-		const isFirstRefusal = best.kind === 'refused' && !isReturning;
-		const firstRefusalShare = capacity.isShort(service, priority)
-			? urgentRequestShare
-			: returningCallerShare;
-		const reservedShare = isFirstRefusal ? firstRefusalShare : 0;
-		const budget = retryBudgets.get(service);
-		const hasEnough = budget.take(clock.monotonicMs(), reservedShare);
-		const loan = hasEnough
-			? 0
-			: await retryLoans.borrow(service, reservedShare);
-		const nowMs = clock.monotonicMs();
-		const isAllowed = hasEnough || budget.take(nowMs, reservedShare, loan);
-		progress.retryTakenAtMs = isAllowed ? nowMs : undefined;
-		recorder.recordRetryDecision(exchange, {
-			service,
-			isAllowed,
-			loan,
-			...budget.getState(nowMs),
-		});
-		return isAllowed;
-	}
-
-	/** Counts a retry in the present if it has waited for a target, as windows that have begun since then would miss it. */
-	#renewRetry({service}: RoutedRequest, progress: RequestProgress): boolean {
-		const {clock, retryBudgets} = this.#options;
-		const takenAtMs = progress.retryTakenAtMs;
-		const nowMs = clock.monotonicMs();
-		progress.retryTakenAtMs = undefined;
-		return (
-			takenAtMs === undefined ||
-			nowMs - takenAtMs <= maxRetryHoldMs ||
-			retryBudgets.get(service).renew(takenAtMs, nowMs)
-		);
-	}
-
-	/** Gives back a retry for which no target was found. */
-	#giveBackRetry({service}: RoutedRequest, progress: RequestProgress): void {
-		const takenAtMs = progress.retryTakenAtMs;
-		if (takenAtMs !== undefined) {
-			progress.retryTakenAtMs = undefined;
-			const {clock, retryBudgets} = this.#options;
-			retryBudgets.get(service).giveBack(takenAtMs, clock.monotonicMs());
-		}
-	}
-
 	/**
 	 * Checks whether an attempt that has stalled may be cancelled for another one.
 	 * While the host shuts down, the other one might not complete in time.
 	 */
 	#canLeaveStalledTarget(
-		{service, route}: RoutedRequest,
+		request: RoutedRequest,
 		previousExecutions: number,
 	): boolean {
-		const {clock, isShuttingDown, retryBudgets} = this.#options;
+		const {isShuttingDown, retryAllowance} = this.#options;
 		return (
 			!isShuttingDown() &&
-			previousExecutions + 1 < route.maxAttempts &&
-			retryBudgets.get(service).canTake(clock.monotonicMs())
+			previousExecutions + 1 < request.route.maxAttempts &&
+			retryAllowance.isAvailable(request)
 		);
 	}
 
