Ask five hosts for a loan and ask again after 20 ms

Cause: in short spells of refusals hosts were denied retries that others could have lent. Change: five hosts in place of three, a pause of 20 ms in place of 100 after a loan that was too small.

--- a/packages/gateway/src/limits/retry-loans.ts
+++ b/packages/gateway/src/limits/retry-loans.ts
@@ -48,13 +48,13 @@
 type Remainder = {readonly left: number; readonly atMs: number};
 
 /** How many hosts are asked at once. */
-const lenderCount = 3;
+const lenderCount = 5;
 /** Time after which a request does not wait for replies any more, in milliseconds. */
 const replyTimeoutMs = 40;
 /** Replies are accepted for so long, in milliseconds; less than the time that lenders count a loan as under way. */
 const validMs = 150;
 /** Pause after a loan that was too small, in milliseconds, since other hosts then lack retries too. */
-const fruitlessPauseMs = 100;
+const fruitlessPauseMs = 20;
 /** Time for which what a host had left says something about what it has, in milliseconds. */
 const remainderMaxAgeMs = 2000;
 /** What a host is expected to have of which nothing is known. */
