--- a/packages/gateway/src/fleet/host-directory.ts
+++ b/packages/gateway/src/fleet/host-directory.ts
@@ -20,7 +20,10 @@
  * too rarely; and the hosts on the other side of a partition must still count, or both sides would use the whole limit.
  */
 const memoryMs = 300_000;
-/** Hosts with later evidence count as up, in milliseconds; much shorter than the memory, so that the smaller side of a partition knows that it is one before the larger side forgets it. */
+/**
+ * Maximum age of the evidence of a host that counts as up, in milliseconds. It is much shorter than the memory, so that
+ * the smaller side of a partition notices it before the larger side forgets that one.
+ */
 const recentMs = 150_000;
 /** Interval at which the members known by gossip are read again, in milliseconds. */
 const refreshIntervalMs = 10_000;
--- a/packages/gateway/test/accounts/gate-fleet.ts
+++ b/packages/gateway/test/accounts/gate-fleet.ts
@@ -4,7 +4,6 @@
 	makeId,
 	makeSeededRandom,
 	ManualClock,
-	type Clock,
 	type RandomSource,
 } from '@bilberryscale/core';
 import {AllotmentGate} from '../../src/accounts/allotment-gate.js';
@@ -22,6 +21,7 @@
 } from '../../src/plan/client-account.js';
 import {EventLog} from '../../src/records/event-log.js';
 import {GatewayMetrics} from '../../src/records/gateway-metrics.js';
+import {HostClock} from '../host-clock.js';
 import {getRendezvousRank} from '../../src/targets/get-rendezvous-rank.js';
 
 export function makeAccount(
@@ -48,51 +48,6 @@
 	...Array.from({length: 73}, (_, index) => 1 + (index % 5)),
 ].map((rate, index) => makeAccount(`account-${index}`, rate));
 
-/** The clock of one host, whose timers wait while the host is frozen. */
-class HostClock implements Clock {
-	isFrozen = false;
-	isStopped = false;
-	readonly deferred: Array<() => void> = [];
-	readonly #clock: ManualClock;
-
-	constructor(clock: ManualClock) {
-		this.#clock = clock;
-	}
-
-	monotonicMs(): number {
-		return this.#clock.monotonicMs();
-	}
-
-	now(): Date {
-		return this.#clock.now();
-	}
-
-	schedule(delayMs: number, action: () => void): () => void {
-		return this.#clock.schedule(delayMs, () => {
-			this.run(action);
-		});
-	}
-
-	run(action: () => void): void {
-		if (this.isStopped) {
-			return;
-		}
-
-		if (this.isFrozen) {
-			this.deferred.push(action);
-		} else {
-			action();
-		}
-	}
-
-	thaw(): void {
-		this.isFrozen = false;
-		for (const action of this.deferred.splice(0)) {
-			action();
-		}
-	}
-}
-
 type Host = {
 	readonly address: string;
 	clock: HostClock;
--- a/packages/gateway/test/limits/retry-fleet.ts
+++ b/packages/gateway/test/limits/retry-fleet.ts
@@ -11,6 +11,7 @@
 	type GossipMessage,
 } from '../../src/fleet/gossip-message.js';
 import type {RetryBudgetLimit} from '../../src/limits/retry-budget.js';
+import {HostClock} from '../host-clock.js';
 import {EventClock} from './event-clock.js';
 
 /** What a host of the model needs from it. */
@@ -67,51 +68,6 @@
 	readonly spells: readonly Spell[];
 };
 
-/** A clock whose timers wait while its host is frozen and never run after it was killed. */
-class HostClock implements Clock {
-	isFrozen = false;
-	isKilled = false;
-	readonly #clock: EventClock;
-	readonly #deferred: Array<() => void> = [];
-
-	constructor(clock: EventClock) {
-		this.#clock = clock;
-	}
-
-	monotonicMs(): number {
-		return this.#clock.monotonicMs();
-	}
-
-	now(): Date {
-		return this.#clock.now();
-	}
-
-	schedule(delayMs: number, action: () => void): () => void {
-		return this.#clock.schedule(delayMs, () => {
-			this.run(action);
-		});
-	}
-
-	run(action: () => void): void {
-		if (this.isKilled) {
-			return;
-		}
-
-		if (this.isFrozen) {
-			this.#deferred.push(action);
-		} else {
-			action();
-		}
-	}
-
-	thaw(): void {
-		this.isFrozen = false;
-		for (const action of this.#deferred.splice(0)) {
-			action();
-		}
-	}
-}
-
 type Host = {
 	readonly address: string;
 	clock: HostClock;
@@ -264,7 +220,7 @@
 		switch (kind) {
 			case 'kill': {
 				for (const host of hosts.filter(({process}) => process)) {
-					host.clock.isKilled = true;
+					host.clock.isStopped = true;
 					host.process = undefined;
 					this.#clock.schedule(restartMs, () => {
 						this.#start(host, false);
@@ -317,7 +273,7 @@
 
 			case 'join': {
 				for (const host of joining) {
-					if (host.process === undefined && !host.clock.isKilled) {
+					if (host.process === undefined && !host.clock.isStopped) {
 						this.#start(host, false);
 					}
 				}
