Let a host send a first retry at once when its fleet starts for the first time

What callers saw: a host of a fleet that starts for the first time retried no request in its first seconds. Cause: it had to earn its first token, as if a run before it had spent its part; there was none. Change: at the first start a host has one token at once, and its part of the slack when the others know it.

--- a/packages/gateway/src/limits/retry-part.ts
+++ b/packages/gateway/src/limits/retry-part.ts
@@ -65,10 +65,10 @@
 		this.#updatedAtMs = nowMs;
 		const knownCount = directory.getHosts().length + 1;
 		const ageMs = nowMs - this.#startedAtMs;
-		// What the previous run has spent is unknown.
-		const newMs = discoveryMs + (isFirstStart ? 0 : windowMs);
-		const isNew = ageMs < newMs || !announcement.isComplete;
-		const hasSlack = !isNew && directory.hasMajority;
+		const isKnown = announcement.isComplete;
+		// What a previous run has spent is unknown, but at the first start there was none.
+		const isNew = !isFirstStart && (ageMs < windowMs + discoveryMs || !isKnown);
+		const hasSlack = !isNew && isKnown && directory.hasMajority;
 		const hostCount = hasSlack
 			? knownCount
 			: Math.max(minHostCount, knownCount);
