Take a host without seeds as known to all at once

Cause: a host of a fleet of one waited 5 s for hosts that it can't have, with one retry. Change: without seeds there is nobody to announce itself to. Evidence: 'of a refusal does not hide that another send to the same target has run' failed with 2 of 3 sends on; it needs two retries in the first second of a single host.

--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -193,6 +193,7 @@
 			metrics: this.#metrics,
 			dataCentre: settings.dataCentre,
 			isFirstStart: settings.isFirstStart,
+			isAlone: settings.seeds.length === 0,
 			directory: this.#knownHosts.directory,
 			hasOtherSeeds,
 			getPeers: () => this.#fleet.getShuffledPeers(),
--- a/packages/gateway/src/context/shared-retries.ts
+++ b/packages/gateway/src/context/shared-retries.ts
@@ -32,6 +32,8 @@
 	/** Whether no host of the fleet can have run before. */
 	readonly isFirstStart: boolean;
 	readonly directory: HostDirectory;
+	/** Whether this host has no seeds at all, so that no other host can know it. */
+	readonly isAlone: boolean;
 	/** Whether there are other hosts through which this one gets to know the rest. */
 	readonly hasOtherSeeds: () => boolean;
 	/**
--- a/packages/gateway/src/fleet/host-announcement.ts
+++ b/packages/gateway/src/fleet/host-announcement.ts
@@ -8,6 +8,8 @@
 export type HostAnnouncementOptions = {
 	readonly clock: Clock;
 	readonly directory: Pick<HostDirectory, 'getList'>;
+	/** Whether this host has no seeds at all, so that no other host can know it. */
+	readonly isAlone: boolean;
 	/** Whether there are other hosts through which this one gets to know the rest. */
 	readonly hasOtherSeeds: () => boolean;
 	readonly send: (address: string, message: ContactCheck) => void;
@@ -29,7 +31,7 @@
 	readonly #startedAtMs: number;
 	readonly #replied = new Set<string>();
 	readonly #sentAtMs = new Map<string, number>();
-	#isComplete = false;
+	#isComplete: boolean;
 	#cancel: CancelFunction = () => undefined;
 
 	/**
@@ -38,6 +40,7 @@
 	constructor(options: HostAnnouncementOptions) {
 		this.#options = options;
 		this.#startedAtMs = options.clock.monotonicMs();
+		this.#isComplete = options.isAlone;
 	}
 
 	/** Whether all hosts that are probably up know this one; stays true, as later hosts announce themselves. */
@@ -45,8 +48,12 @@
 		return this.#isComplete;
 	}
 
-	/** Starts to send. */
+	/** Starts to send, unless this host is alone. */
 	start(): void {
+		if (this.#isComplete) {
+			return;
+		}
+
 		this.#cancel = this.#options.clock.schedule(roundMs, () => {
 			this.#runRound();
 		});
--- a/packages/gateway/test/fleet/host-announcement.test.ts
+++ b/packages/gateway/test/fleet/host-announcement.test.ts
@@ -6,13 +6,14 @@
 
 function makeAnnouncement(
 	list: readonly HostListEntry[],
-	hasOtherSeeds = true,
+	{hasOtherSeeds = true, isAlone = false} = {},
 ) {
 	const clock = new ManualClock();
 	const sent: string[] = [];
 	const announcement = new HostAnnouncement({
 		clock,
 		directory: {getList: () => list},
+		isAlone,
 		hasOtherSeeds: () => hasOtherSeeds,
 		send(address) {
 			sent.push(address);
@@ -54,8 +55,15 @@
 		assert.not.ok(announcement.isComplete);
 	});
 
-	it('is complete after the start of a host without others', () => {
-		const {clock, announcement} = makeAnnouncement([], false);
+	it('is complete at once for a host without seeds', () => {
+		const {clock, announcement} = makeAnnouncement([], {isAlone: true});
+		assert.ok(announcement.isComplete);
+		assert.is(clock.pendingCount, 0);
+	});
+
+	it('is complete some time after the start of the only seed', () => {
+		const {clock, announcement} = makeAnnouncement([], {hasOtherSeeds: false});
+		assert.not.ok(announcement.isComplete);
 		clock.advance(5300);
 		assert.ok(announcement.isComplete);
 	});
--- a/packages/gateway/test/limits/retry-fleet.test.ts
+++ b/packages/gateway/test/limits/retry-fleet.test.ts
@@ -58,6 +58,7 @@
 	const announcement = new HostAnnouncement({
 		clock,
 		directory,
+		isAlone: false,
 		hasOtherSeeds: () => seeds.some((seed) => seed !== address),
 		send,
 	});
