Tell in the log whether a target was cold when a request was sent to it

The lines of a host didn't say whether it took the target of a request as warming up, nor when the request was written after its pick. Types pass; no logic changed.

--- a/packages/gateway/src/records/request-recorder.ts
+++ b/packages/gateway/src/records/request-recorder.ts
@@ -27,6 +27,10 @@
 	readonly slowness: number;
 	/** The limit that the target had named, in requests per second; undefined without one. */
 	readonly limitPerSecond: number | undefined;
+	/** How much longer the target was warming up when the attempt started, in milliseconds; undefined if it was warm. */
+	readonly coldForMs: number | undefined;
+	/** Time from the start of the attempt until the request was written, in milliseconds; undefined if it was not. */
+	readonly writtenAfterMs: number | undefined;
 	/** Age of the target's load report when the attempt started, in milliseconds. */
 	readonly reportAgeMs: number;
 	/** How many targets were probed. */
@@ -136,6 +140,8 @@
 			reportAgeMs: roundToTenth(record.reportAgeMs),
 			expectedMs: roundToTenth(record.expectedMs),
 			waitedMs: roundToTenth(record.waitedMs),
+			coldForMs: roundOptional(record.coldForMs),
+			writtenAfterMs: roundOptional(record.writtenAfterMs),
 			durationMs: roundToTenth(record.durationMs),
 			outcome,
 			...(result.kind === 'failed' && {
@@ -267,6 +273,10 @@
 	}
 }
 
+function roundOptional(value: number | undefined): number | undefined {
+	return value === undefined ? undefined : roundToTenth(value);
+}
+
 function roundToTenth(value: number): number {
 	return Math.round(value * 10) / 10;
 }
--- a/packages/gateway/src/relay/attempt-dispatcher.ts
+++ b/packages/gateway/src/relay/attempt-dispatcher.ts
@@ -119,8 +119,9 @@
 		const startedAtMs = clock.monotonicMs();
 		const slowdownFactor = report?.slowdownFactor ?? 1;
 		const limitPerSecond = state.availability.limit.perSecond;
+		const coldForMs = state.getColdForMs(startedAtMs);
 		addCopy(exchange);
-		const result = await new TargetAttempt({
+		const targetAttempt = new TargetAttempt({
 			incoming: exchange.incoming,
 			body,
 			state,
@@ -147,7 +148,8 @@
 				: undefined,
 			isTooLate: exchange.isTooLate,
 			...control,
-		}).run();
+		});
+		const result = await targetAttempt.run();
 		settleCopy(exchange, result);
 		const durationMs = clock.monotonicMs() - startedAtMs;
 		this.#options.fullTargets.add(
@@ -179,6 +181,11 @@
 			slots: state.slots,
 			slowness: slowdownFactor,
 			limitPerSecond,
+			coldForMs,
+			writtenAfterMs:
+				targetAttempt.writtenAtMs === undefined
+					? undefined
+					: targetAttempt.writtenAtMs - startedAtMs,
 			reportAgeMs: startedAtMs - (report?.receivedAtMs ?? startedAtMs),
 			askedCount: probedCount,
 			waitedMs,
--- a/packages/gateway/src/relay/target-attempt.ts
+++ b/packages/gateway/src/relay/target-attempt.ts
@@ -86,6 +86,7 @@
 	#hasEnded = false;
 	#isSettled = false;
 	#isResponseInvalid = false;
+	#writtenAtMs: number | undefined;
 
 	/**
 	 * @param options - The request, the target and the dependencies.
@@ -101,13 +102,15 @@
 			onEnd: (error) => {
 				this.#end(error);
 			},
-			onBeforeWrite: () =>
-				options.isTooLate?.() === true
-					? new AttemptCancelledError('too-late')
-					: undefined,
+			onBeforeWrite: () => this.#checkBeforeWrite(),
 		});
 	}
 
+	/** When the request was written to the connection, on the monotonic clock, in milliseconds; undefined if it was not. */
+	get writtenAtMs(): number | undefined {
+		return this.#writtenAtMs;
+	}
+
 	/**
 	 * Sends the request and waits for the result.
 	 *
@@ -175,6 +178,16 @@
 		});
 	}
 
+	#checkBeforeWrite(): AttemptCancelledError | undefined {
+		const {clock, isTooLate} = this.#options;
+		if (isTooLate?.() === true) {
+			return new AttemptCancelledError('too-late');
+		}
+
+		this.#writtenAtMs = clock.monotonicMs();
+		return undefined;
+	}
+
 	readonly #onCallerAbort = (): void => {
 		this.#cancel('caller-gone');
 	};
--- a/packages/gateway/src/targets/target-state.ts
+++ b/packages/gateway/src/targets/target-state.ts
@@ -231,6 +231,16 @@
 		return nowMs < this.coldUntilMs;
 	}
 
+	/**
+	 * Gets how much longer the target is warming up.
+	 *
+	 * @param nowMs - The monotonic time in milliseconds.
+	 * @returns The time in milliseconds; undefined if it is warm.
+	 */
+	getColdForMs(nowMs: number): number | undefined {
+		return this.isCold(nowMs) ? this.coldUntilMs - nowMs : undefined;
+	}
+
 	#decay(nowMs: number): void {
 		const retained = Math.exp((this.#decayedAtMs - nowMs) / failureDecayMs);
 		this.#failures *= retained;
