Keep the requests of all hosts to a cold target within its published limit

Callers lost cold targets to a flood: on the users' site 16 requests came in one second where 7.4 are allowed. Cause: a host sent each cold target one request a second by an interval of its own, which it lost with its process, and nothing that sends asked the rate that the service publishes, so the sum was the number of hosts.

Now a few hosts, ranked for each target, hold a part of the limit and give permits, to themselves and to others that ask. Each part is a bucket of one token; a permit is valid for 250 ms and is checked again before the first byte is written; a host that has started holds no part until all others know it. A cold target with a free slot may get a request; before it had to be idle. A refusal names the time of the next permit if all targets are cold.

Log line warm-up permit, four metrics.

--- a/packages/gateway/src/accounts/token-bucket.ts
+++ b/packages/gateway/src/accounts/token-bucket.ts
@@ -80,6 +80,20 @@
 		this.#level = Math.min(this.#capacity, this.#level + count);
 	}
 
+	/**
+	 * Gets the time until a token can be taken.
+	 *
+	 * @param nowMs - The monotonic time in milliseconds.
+	 * @returns The time in milliseconds; infinite if the rate is 0 and there is none.
+	 */
+	getWaitMs(nowMs: number): number {
+		this.#refill(nowMs);
+		const missing = 1 - this.#level;
+		return missing <= roundingTolerance
+			? 0
+			: (missing * msPerSecond) / this.#ratePerSecond;
+	}
+
 	/**
 	 * Gets when a refused request should return. Each gets the time of a token of
 	 * its own, so that refused requests do not all return for the next one.
--- a/packages/gateway/src/choice/describe-refusal.ts
+++ b/packages/gateway/src/choice/describe-refusal.ts
@@ -3,6 +3,7 @@
 import {notRunFailure, type Clock, type Failure} from '@bilberryscale/core';
 import type {ServiceCapacity} from '../capacity/service-capacity.js';
 import type {TargetRegistry} from '../targets/target-registry.js';
+import type {TargetState} from '../targets/target-state.js';
 import type {PickRequest} from './pick-request.js';
 import type {TargetCandidate} from './target-cost.js';
 
@@ -63,6 +64,18 @@
 		);
 	}
 
+	const warmUpWaitMs = getWarmUpWaitMs(
+		registry.getOpenTargets(service),
+		clock.monotonicMs(),
+	);
+	if (warmUpWaitMs > 0) {
+		return notRunFailure(
+			'over-capacity',
+			`All ${openCount} open targets of "${service}" warm up and bear no more requests now.`,
+			warmUpWaitMs,
+		);
+	}
+
 	if (best !== undefined) {
 		return notRunFailure(
 			'over-capacity',
@@ -83,3 +96,17 @@
 				`None of ${openCount} open targets of "${service}" may take the request; ${probedCount} were asked, and the last response of any target came ${Math.round(clock.monotonicMs() - registry.pathMonitor.lastContactAtMs)} ms ago.`,
 			);
 }
+
+/** Gets when the first target may get a request if all are cold and have no permit left, in milliseconds; 0 otherwise. */
+function getWarmUpWaitMs(
+	states: readonly TargetState[],
+	nowMs: number,
+): number {
+	return states.length === 0
+		? 0
+		: Math.min(
+				...states.map((state) =>
+					state.isCold(nowMs) ? state.warmUp.getWaitMs() : 0,
+				),
+			);
+}
--- a/packages/gateway/src/choice/target-picker.ts
+++ b/packages/gateway/src/choice/target-picker.ts
@@ -11,6 +11,7 @@
 import {Err, Ok, type Result} from 'ts-results-es';
 import type {GatewayMetrics} from '../records/gateway-metrics.js';
 import type {TargetState} from '../targets/target-state.js';
+import type {WarmUpPermit} from '../warm-up/warm-up-permit.js';
 import {
 	PriorityWaitQueue,
 	type QueuedRequest,
@@ -62,6 +63,8 @@
 export type PickedTarget = {
 	readonly state: TargetState;
 	readonly connection: Connection;
+	/** Permits the request if the target is cold; undefined if it was warm. */
+	readonly warmUpPermit: WarmUpPermit | undefined;
 	/** The estimated number of requests that it held without this one. */
 	readonly load: number;
 	/** The expected latency, in milliseconds. */
@@ -82,8 +85,6 @@
 const reprobeIntervalMs = 45;
 /** The same for requests that leave slots free in a shortage: the response to the last request at a slot wakes the next one. */
 const shortReprobeIntervalMs = 300;
-/** Minimum time between two requests of this host to a cold target, in milliseconds. */
-const coldSendIntervalMs = 1000;
 
 /** Probes targets and picks the one with the lowest cost. */
 export class TargetPicker {
@@ -148,6 +149,7 @@
 		let hasYielded = false;
 		for (;;) {
 			const best = this.#findBest(request);
+			this.#requestPermit(request, best);
 			const decision = this.#decideAdmission(request, best);
 			if (
 				decision === 'take' &&
@@ -165,23 +167,9 @@
 				!request.signal.aborted &&
 				!isTooLate(request, best)
 			) {
-				const connection = this.#acquireConnection(best.state, request);
-				if (connection !== undefined) {
-					const {state, expectedMs} = best;
-					const {load} = state;
-					state.availability.limit.addSend(clock.monotonicMs());
-					state.addSend(clock.monotonicMs());
-					const waitedMs = clock.monotonicMs() - startedAtMs;
-					const {probedCount} = search;
-					search.end(state);
-					return Ok({
-						state,
-						connection,
-						load,
-						expectedMs,
-						probedCount,
-						waitedMs,
-					});
+				const picked = this.#take(best, request, search, startedAtMs);
+				if (picked !== undefined) {
+					return Ok(picked);
 				}
 			}
 
@@ -225,6 +213,37 @@
 		}
 	}
 
+	/** Takes the best target; undefined if no connection to it is available. */
+	#take(
+		{state, expectedMs}: TargetCandidate,
+		request: PickRequest,
+		search: TargetSearch,
+		startedAtMs: number,
+	): PickedTarget | undefined {
+		const connection = this.#acquireConnection(state, request);
+		if (connection === undefined) {
+			return undefined;
+		}
+
+		const {load} = state;
+		const nowMs = this.#options.clock.monotonicMs();
+		const warmUpPermit = state.isCold(nowMs) ? state.warmUp.take() : undefined;
+		state.availability.limit.addSend(nowMs);
+		state.addSend();
+		const {probedCount} = search;
+		search.end(state);
+		const waitedMs = nowMs - startedAtMs;
+		return {
+			state,
+			connection,
+			warmUpPermit,
+			load,
+			expectedMs,
+			probedCount,
+			waitedMs,
+		};
+	}
+
 	/**
 	 * Lets the first waiting request that is eligible for a target check the targets
 	 * again; called after an attempt, whose response may have brought a new load report.
@@ -322,7 +341,7 @@
 	/**
 	 * Checks whether the caller has disconnected, its key was removed, this host
 	 * reaches no target and another one may, or no open target is eligible.
-	 * A target with a limit is not if its next request would be late.
+	 * A target with a limit, or a cold one, is not if its next request would be late.
 	 */
 	#isUnservable(
 		request: PickRequest,
@@ -349,9 +368,10 @@
 			registry
 				.getOpenTargets(service)
 				.every(
-					({registration, availability}) =>
-						!isEligible(request, registration.id) ||
-						availability.limit.getWaitMs(nowMs) > maxWaitMs,
+					(state) =>
+						!isEligible(request, state.registration.id) ||
+						state.availability.limit.getWaitMs(nowMs) > maxWaitMs ||
+						(state.isCold(nowMs) && state.warmUp.getWaitMs() > maxWaitMs),
 				)
 		);
 	}
@@ -373,9 +393,32 @@
 		);
 	}
 
+	/** Asks for a permit if the request would go to a cold target with one. */
+	#requestPermit(
+		request: PickRequest,
+		best: TargetCandidate | undefined,
+	): void {
+		const {registry, clock} = this.#options;
+		const nowMs = clock.monotonicMs();
+		const hasClosedTarget = registry
+			.getOpenTargets(request.service)
+			.some((state) => state.isCold(nowMs) && !state.warmUp.isOpen());
+		if (!hasClosedTarget) {
+			return;
+		}
+
+		const state = this.#findBest(request, 'any', true)?.state;
+		if (state !== undefined && state !== best?.state) {
+			state.warmUp.request(() => {
+				this.wakeFirstWaiting(request.service, state.registration.id);
+			});
+		}
+	}
+
 	#findBest(
 		request: PickRequest,
 		side: TargetSide = 'any',
+		assumesPermits = false,
 	): TargetCandidate | undefined {
 		const {registry, clock, capacity} = this.#options;
 		const nowMs = clock.monotonicMs();
@@ -389,6 +432,7 @@
 			if (
 				!isOnSide ||
 				!this.#isUsable(state, request, {nowMs, maxQueued}) ||
+				(!assumesPermits && state.isCold(nowMs) && !state.warmUp.isOpen()) ||
 				!capacity.canTake(request, state, mayContest)
 			) {
 				continue;
@@ -413,8 +457,8 @@
 	 * Checks whether a target is eligible, has a recent load report, is not avoided
 	 * and holds so few requests that it responds to one more. A target with a limit
 	 * needs no report, as it gets no probes, but a part of the limit. A cold target
-	 * must also be idle and gets requests only at intervals. An overdue request
-	 * leaves the last free slot to requests that can still be on time.
+	 * must have a free slot. An overdue request leaves the last free slot to requests
+	 * that can still be on time.
 	 */
 	#isUsable(
 		state: TargetState,
@@ -437,9 +481,7 @@
 
 		return (
 			state.avoidUntilMs <= nowMs &&
-			(!state.isCold(nowMs) ||
-				(state.load === 0 &&
-					nowMs - state.lastColdSendAtMs >= coldSendIntervalMs))
+			(!state.isCold(nowMs) || held < state.slots)
 		);
 	}
 
--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -26,7 +26,8 @@
 import {PathRecovery} from '../forwarding/path-recovery.js';
 import type {ForwardedRequest} from '../forwarding/forwarding-protocol.js';
 import {LimitShares} from '../limits/limit-shares.js';
-import type {LoanMessage} from '../limits/loan-message.js';
+import type {SharedLimitMessage} from '../fleet/gossip.js';
+import {defaultWarmUpBound} from '../warm-up/warm-up-bound.js';
 import {SnapshotFeed} from '../snapshot/snapshot-feed.js';
 import type {
 	ItemDecoder,
@@ -50,7 +51,7 @@
 import {LiveSettings, type SettingsChange} from './live-settings.js';
 import type {HedgingOptions} from './make-hedged-dispatcher.js';
 import {makeRelay} from './make-relay.js';
-import {SharedRetries} from './shared-retries.js';
+import {SharedLimits} from './shared-limits.js';
 
 /** The settings of a gateway host and its external dependencies. */
 export type GatewayHostOptions = {
@@ -83,7 +84,7 @@
 	readonly #metrics = new GatewayMetrics();
 	readonly #fleet: Fleet;
 	readonly #knownHosts: KnownHosts;
-	readonly #retries: SharedRetries;
+	readonly #limits: SharedLimits;
 	readonly #allotments: AllotmentGate;
 	readonly #crashSuspects = new CrashSuspects();
 	readonly #crashDetector: CrashDetector;
@@ -151,7 +152,7 @@
 			},
 			onAllotment: (message, sender) => {
 				this.#knownHosts.receive(message, sender);
-				this.#retries.addEvidence(message, sender);
+				this.#limits.addEvidence(message, sender);
 
 				if (message.method === 'hosts-request') {
 					this.#sendCrashes(sender);
@@ -160,7 +161,10 @@
 				this.#allotments.receive(message, sender);
 			},
 			onLoan: (message, sender) => {
-				this.#retries.loans.receive(message, sender);
+				this.#limits.loans.receive(message, sender);
+			},
+			onWarmUp: (message, sender) => {
+				this.#limits.warmUp.receive(message, sender);
 			},
 			getCapacity: () => this.#capacity.getRecords(),
 			onCapacity: (records) => {
@@ -171,10 +175,7 @@
 		const getSeeds = () =>
 			this.#settings.current.seeds.map((seed) => seed.address);
 		const hasOtherSeeds = () => getSeeds().some((seed) => seed !== address);
-		const send = (
-			recipient: string,
-			message: AllotmentMessage | LoanMessage,
-		) => {
+		const send = (recipient: string, message: SharedLimitMessage) => {
 			this.#fleet.sendTo(recipient, message);
 		};
 
@@ -186,20 +187,24 @@
 			getSeeds,
 			send,
 		});
-		this.#retries = new SharedRetries({
+		this.#limits = new SharedLimits({
 			clock,
 			random,
 			log,
 			metrics: this.#metrics,
+			self: address,
 			dataCentre: settings.dataCentre,
 			isFirstStart: settings.isFirstStart,
 			isAlone: settings.seeds.length === 0,
 			directory: this.#knownHosts.directory,
 			hasOtherSeeds,
 			getPeers: () => this.#fleet.getShuffledPeers(),
-			getLimit: () => this.#settings.current.retryBound,
-			hasService: (service) =>
-				this.#targetRegistry.getServicePlan(service) !== undefined,
+			getRetryLimit: () => this.#settings.current.retryBound,
+			getWarmUpBound: () =>
+				this.#settings.current.warmUpBound ?? defaultWarmUpBound,
+			getWarmUpRate: (service) =>
+				this.#targetRegistry.getServicePlan(service)
+					?.maxWarmUpRequestsPerSecond,
 			send,
 		});
 		this.#allotments = new AllotmentGate({
@@ -252,6 +257,7 @@
 				getShare: (perSecond) => limitShares.getShare(target, perSecond),
 				getCheckDelayMs: () => limitShares.getCheckDelayMs(),
 			}),
+			makeWarmUpGate: (target) => this.#limits.warmUp.makeGate(target),
 			onLimitChange: (notice) => {
 				this.#fleet.broadcastLimit(notice);
 			},
@@ -311,7 +317,7 @@
 			forwarder: this.#forwarder,
 			plans: this.#plans,
 			allotments: this.#allotments,
-			retries: this.#retries,
+			retries: this.#limits,
 			crashSuspects: this.#crashSuspects,
 			getHostCount,
 			getSnapshotAgeMs: () => this.#feed.ageMs,
@@ -376,7 +382,7 @@
 		await this.#metricsServer.listen(settings.metrics);
 		await this.#fleet.start();
 		this.#knownHosts.start();
-		this.#retries.start();
+		this.#limits.start();
 		await this.#forwardingServer.listen({
 			address: settings.callers.address,
 			port: settings.forwardingPort,
@@ -407,7 +413,7 @@
 		);
 		this.#feed.stop();
 		this.#knownHosts.stop();
-		this.#retries.stop();
+		this.#limits.stop();
 		this.#allotments.stop();
 		this.#fleet.stop();
 		this.#pathRecovery.stop();
--- a/packages/gateway/src/context/gateway-settings.ts
+++ b/packages/gateway/src/context/gateway-settings.ts
@@ -3,6 +3,7 @@
 import type {DataCentreId, HostId} from '@bilberryscale/core';
 import type {AllotmentBound} from '../accounts/allotment-tolerance.js';
 import type {RetryBudgetLimit} from '../limits/retry-budget.js';
+import type {WarmUpBound} from '../warm-up/warm-up-bound.js';
 
 /** The address and port of a server. */
 export type Endpoint = {
@@ -30,6 +31,8 @@
 	readonly seeds: readonly Endpoint[];
 	/** The limit of the retry budget. */
 	readonly retryBound: RetryBudgetLimit;
+	/** By how much requests to a cold target may exceed the rate that its service publishes; undefined for not at all. */
+	readonly warmUpBound?: WarmUpBound;
 	/** By how much requests may exceed the rate limits of client accounts; undefined for the default. */
 	readonly allotmentBound?: AllotmentBound;
 	/** Maximum rate of probes from the whole fleet to a target, per second. */
--- a/packages/gateway/src/context/live-settings.ts
+++ b/packages/gateway/src/context/live-settings.ts
@@ -15,6 +15,7 @@
 	'seeds',
 	'retryBound',
 	'allotmentBound',
+	'warmUpBound',
 	'questionsPerTargetSecond',
 	'maxAccountsAgeMs',
 	'shutdownMs',
@@ -55,6 +56,7 @@
 			seeds,
 			retryBound,
 			allotmentBound,
+			warmUpBound,
 			questionsPerTargetSecond,
 			shutdownMs,
 		} = next;
@@ -64,6 +66,7 @@
 			seeds,
 			retryBound,
 			...(allotmentBound !== undefined && {allotmentBound}),
+			...(warmUpBound !== undefined && {warmUpBound}),
 			questionsPerTargetSecond,
 			maxAccountsAgeMs,
 			shutdownMs,
--- a/packages/gateway/src/context/make-relay.ts
+++ b/packages/gateway/src/context/make-relay.ts
@@ -35,7 +35,7 @@
 import type {TargetProtocol} from '../targets/target-protocol.js';
 import type {TargetState} from '../targets/target-state.js';
 import type {LiveSettings} from './live-settings.js';
-import type {SharedRetries} from './shared-retries.js';
+import type {SharedLimits} from './shared-limits.js';
 import {
 	makeHedgedDispatcher,
 	type HedgingOptions,
@@ -55,7 +55,7 @@
 	readonly plans: PlanHolder;
 	/** The rate limits of client accounts. */
 	readonly allotments: AllotmentGate;
-	readonly retries: Pick<SharedRetries, 'budgets' | 'loans'>;
+	readonly retries: Pick<SharedLimits, 'budgets' | 'loans'>;
 	/** The requests that may have crashed targets. */
 	readonly crashSuspects: CrashSuspects;
 	readonly getHostCount: () => number;
--- a/packages/gateway/src/context/shared-retries.ts
+++ b/packages/gateway/src/context/shared-limits.ts
@@ -1,4 +1,4 @@
-/** Wires up the retry budgets and what a host needs to share them with the others. */
+/** Wires up the limits that all hosts keep together: the retry budgets and the limits of cold targets. */
 
 import type {
 	Clock,
@@ -21,13 +21,21 @@
 import {RetryPartTracker} from '../limits/retry-part.js';
 import type {EventLog} from '../records/event-log.js';
 import type {GatewayMetrics} from '../records/gateway-metrics.js';
+import {permitSpanMs, type WarmUpBound} from '../warm-up/warm-up-bound.js';
+import {WarmUpLimiter} from '../warm-up/warm-up-limiter.js';
+import type {WarmUpMessage} from '../warm-up/warm-up-message.js';
 
-/** This host, the others and the limit. */
-export type SharedRetriesOptions = {
+/** This host, the others and the limits. */
+export type SharedLimitsOptions = {
 	readonly clock: Clock;
 	readonly random: RandomSource;
 	readonly log: Pick<EventLog, 'write'>;
-	readonly metrics: Pick<GatewayMetrics, 'recordRetryLoan'>;
+	readonly metrics: Pick<
+		GatewayMetrics,
+		'recordRetryLoan' | 'recordWarmUpPermit'
+	>;
+	/** The IP address of this host. */
+	readonly self: string;
 	readonly dataCentre: DataCentreId;
 	/** Whether no host of the fleet can have run before. */
 	readonly isFirstStart: boolean;
@@ -42,38 +50,56 @@
 	 * @returns The hosts in random order.
 	 */
 	readonly getPeers: () => readonly HostPlace[];
-	readonly getLimit: () => RetryBudgetLimit;
-	/** Tells whether the plan in force has a service. */
-	readonly hasService: (service: ServiceName) => boolean;
-	readonly send: (address: string, message: ContactCheck | LoanMessage) => void;
+	readonly getRetryLimit: () => RetryBudgetLimit;
+	readonly getWarmUpBound: () => WarmUpBound;
+	/** Gets how many requests a second a cold target of a service bears; undefined if the plan in force does not have the service. */
+	readonly getWarmUpRate: (service: ServiceName) => number | undefined;
+	readonly send: (
+		address: string,
+		message: ContactCheck | LoanMessage | WarmUpMessage,
+	) => void;
 };
 
-/** The retry budgets of this host and its loans. */
-export class SharedRetries {
+/** This host's parts of the limits, and what it exchanges with other hosts about them. */
+export class SharedLimits {
 	readonly budgets: RetryBudgets;
 	readonly loans: RetryLoans;
+	readonly warmUp: WarmUpLimiter;
 	readonly #announcement: HostAnnouncement;
 
 	/**
-	 * @param options - This host, the others and the limit.
+	 * @param options - This host, the others and the limits.
 	 */
-	constructor(options: SharedRetriesOptions) {
-		const {log, getLimit} = options;
+	constructor(options: SharedLimitsOptions) {
+		const {log, directory, getRetryLimit, getWarmUpBound, getWarmUpRate} =
+			options;
 		this.#announcement = new HostAnnouncement(options);
-		const part = new RetryPartTracker({
-			...options,
-			announcement: this.#announcement,
-			onChange(changed) {
-				log.write('part of the retry budget changed', changed);
-			},
-		});
+		const makePart = (limit: string) =>
+			new RetryPartTracker({
+				...options,
+				announcement: this.#announcement,
+				onChange(changed) {
+					log.write(`part of the ${limit} changed`, changed);
+				},
+			});
+		const retryPart = makePart('retry budget');
 		this.budgets = new RetryBudgets({
-			getLimit,
-			getPart: (windowMs) => part.getPart(windowMs),
+			getLimit: getRetryLimit,
+			getPart: (windowMs) => retryPart.getPart(windowMs),
 		});
 		this.loans = new RetryLoans({
 			...options,
 			getBudget: (service) => this.budgets.get(service),
+			hasService: (service) => getWarmUpRate(service) !== undefined,
+		});
+		// A host may hold parts of both limits on the same conditions; only the time differs in which a previous run counts.
+		const warmUpPart = makePart('warm-up limits');
+		this.warmUp = new WarmUpLimiter({
+			...options,
+			getHosts: () => directory.getHosts(),
+			mayHold: () => warmUpPart.getPart(permitSpanMs).hasSlack,
+			getPerSecond: getWarmUpRate,
+			getBound: getWarmUpBound,
 		});
 	}
 
--- a/packages/gateway/src/fleet/fleet.ts
+++ b/packages/gateway/src/fleet/fleet.ts
@@ -11,7 +11,8 @@
 import type {HostPlace} from '../limits/get-rate-share.js';
 import type {LoanMessage} from '../limits/loan-message.js';
 import type {LimitNotice} from '../targets/limit-notice.js';
-import {Gossip} from './gossip.js';
+import type {WarmUpMessage} from '../warm-up/warm-up-message.js';
+import {Gossip, type SharedLimitMessage} from './gossip.js';
 import type {CrashNotice} from './gossip-message.js';
 import {Membership, type MemberRecord} from './membership.js';
 import {orderSources} from './order-sources.js';
@@ -34,6 +35,7 @@
 	readonly onLimit: (notice: LimitNotice) => void;
 	readonly onAllotment: (message: AllotmentMessage, sender: string) => void;
 	readonly onLoan: (message: LoanMessage, sender: string) => void;
+	readonly onWarmUp: (message: WarmUpMessage, sender: string) => void;
 	/** Gets the estimates of capacity that are sent to other hosts. */
 	readonly getCapacity: () => readonly CapacityRecord[];
 	readonly onCapacity: (records: readonly CapacityRecord[]) => void;
@@ -174,12 +176,12 @@
 	}
 
 	/**
-	 * Sends a message about rate limits or retries to one host.
+	 * Sends a message about limits that all hosts share to one host.
 	 *
 	 * @param address - The IP address of the host.
 	 * @param message - The message.
 	 */
-	sendTo(address: string, message: AllotmentMessage | LoanMessage): void {
+	sendTo(address: string, message: SharedLimitMessage): void {
 		this.#gossip.sendTo(address, message);
 	}
 
--- a/packages/gateway/src/fleet/gossip-message.ts
+++ b/packages/gateway/src/fleet/gossip-message.ts
@@ -21,6 +21,12 @@
 } from '../limits/loan-message.js';
 import type {TargetIncarnation} from '../plan/registered-target.js';
 import type {LimitNotice} from '../targets/limit-notice.js';
+import {
+	decodeWarmUpMessage,
+	encodeWarmUpParameters,
+	isWarmUpMessage,
+	type WarmUpMessage,
+} from '../warm-up/warm-up-message.js';
 import {isHostAddress} from './is-host-address.js';
 import type {MemberRecord} from './membership.js';
 
@@ -47,6 +53,7 @@
 	| {readonly method: 'failure'; readonly incarnation: TargetIncarnation}
 	| {readonly method: 'limit'; readonly notice: LimitNotice}
 	| LoanMessage
+	| WarmUpMessage
 	| AllotmentMessage;
 
 type JsonRpcNotification = {
@@ -121,7 +128,8 @@
 		default: {
 			return (
 				decodeAllotmentMessage(method, parameters) ??
-				decodeLoanMessage(method, parameters)
+				decodeLoanMessage(method, parameters) ??
+				decodeWarmUpMessage(method, parameters)
 			);
 		}
 	}
@@ -176,6 +184,10 @@
 		return encodeLoanParameters(message);
 	}
 
+	if (isWarmUpMessage(message)) {
+		return encodeWarmUpParameters(message);
+	}
+
 	switch (message.method) {
 		case 'members': {
 			const members = message.members.map(
--- a/packages/gateway/src/fleet/gossip.ts
+++ b/packages/gateway/src/fleet/gossip.ts
@@ -11,6 +11,10 @@
 import type {TargetIncarnation} from '../plan/registered-target.js';
 import type {CapacityRecord} from '../capacity/capacity-record.js';
 import type {LimitNotice} from '../targets/limit-notice.js';
+import {
+	isWarmUpMessage,
+	type WarmUpMessage,
+} from '../warm-up/warm-up-message.js';
 import {
 	decodeMessage,
 	encodeMessage,
@@ -19,6 +23,9 @@
 } from './gossip-message.js';
 import type {MemberRecord, Membership} from './membership.js';
 
+/** A message about a limit that all hosts share. */
+export type SharedLimitMessage = AllotmentMessage | LoanMessage | WarmUpMessage;
+
 /** The membership to exchange, the socket's address and the handlers of notices. */
 export type GossipOptions = {
 	readonly clock: Clock;
@@ -37,6 +44,7 @@
 	readonly onLimit: (notice: LimitNotice) => void;
 	readonly onAllotment: (message: AllotmentMessage, sender: string) => void;
 	readonly onLoan: (message: LoanMessage, sender: string) => void;
+	readonly onWarmUp: (message: WarmUpMessage, sender: string) => void;
 	/** Gets the estimates that are sent along with members. */
 	readonly getCapacity: () => readonly CapacityRecord[];
 	readonly onCapacity: (records: readonly CapacityRecord[]) => void;
@@ -138,12 +146,12 @@
 	}
 
 	/**
-	 * Sends a message about rate limits or retries to one host.
+	 * Sends a message about limits that all hosts share to one host.
 	 *
 	 * @param address - The IP address of the host.
 	 * @param message - The message.
 	 */
-	sendTo(address: string, message: AllotmentMessage | LoanMessage): void {
+	sendTo(address: string, message: SharedLimitMessage): void {
 		this.#send(address, message);
 	}
 
@@ -219,7 +227,7 @@
 
 	#receive(datagram: Uint8Array, sender: string): void {
 		const {membership, onCrash, onFailure, onLimit, log} = this.#options;
-		const {onAllotment, onLoan} = this.#options;
+		const {onAllotment, onLoan, onWarmUp} = this.#options;
 		const message = decodeMessage(datagram);
 		if (message !== undefined && isAllotmentMessage(message)) {
 			membership.recordResponse(sender);
@@ -233,6 +241,12 @@
 			return;
 		}
 
+		if (message !== undefined && isWarmUpMessage(message)) {
+			membership.recordResponse(sender);
+			onWarmUp(message, sender);
+			return;
+		}
+
 		switch (message?.method) {
 			case 'members': {
 				this.#logNewMembers(membership.add(message.members));
--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -180,7 +180,7 @@
 		const startedAtMs = clock.monotonicMs();
 		const protocol = this.#makeProtocol(attemptsLeft);
 		const {headers} = exchange.incoming;
-		state.addSend(startedAtMs);
+		state.addSend();
 		addCopy(exchange);
 		const result = await new TargetAttempt({
 			incoming: exchange.incoming,
--- a/packages/gateway/src/hedging/hedge-target-picker.ts
+++ b/packages/gateway/src/hedging/hedge-target-picker.ts
@@ -84,8 +84,16 @@
 
 				const nowMs = clock.monotonicMs();
 				const waitedMs = nowMs - startedAtMs;
-				state.addSend(nowMs);
-				return {state, connection, load, expectedMs, probedCount, waitedMs};
+				state.addSend();
+				return {
+					state,
+					connection,
+					warmUpPermit: undefined,
+					load,
+					expectedMs,
+					probedCount,
+					waitedMs,
+				};
 			}
 		}
 
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -52,3 +52,4 @@
 export type {AvailabilityNotice} from './targets/target-availability.js';
 export type {TargetProtocol} from './targets/target-protocol.js';
 export type {HealthReport, LoadReport} from './targets/load-report.js';
+export {defaultWarmUpBound, type WarmUpBound} from './warm-up/warm-up-bound.js';
--- a/packages/gateway/src/records/gateway-metrics.ts
+++ b/packages/gateway/src/records/gateway-metrics.ts
@@ -197,6 +197,34 @@
 		registers: [this.#registry],
 	});
 
+	readonly #warmUpPermits = new Counter({
+		name: 'bilberryscale_warm_up_permits_total',
+		help: 'Permits to send requests to cold targets, by service and result',
+		labelNames: ['service', 'result'],
+		registers: [this.#registry],
+	});
+
+	readonly #warmUpLimit = new Gauge({
+		name: 'bilberryscale_warm_up_limit',
+		help: 'Requests per second that a cold target of the service bears from all hosts together',
+		labelNames: ['service'],
+		registers: [this.#registry],
+	});
+
+	readonly #warmUpPart = new Gauge({
+		name: 'bilberryscale_warm_up_part',
+		help: 'The part of it that this host holds for the target of its last permit; 0 for none',
+		labelNames: ['service'],
+		registers: [this.#registry],
+	});
+
+	readonly #coldSends = new Counter({
+		name: 'bilberryscale_cold_sends_total',
+		help: 'Requests that were written to targets that warm up, by service',
+		labelNames: ['service'],
+		registers: [this.#registry],
+	});
+
 	/** Gets the content type of the exported text. */
 	get contentType(): string {
 		return this.#registry.contentType;
@@ -269,6 +297,35 @@
 		this.#retryLoans.inc({service, direction}, amount);
 	}
 
+	/**
+	 * Records what has become of a permit to send a request to a cold target.
+	 *
+	 * @param service - The service.
+	 * @param result - Taken of this host's part or of what another host gave, given to another host, or not given.
+	 * @param limit - The rate for all hosts together and this host's part, per second.
+	 */
+	recordWarmUpPermit(
+		service: string,
+		result: string,
+		{
+			perSecond,
+			ownPerSecond,
+		}: {readonly perSecond: number; readonly ownPerSecond: number},
+	): void {
+		this.#warmUpPermits.inc({service, result});
+		this.#warmUpLimit.set({service}, perSecond);
+		this.#warmUpPart.set({service}, ownPerSecond);
+	}
+
+	/**
+	 * Records a request that was written to a target that warms up.
+	 *
+	 * @param service - The service.
+	 */
+	recordColdSend(service: string): void {
+		this.#coldSends.inc({service});
+	}
+
 	/**
 	 * Records a read of the published snapshot or its changes.
 	 *
--- a/packages/gateway/src/records/request-recorder.ts
+++ b/packages/gateway/src/records/request-recorder.ts
@@ -17,6 +17,7 @@
 /** An attempt, its result and the data that its target was picked by. */
 export type AttemptRecord = {
 	readonly attempt: number;
+	readonly service: string;
 	readonly target: string;
 	/** The name of the client account; undefined without one. */
 	readonly account: string | undefined;
@@ -134,6 +135,10 @@
 	recordAttempt(exchange: Exchange, {result, ...record}: AttemptRecord): void {
 		const outcome = getAttemptOutcome(result);
 		this.#options.metrics.recordAttempt(outcome, record.durationMs);
+		if (record.coldForMs !== undefined && record.writtenAfterMs !== undefined) {
+			this.#options.metrics.recordColdSend(record.service);
+		}
+
 		this.#options.log.write('request sent', {
 			requestId: exchange.incoming.requestId,
 			...record,
--- a/packages/gateway/src/relay/attempt-dispatcher.ts
+++ b/packages/gateway/src/relay/attempt-dispatcher.ts
@@ -101,20 +101,21 @@
 	 * Sends a request to one target.
 	 *
 	 * @param request - The request.
-	 * @param pick - The target, a connection to it and figures for the log.
+	 * @param picked - The target, a connection to it and figures for the log.
 	 * @param attempt - The number of the attempt, from 1 for each request.
 	 * @param control - What ends the attempt early.
 	 * @returns The result of the attempt.
 	 */
 	async send(
 		request: RoutedRequest,
-		{state, connection, load, expectedMs, probedCount, waitedMs}: PickedTarget,
+		picked: PickedTarget,
 		attempt: number,
 		control: AttemptControl,
 	): Promise<AttemptResult> {
 		const {clock, protocol, silenceDetector, recorder, serviceTimes} =
 			this.#options;
 		const {exchange, route, body, deadlineMs, account} = request;
+		const {state, connection, load, expectedMs, probedCount, waitedMs} = picked;
 		const {report} = state;
 		const startedAtMs = clock.monotonicMs();
 		const slowdownFactor = report?.slowdownFactor ?? 1;
@@ -147,6 +148,7 @@
 					})
 				: undefined,
 			isTooLate: exchange.isTooLate,
+			warmUpPermit: picked.warmUpPermit,
 			...control,
 		});
 		const result = await targetAttempt.run();
@@ -175,6 +177,7 @@
 
 		recorder.recordAttempt(exchange, {
 			attempt,
+			service: request.service,
 			target: state.registration.id,
 			account: account?.name,
 			load,
--- a/packages/gateway/src/relay/attempt-result.ts
+++ b/packages/gateway/src/relay/attempt-result.ts
@@ -20,7 +20,9 @@
 	/** The caller has disconnected. */
 	| 'caller-gone'
 	/** The host shuts down before the target could answer. */
-	| 'too-late';
+	| 'too-late'
+	/** The target is cold and bore no more requests when the connection was open. */
+	| 'cold';
 
 /** The result of one attempt. */
 export type AttemptResult =
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -297,7 +297,14 @@
 	}
 
 	/** Frees a picked target to which no request is sent. */
-	#release(service: ServiceName, {state, connection}: PickedTarget): void {
+	#release(
+		service: ServiceName,
+		{state, connection, warmUpPermit}: PickedTarget,
+	): void {
+		if (warmUpPermit !== undefined) {
+			state.warmUp.giveBack(warmUpPermit);
+		}
+
 		state.addEnd();
 		state.pool.release(connection, false);
 		this.#options.picker.wakeFirstWaiting(service, state.registration.id);
--- a/packages/gateway/src/relay/target-attempt.ts
+++ b/packages/gateway/src/relay/target-attempt.ts
@@ -14,6 +14,7 @@
 import type {AvailabilityNotice} from '../targets/target-availability.js';
 import type {TargetProtocol} from '../targets/target-protocol.js';
 import type {TargetState} from '../targets/target-state.js';
+import type {WarmUpPermit} from '../warm-up/warm-up-permit.js';
 import {collectBody} from './collect-body.js';
 import type {FailureCause, AttemptResult} from './attempt-result.js';
 import type {SilenceDetector} from './silence-detector.js';
@@ -43,6 +44,8 @@
 	readonly canRetry: () => boolean;
 	/** Aborts when another copy of the request has been answered; undefined if there is none. */
 	readonly supersededSignal?: AbortSignal | undefined;
+	/** Permits the request while the target is cold; checked when the connection is open. */
+	readonly warmUpPermit?: WarmUpPermit | undefined;
 	/** Checks whether the target could no longer answer before the host shuts down; asked when the connection is open. */
 	readonly isTooLate?: (() => boolean) | undefined;
 };
@@ -63,6 +66,7 @@
 	'caller-gone',
 	'superseded',
 	'too-late',
+	'cold',
 ]);
 
 class AttemptCancelledError extends Error {
@@ -179,12 +183,17 @@
 	}
 
 	#checkBeforeWrite(): AttemptCancelledError | undefined {
-		const {clock, isTooLate} = this.#options;
+		const {clock, isTooLate, state, warmUpPermit} = this.#options;
 		if (isTooLate?.() === true) {
 			return new AttemptCancelledError('too-late');
 		}
 
-		this.#writtenAtMs = clock.monotonicMs();
+		const nowMs = clock.monotonicMs();
+		if (state.isCold(nowMs) && !state.warmUp.confirm(warmUpPermit)) {
+			return new AttemptCancelledError('cold');
+		}
+
+		this.#writtenAtMs = nowMs;
 		return undefined;
 	}
 
--- a/packages/gateway/src/targets/target-registry.ts
+++ b/packages/gateway/src/targets/target-registry.ts
@@ -13,6 +13,7 @@
 import type {ServicePlan} from '../plan/routing-plan.js';
 import type {EventLog} from '../records/event-log.js';
 import type {GatewayMetrics} from '../records/gateway-metrics.js';
+import type {WarmUpGate} from '../warm-up/warm-up-gate.js';
 import type {LimitNotice} from './limit-notice.js';
 import {ConnectionPool} from './connection-pool.js';
 import {LeavingTargets} from './leaving-targets.js';
@@ -32,6 +33,8 @@
 	readonly localAddress: string;
 	/** Gets the number of hosts that share the targets. */
 	readonly getHostCount: () => number;
+	/** Makes the gate by which this host takes part in the limit of a cold target. */
+	readonly makeWarmUpGate: (target: RegisteredTarget) => WarmUpGate;
 	/** Called when this host reaches no target any more. */
 	readonly onPathLost: () => void;
 };
@@ -350,6 +353,7 @@
 					this.#leavingTargets.has(registration.incarnation),
 					this.#limits.get(registration),
 				),
+				warmUp: this.#options.makeWarmUpGate(registration),
 				pathMonitor: this.pathMonitor,
 			}),
 		);
--- a/packages/gateway/src/targets/target-state.ts
+++ b/packages/gateway/src/targets/target-state.ts
@@ -1,6 +1,7 @@
 /** The state that this host keeps for one incarnation of a target. */
 
 import type {RegisteredTarget} from '../plan/registered-target.js';
+import {unlimitedWarmUpGate, type WarmUpGate} from '../warm-up/warm-up-gate.js';
 import type {ConnectionPool} from './connection-pool.js';
 import type {HealthReport, LoadReport} from './load-report.js';
 import type {PathMonitor} from './path-monitor.js';
@@ -16,6 +17,8 @@
 	readonly nowMs: number;
 	/** Whether the target accepts requests. */
 	readonly availability?: TargetAvailability;
+	/** Limits the requests of this host while the target is cold. */
+	readonly warmUp?: WarmUpGate;
 	/** Told of each response and each failure to respond. */
 	readonly pathMonitor?: PathMonitor;
 };
@@ -35,6 +38,8 @@
 	readonly pool: ConnectionPool;
 	/** Whether it accepts requests, by its own responses. */
 	readonly availability: TargetAvailability;
+	/** Limits the requests of this host while it is cold. */
+	readonly warmUp: WarmUpGate;
 	/** The latest load report. */
 	report: LoadReport | undefined;
 	/** The latest response of the health path. */
@@ -51,8 +56,6 @@
 	displacedUntilMs = Number.NEGATIVE_INFINITY;
 	/** When its warm-up ends, on the monotonic clock, in milliseconds. */
 	coldUntilMs: number;
-	/** When this host last sent it a request while it was cold, on the monotonic clock, in milliseconds. */
-	lastColdSendAtMs = Number.NEGATIVE_INFINITY;
 	readonly #pathMonitor: PathMonitor | undefined;
 	#failures = 0;
 	#successes = 0;
@@ -69,9 +72,11 @@
 		pool,
 		nowMs,
 		availability = new TargetAvailability(),
+		warmUp = unlimitedWarmUpGate,
 		pathMonitor,
 	}: TargetStateOptions) {
 		this.availability = availability;
+		this.warmUp = warmUp;
 		this.registration = registration;
 		this.pool = pool;
 		this.#pathMonitor = pathMonitor;
@@ -157,15 +162,10 @@
 	/**
 	 * Records that a request is about to be sent to the target, so that those picked
 	 * at the same moment count it.
-	 *
-	 * @param nowMs - The monotonic time in milliseconds.
 	 */
-	addSend(nowMs: number): void {
+	addSend(): void {
 		this.#unreportedSends++;
 		this.#outstanding++;
-		if (this.isCold(nowMs)) {
-			this.lastColdSendAtMs = nowMs;
-		}
 	}
 
 	/** Records that a request to the target has ended, with or without a response. */
--- /dev/null
+++ b/packages/gateway/src/warm-up/warm-up-holders.ts
@@ -0,0 +1,28 @@
+/** Determines which hosts hold a part of the limit of a cold target. */
+
+import type {TargetIncarnation} from '../plan/registered-target.js';
+import {getRendezvousRank} from '../targets/get-rendezvous-rank.js';
+
+/**
+ * Gets the hosts that hold a part. Only a few do: if each host had a part, those
+ * that have sent nothing for a while could together send far more than the limit.
+ *
+ * @param incarnation - The target.
+ * @param hosts - The addresses of all hosts.
+ * @param count - How many hold a part.
+ * @returns Their addresses; the same on all hosts that know the same ones.
+ */
+export function getWarmUpHolders(
+	incarnation: TargetIncarnation,
+	hosts: readonly string[],
+	count: number,
+): readonly string[] {
+	return hosts
+		.map((address) => ({
+			address,
+			rank: getRendezvousRank(address, incarnation),
+		}))
+		.toSorted((a, b) => a.rank - b.rank || (a.address < b.address ? -1 : 1))
+		.slice(0, count)
+		.map(({address}) => address);
+}
--- a/packages/gateway/test/choice/model-host.ts
+++ b/packages/gateway/test/choice/model-host.ts
@@ -19,6 +19,7 @@
 } from '../../src/choice/target-prober.js';
 import {GatewayMetrics} from '../../src/records/gateway-metrics.js';
 import {TargetRegistry} from '../../src/targets/target-registry.js';
+import {unlimitedWarmUpGate} from '../../src/warm-up/warm-up-gate.js';
 import {makeTestLog, reading, testProtocol} from '../fixtures.js';
 
 export type ModelHostOptions = {
@@ -49,6 +50,7 @@
 			getShare: (perSecond) => perSecond,
 			getCheckDelayMs: () => 1000,
 		}),
+		makeWarmUpGate: () => unlimitedWarmUpGate,
 		onLimitChange: () => undefined,
 		onPathLost: () => undefined,
 	});
--- a/packages/gateway/test/choice/target-prober.test.ts
+++ b/packages/gateway/test/choice/target-prober.test.ts
@@ -20,6 +20,7 @@
 import type {RegisteredTarget} from '../../src/plan/registered-target.js';
 import {GatewayMetrics} from '../../src/records/gateway-metrics.js';
 import {TargetRegistry} from '../../src/targets/target-registry.js';
+import {unlimitedWarmUpGate} from '../../src/warm-up/warm-up-gate.js';
 import {
 	east,
 	makeRegisteredTarget,
@@ -54,6 +55,7 @@
 			getShare: (perSecond) => perSecond,
 			getCheckDelayMs: () => 1000,
 		}),
+		makeWarmUpGate: () => unlimitedWarmUpGate,
 		onLimitChange: () => undefined,
 		onPathLost: () => undefined,
 	});
--- a/packages/gateway/test/hedging/hedge-policy.test.ts
+++ b/packages/gateway/test/hedging/hedge-policy.test.ts
@@ -216,7 +216,7 @@
 	doTest('has just reported a free slot', () => undefined, true);
 	doTest('has no free slot since requests were sent to it', (state) => {
 		for (let index = 0; index < 3; index++) {
-			state.addSend(nowMs);
+			state.addSend();
 		}
 	});
 	doTest('has reported nothing lately', (state) => {
--- a/packages/gateway/test/relay/hedged-dispatcher.test.ts
+++ b/packages/gateway/test/relay/hedged-dispatcher.test.ts
@@ -69,7 +69,12 @@
 		nowMs: 0,
 	});
 	const connection = new Connection({origin, localAddress});
-	const figures = {probedCount: 1, waitedMs: 1, load: 0};
+	const figures = {
+		probedCount: 1,
+		waitedMs: 1,
+		load: 0,
+		warmUpPermit: undefined,
+	};
 	return {state, connection, expectedMs: serviceTimeMs, ...figures};
 }
 
--- a/packages/gateway/test/targets/target-state.test.ts
+++ b/packages/gateway/test/targets/target-state.test.ts
@@ -28,7 +28,7 @@
 		it('includes requests sent since the last report', () => {
 			const state = makeState();
 			state.addReport(makeReport(0, 2));
-			state.addSend(1);
+			state.addSend();
 			assert.is(state.load, 3);
 			state.addReport(makeReport(2, 3));
 			assert.is(state.load, 3);
