Take a target as cold whose published entry says that it has turned cold

A host read the warm-up time of a target from the first entry that it saw and later only from responses to probes. A newer entry counts now.

--- a/packages/gateway/src/targets/target-registry.ts
+++ b/packages/gateway/src/targets/target-registry.ts
@@ -329,7 +329,7 @@
 
 		const existing = this.#states.get(registration.id);
 		if (existing !== undefined) {
-			existing.registration = registration;
+			existing.setRegistration(registration, this.#options.clock.monotonicMs());
 			if (this.#leavingTargets.has(registration.incarnation)) {
 				existing.availability.setLeaving();
 			}
--- a/packages/gateway/src/targets/target-state.ts
+++ b/packages/gateway/src/targets/target-state.ts
@@ -107,6 +107,24 @@
 		return Math.max(1, this.report?.slots ?? this.registration.slots);
 	}
 
+	/**
+	 * Stores a newer entry that the target has published. One that is not probed,
+	 * because it has a limit, tells only there that it has turned cold.
+	 *
+	 * @param registration - The entry.
+	 * @param nowMs - The monotonic time in milliseconds.
+	 */
+	setRegistration(registration: RegisteredTarget, nowMs: number): void {
+		const isNew = registration.sequence !== this.registration.sequence;
+		this.registration = registration;
+		if (isNew && registration.remainingWarmUpMs > 0) {
+			this.coldUntilMs = Math.max(
+				this.coldUntilMs,
+				nowMs + registration.remainingWarmUpMs,
+			);
+		}
+	}
+
 	/**
 	 * Stores a load report.
 	 *
--- a/packages/gateway/test/targets/target-state.test.ts
+++ b/packages/gateway/test/targets/target-state.test.ts
@@ -52,6 +52,37 @@
 		});
 	});
 
+	// Guards against a target with a limit, which gets no probes, that counts as warm after it has turned cold.
+	describe('setRegistration', () => {
+		function doTest(
+			name: string,
+			input: {readonly sequence: number; readonly remainingWarmUpMs: number},
+			expectedColdForMs: number | undefined,
+		): void {
+			it(name, () => {
+				const state = makeState();
+				state.setRegistration(makeRegisteredTarget('a', input), 100);
+				assert.is(state.getColdForMs(100), expectedColdForMs);
+			});
+		}
+
+		doTest(
+			'takes a target as cold whose newer entry says so',
+			{sequence: 2, remainingWarmUpMs: 3000},
+			3000,
+		);
+		doTest(
+			'leaves a target warm whose newer entry says so',
+			{sequence: 2, remainingWarmUpMs: 0},
+			undefined,
+		);
+		doTest(
+			'does not start the warm-up of an entry again that it has read before',
+			{sequence: 1, remainingWarmUpMs: 3000},
+			undefined,
+		);
+	});
+
 	describe('getFailureRate', () => {
 		it('rises with requests that other targets answered sooner, less than with failures', () => {
 			const [overtaken, failing] = [makeState(), makeState()];
