Take a signal for no older than the last time at which the process handled all events

Callers got 504 for safe requests on which targets were at work, sooner than a stop may end them. Cause: a stop is timed from the earliest moment at which its signal may have come. After the loop of the process was blocked, that moment stayed before the blockage until the next tick, for up to 100 ms, also for signals that came afterwards; so the stop was planned too early by the whole blockage, and the requests that were still running when it ended were broken off. Only routes with a timeout near the grace period have such requests.

A signal that comes during a blockage is still taken for as old as that.

That the users' processes were blocked is suspected.

--- a/packages/gateway/src/edge/loop-monitor.ts
+++ b/packages/gateway/src/edge/loop-monitor.ts
@@ -9,15 +9,18 @@
 /** Ticks regularly to notice when the event loop doesn't run, for example because the process gets too little processor time. */
 export class LoopMonitor {
 	readonly #clock: Clock;
+	readonly #afterEvents: (action: () => void) => void;
 	#lastTickMs: number;
-	/** When the loop is known to have run before the latest tick. */
+	/** When the loop is known to have run, and to have handled all events until then. */
 	#runningUntilMs: number;
 
 	/**
 	 * @param clock - The clock.
+	 * @param afterEvents - Runs an action once the events are handled that have already occurred.
 	 */
-	constructor(clock: Clock) {
+	constructor(clock: Clock, afterEvents: (action: () => void) => void) {
 		this.#clock = clock;
+		this.#afterEvents = afterEvents;
 		this.#lastTickMs = clock.monotonicMs();
 		this.#runningUntilMs = this.#lastTickMs;
 		this.#schedule();
@@ -39,6 +42,12 @@
 			const isLate = nowMs - this.#lastTickMs > tickMs + toleratedDelayMs;
 			this.#runningUntilMs = isLate ? this.#lastTickMs : nowMs;
 			this.#lastTickMs = nowMs;
+			if (isLate) {
+				this.#afterEvents(() => {
+					this.#runningUntilMs = nowMs;
+				});
+			}
+
 			this.#schedule();
 		});
 	}
--- a/packages/gateway/test/edge/loop-monitor.test.ts
+++ b/packages/gateway/test/edge/loop-monitor.test.ts
@@ -7,17 +7,29 @@
 	describe('getEarliestEventMs', () => {
 		function doTest(
 			name: string,
-			input: {readonly idleMs: number; readonly blockedMs: number},
+			input: {
+				readonly idleMs: number;
+				readonly blockedMs: number;
+				/** Whether the events that came during the blockage are handled. */
+				readonly areEventsHandled?: boolean;
+			},
 			expectedMs: number,
 		): void {
 			it(name, () => {
 				const clock = new ManualClock();
 				let blockedMs = 0;
-				const monitor = new LoopMonitor({
-					monotonicMs: () => clock.monotonicMs() + blockedMs,
-					now: () => clock.now(),
-					schedule: (delayMs, action) => clock.schedule(delayMs, action),
-				});
+				const monitor = new LoopMonitor(
+					{
+						monotonicMs: () => clock.monotonicMs() + blockedMs,
+						now: () => clock.now(),
+						schedule: (delayMs, action) => clock.schedule(delayMs, action),
+					},
+					(action) => {
+						if (input.areEventsHandled === true) {
+							action();
+						}
+					},
+				);
 				clock.advance(input.idleMs);
 				blockedMs = input.blockedMs;
 				clock.advance(100);
@@ -35,5 +47,11 @@
 			{idleMs: 1000, blockedMs: 700},
 			1000,
 		);
+		// Guards against a stop that is timed from before a blockage although its signal came afterwards.
+		doTest(
+			'is the end of a blockage once the events of its time are handled',
+			{idleMs: 1000, blockedMs: 700, areEventsHandled: true},
+			1800,
+		);
 	});
 });
