--- a/packages/gateway/src/choice/target-picker.ts
+++ b/packages/gateway/src/choice/target-picker.ts
@@ -1,12 +1,6 @@
 /** Picks the target for a request by probing several targets just before it is sent. */
 
-import type {
-	Clock,
-	DataCentreId,
-	Failure,
-	ServiceName,
-	TargetId,
-} from '@bilberryscale/core';
+import type {Clock, Failure, ServiceName, TargetId} from '@bilberryscale/core';
 import {makeShutdownFailure, type Connection} from '@bilberryscale/daemon/edge';
 import {Err, Ok, type Result} from 'ts-results-es';
 import type {GatewayMetrics} from '../records/gateway-metrics.js';
@@ -24,16 +18,9 @@
 	type AdmissionDecision,
 } from './admission.js';
 import {describeRefusal, type RefusalSources} from './describe-refusal.js';
-import {
-	getCostMs,
-	getExpectedLatencyMs,
-	type TargetCandidate,
-	type TargetCondition,
-	type RequestProfile,
-} from './target-cost.js';
-import type {FullTargetBehaviour} from './full-target-behaviour.js';
-import type {LastSlotFactor} from './last-slot-factor.js';
-import {maxIdleMs, maxReportAgeMs} from './pick-limits.js';
+import {TargetChoice, type TargetChoiceOptions} from './target-choice.js';
+import type {TargetCandidate} from './target-cost.js';
+import {maxIdleMs} from './pick-limits.js';
 import {isEligible, type PickRequest} from './pick-request.js';
 import {
 	TargetSearch,
@@ -42,22 +29,19 @@
 } from './target-search.js';
 
 /** The dependencies of a picker. */
-export type TargetPickerOptions = TargetSearchOptions & {
-	readonly clock: Clock;
-	readonly registry: RefusalSources['registry'];
-	readonly capacity: Pick<
-		ServiceCapacity,
-		'addRequest' | 'canTake' | 'isAnyRankShort' | 'isPrioritized' | 'isShort'
-	>;
-	readonly metrics: Pick<
-		GatewayMetrics,
-		'recordRankRefusal' | 'recordWaitingCount'
-	>;
-	readonly lastSlotFactor: LastSlotFactor;
-	readonly fullTargets: FullTargetBehaviour;
-	/** The data centre of this host. */
-	readonly dataCentre: DataCentreId;
-};
+export type TargetPickerOptions = TargetChoiceOptions &
+	TargetSearchOptions & {
+		readonly clock: Clock;
+		readonly registry: RefusalSources['registry'];
+		readonly capacity: Pick<
+			ServiceCapacity,
+			'addRequest' | 'canTake' | 'isAnyRankShort' | 'isPrioritized' | 'isShort'
+		>;
+		readonly metrics: Pick<
+			GatewayMetrics,
+			'recordRankRefusal' | 'recordWaitingCount'
+		>;
+	};
 
 /** A picked target, a connection to it and figures for the log. */
 export type PickedTarget = {
@@ -79,8 +63,6 @@
 const maxWokenPreceding = 4;
 /** Time for preceding requests to take a target, in milliseconds. */
 const precedenceMs = 1;
-/** Maximum age of the load report of a target with a limit, in milliseconds; it counts as idle without one, as it gets few requests. */
-const maxLimitedReportAgeMs = 1000;
 /** Maximum wait for a load report before targets are probed again, in milliseconds. */
 const reprobeIntervalMs = 45;
 /** The same for requests that leave slots free in a shortage: the response to the last request at a slot wakes the next one. */
@@ -89,6 +71,7 @@
 /** Probes targets and picks the one with the lowest cost. */
 export class TargetPicker {
 	readonly #options: TargetPickerOptions;
+	readonly #choice: TargetChoice;
 	readonly #waitQueue: PriorityWaitQueue;
 
 	/**
@@ -96,6 +79,7 @@
 	 */
 	constructor(options: TargetPickerOptions) {
 		this.#options = options;
+		this.#choice = new TargetChoice(options);
 		this.#waitQueue = new PriorityWaitQueue({
 			clock: options.clock,
 			onWaitingCount(service, rank, count) {
@@ -148,7 +132,7 @@
 		let lastEnd: WaitEnd | undefined;
 		let hasYielded = false;
 		for (;;) {
-			const best = this.#findBest(request);
+			const best = this.#choice.findBest(request);
 			this.#requestPermit(request, best);
 			const decision = this.#decideAdmission(request, best);
 			if (
@@ -306,7 +290,7 @@
 
 	/** Checks whether a target is known that the request would take without a wait. */
 	#hasAcceptableTarget(request: PickRequest, side: TargetSide): boolean {
-		const best = this.#findBest(request, side);
+		const best = this.#choice.findBest(request, side);
 		return (
 			best !== undefined && this.#decideAdmission(request, best) === 'take'
 		);
@@ -407,118 +391,13 @@
 			return;
 		}
 
-		const state = this.#findBest(request, 'any', true)?.state;
+		const state = this.#choice.findBest(request, 'any', true)?.state;
 		if (state !== undefined && state !== best?.state) {
 			state.warmUp.request(() => {
 				this.wakeFirstWaiting(request.service, state.registration.id);
 			});
 		}
 	}
-
-	#findBest(
-		request: PickRequest,
-		side: TargetSide = 'any',
-		assumesPermits = false,
-	): TargetCandidate | undefined {
-		const {registry, clock, capacity} = this.#options;
-		const nowMs = clock.monotonicMs();
-		const mayContest =
-			nowMs >= (request.receivedAtMs + getLatestStartMs(request)) / 2;
-		const maxQueued = this.#getMaxQueued(request.service);
-		let best: TargetCandidate | undefined;
-		for (const state of registry.getOpenTargets(request.service)) {
-			const isOnSide =
-				side === 'any' || this.#isNear(state) === (side === 'near');
-			if (
-				!isOnSide ||
-				!this.#isUsable(state, request, {nowMs, maxQueued}) ||
-				(!assumesPermits && state.isCold(nowMs) && !state.warmUp.isOpen()) ||
-				!capacity.canTake(request, state, mayContest)
-			) {
-				continue;
-			}
-
-			const condition = this.#getCondition(state, nowMs);
-			const profile = this.#getProfile(state, request);
-			const costMs = getCostMs(condition, profile);
-			if (costMs < (best?.costMs ?? Number.POSITIVE_INFINITY)) {
-				best = {
-					state,
-					costMs,
-					expectedMs: getExpectedLatencyMs(condition, profile),
-				};
-			}
-		}
-
-		return best;
-	}
-
-	/**
-	 * Checks whether a target is eligible, has a recent load report, is not avoided
-	 * and holds so few requests that it responds to one more. A target with a limit
-	 * needs no report, as it gets no probes, but a part of the limit. A cold target
-	 * must have a free slot. An overdue request leaves the last free slot to requests
-	 * that can still be on time.
-	 */
-	#isUsable(
-		state: TargetState,
-		request: PickRequest,
-		{nowMs, maxQueued}: {readonly nowMs: number; readonly maxQueued: number},
-	): boolean {
-		const {limit} = state.availability;
-		const isReady = limit.isInForce
-			? limit.canSend(nowMs)
-			: getReportAgeMs(state, nowMs) <= maxReportAgeMs;
-		const held = Math.max(state.load, state.outstanding);
-		if (
-			!isReady ||
-			!isEligible(request, state.registration.id) ||
-			held >= state.slots + maxQueued ||
-			(request.isOverdue && held > 0 && held >= state.slots - 1)
-		) {
-			return false;
-		}
-
-		return (
-			state.avoidUntilMs <= nowMs &&
-			(!state.isCold(nowMs) || held < state.slots)
-		);
-	}
-
-	/** Gets how many requests beyond its slots a target may hold; with more, it might not respond to them. */
-	#getMaxQueued(service: ServiceName): number {
-		const {fullTargets, hasCapacityManagement} = this.#options;
-		return hasCapacityManagement(service)
-			? fullTargets.get(service).maxQueued
-			: Number.POSITIVE_INFINITY;
-	}
-
-	#getCondition(state: TargetState, nowMs: number): TargetCondition {
-		const hasCurrentLoad =
-			!state.availability.limit.isInForce ||
-			getReportAgeMs(state, nowMs) <= maxLimitedReportAgeMs;
-		return {
-			load: hasCurrentLoad ? state.load : 0,
-			slots: state.slots,
-			slowdownFactor: state.report?.slowdownFactor ?? 1,
-			isHealthy: state.health?.isHealthy ?? true,
-			isCold: state.isCold(nowMs),
-			failureRate: state.getFailureRate(nowMs),
-			isNear: this.#isNear(state),
-		};
-	}
-
-	#isNear({registration}: TargetState): boolean {
-		return registration.dataCentre === this.#options.dataCentre;
-	}
-
-	#getProfile(
-		{slots}: TargetState,
-		{service, serviceTimeMs, isIdempotent}: PickRequest,
-	): RequestProfile {
-		const lastSlotFactor = this.#options.lastSlotFactor.get(service, slots);
-		return {serviceTimeMs, lastSlotFactor, isIdempotent};
-	}
 }
 
 /** Checks whether the host shuts down before a target could answer; undefined stands for one that takes the typical time. */
@@ -528,7 +407,3 @@
 ): boolean {
 	return check?.(target?.expectedMs) === true;
 }
-
-function getReportAgeMs({report}: TargetState, nowMs: number): number {
-	return nowMs - (report?.receivedAtMs ?? Number.NEGATIVE_INFINITY);
-}
