Ask for a permit only when a request would be sent to a cold target now

A request that waits for a better target than a cold one, until its last useful moment, asked for a permit at once; a permit is valid for 250 ms, so that with long requests it was lost and the cold target got less than it bears. Tests of choice, hedging, relay and the 16 processes pass.

--- a/packages/gateway/src/choice/target-picker.ts
+++ b/packages/gateway/src/choice/target-picker.ts
@@ -377,7 +377,7 @@
 		);
 	}
 
-	/** Asks for a permit if the request would go to a cold target with one. */
+	/** Asks for a permit if the request would go to a cold target with one now; later, the permit might be too old. */
 	#requestPermit(
 		request: PickRequest,
 		best: TargetCandidate | undefined,
@@ -391,8 +391,13 @@
 			return;
 		}
 
-		const state = this.#choice.findBest(request, 'any', true)?.state;
-		if (state !== undefined && state !== best?.state) {
+		const wanted = this.#choice.findBest(request, 'any', true);
+		if (
+			wanted !== undefined &&
+			wanted.state !== best?.state &&
+			this.#decideAdmission(request, wanted) === 'take'
+		) {
+			const {state} = wanted;
 			state.warmUp.request(() => {
 				this.wakeFirstWaiting(request.service, state.registration.id);
 			});
--- a/packages/gateway/test/choice/model-host.ts
+++ b/packages/gateway/test/choice/model-host.ts
@@ -9,6 +9,7 @@
 } from '@bilberryscale/core';
 import {ServiceCapacity} from '../../src/capacity/service-capacity.js';
 import {FullTargetBehaviour} from '../../src/choice/full-target-behaviour.js';
+import type {PlanVersion, RoutingPlan} from '../../src/plan/routing-plan.js';
 import {LastSlotFactor} from '../../src/choice/last-slot-factor.js';
 import type {PickRequest} from '../../src/choice/pick-request.js';
 import {Spillover} from '../../src/choice/spillover.js';
@@ -18,10 +19,33 @@
 	type TargetProberOptions,
 } from '../../src/choice/target-prober.js';
 import {GatewayMetrics} from '../../src/records/gateway-metrics.js';
-import {TargetRegistry} from '../../src/targets/target-registry.js';
+import {
+	TargetRegistry,
+	type TargetRegistryOptions,
+} from '../../src/targets/target-registry.js';
 import {unlimitedWarmUpGate} from '../../src/warm-up/warm-up-gate.js';
 import {makeTestLog, reading, testProtocol} from '../fixtures.js';
 
+/** A plan with one service. */
+export const modelPlan: RoutingPlan = {
+	version: makeId<PlanVersion>(1),
+	routes: [],
+	services: [
+		{
+			name: reading,
+			healthPath: '/',
+			maxConnections: 1000,
+			maxWarmUpRequestsPerSecond: 1,
+		},
+	],
+	limits: {
+		maxHeaderBytes: 1000,
+		maxBodyBytes: 1000,
+		headerTimeoutMs: 1000,
+		idleTimeoutMs: 1000,
+	},
+};
+
 export type ModelHostOptions = {
 	readonly clock: Clock;
 	readonly name: string;
@@ -30,6 +54,8 @@
 	readonly random: RandomSource;
 	/** Takes the place of the network. */
 	readonly sendProbes: NonNullable<TargetProberOptions['sendProbes']>;
+	/** Limits requests to cold targets; nothing does by default. */
+	readonly makeWarmUpGate?: TargetRegistryOptions['makeWarmUpGate'];
 };
 
 export function makeModelHost(options: ModelHostOptions): {
@@ -37,7 +63,12 @@
 	readonly picker: TargetPicker;
 	readonly fullTargets: FullTargetBehaviour;
 } {
-	const {clock, name, hostCount} = options;
+	const {
+		clock,
+		name,
+		hostCount,
+		makeWarmUpGate = () => unlimitedWarmUpGate,
+	} = options;
 	const {log} = makeTestLog(clock);
 	const getHostCount = () => hostCount;
 	const registry = new TargetRegistry({
@@ -50,7 +81,7 @@
 			getShare: (perSecond) => perSecond,
 			getCheckDelayMs: () => 1000,
 		}),
-		makeWarmUpGate: () => unlimitedWarmUpGate,
+		makeWarmUpGate,
 		onLimitChange: () => undefined,
 		onPathLost: () => undefined,
 	});
--- a/packages/gateway/test/choice/uneven-targets.test.ts
+++ b/packages/gateway/test/choice/uneven-targets.test.ts
@@ -5,10 +5,9 @@
  * go to the same target; and against requests to full targets that hang.
  */
 
-import {makeId, makeSeededRandom, ManualClock} from '@bilberryscale/core';
+import {makeSeededRandom, ManualClock} from '@bilberryscale/core';
 import {describe, it} from '@bilberryscale/testing';
 import * as assert from 'uvu/assert';
-import type {PlanVersion, RoutingPlan} from '../../src/plan/routing-plan.js';
 import type {TargetState} from '../../src/targets/target-state.js';
 import {
 	east,
@@ -16,26 +15,7 @@
 	reading,
 	testProtocol,
 } from '../fixtures.js';
-import {makeModelHost, makePickRequest} from './model-host.js';
-
-const plan: RoutingPlan = {
-	version: makeId<PlanVersion>(1),
-	routes: [],
-	services: [
-		{
-			name: reading,
-			healthPath: '/',
-			maxConnections: 1000,
-			maxWarmUpRequestsPerSecond: 1,
-		},
-	],
-	limits: {
-		maxHeaderBytes: 1000,
-		maxBodyBytes: 1000,
-		headerTimeoutMs: 1000,
-		idleTimeoutMs: 1000,
-	},
-};
+import {makeModelHost, makePickRequest, modelPlan} from './model-host.js';
 
 type Input = {
 	readonly slots: number;
@@ -76,7 +56,7 @@
 		makeRegisteredTarget(String(index), {slots}),
 	);
 	registry.setSnapshot({
-		plan,
+		plan: modelPlan,
 		targets: new Map(targets.map((target) => [target.id, target])),
 		drainedDataCentres: new Set(),
 	});
