Test cold targets when all hosts restart while half of them are cut off, which fails

Cause: a host that restarts in a cut knows only its own side, so all that it knows have replied and are a majority; a second set of holders gives the whole limit.

--- a/packages/gateway/test/warm-up/warm-up-limiter.test.ts
+++ b/packages/gateway/test/warm-up/warm-up-limiter.test.ts
@@ -205,6 +205,16 @@
 				},
 				size,
 			);
+			doTest(
+				'when all hosts are killed while half of them are cut off',
+				{
+					disruptions: [
+						...repeat('cut', [500], 0.5, 15_000),
+						...repeat('kill', [1000], 1),
+					],
+				},
+				size,
+			);
 			it(`whatever happens, ${size.hostCount} hosts`, async () => {
 				await fc.assert(
 					fc.asyncProperty(
