Test that a target's load alone doesn't make it count as warm, which fails

Cause: a report counts for 15 ms whether a probe or the response to a request brought it, but only probes tell the warm-up time. A host whose probes are used up, or not answered in time, sends without a permit as long as requests are answered. Seen: the request is sent without a permit at 0 ms; six other tests of the file pass.

--- a/packages/gateway/test/choice/cold-targets.test.ts
+++ b/packages/gateway/test/choice/cold-targets.test.ts
@@ -8,7 +8,12 @@
 	unlimitedWarmUpGate,
 } from '../../src/warm-up/warm-up-gate.js';
 import {makeWarmUpPermit} from '../../src/warm-up/warm-up-permit.js';
-import {east, makeRegisteredTarget, testProtocol} from '../fixtures.js';
+import {
+	east,
+	makeRegisteredTarget,
+	reading,
+	testProtocol,
+} from '../fixtures.js';
 import {makeModelHost, makePickRequest, modelPlan} from './model-host.js';
 
 const coldMs = 10_000;
@@ -25,6 +30,8 @@
 	readonly waitMs?: number;
 	/** The typical service time, in milliseconds; short enough by default that a cold target is taken at once. */
 	readonly serviceTimeMs?: number;
+	/** Targets that answer probes; all by default. */
+	readonly answering?: readonly string[];
 };
 
 /** Makes the picker of one host, which shares all permits among its cold targets. */
@@ -59,6 +66,10 @@
 		makeWarmUpGate: () => gate,
 		async sendProbes({states}) {
 			for (const state of states) {
+				if (input.answering?.includes(state.registration.id) === false) {
+					continue;
+				}
+
 				state.addHealth({
 					...testProtocol.readHealth(
 						200,
@@ -86,6 +97,20 @@
 	const ends: string[] = [];
 	return {
 		ends,
+		/** Lets a target answer a request of this host. */
+		answer(id: string) {
+			const nowMs = clock.monotonicMs();
+			const state = registry
+				.getOpenTargets(reading)
+				.find(({registration}) => registration.id === id);
+			state?.addReport({
+				running: 0,
+				waiting: 0,
+				slots,
+				slowdownFactor: 1,
+				receivedAtMs: nowMs,
+			});
+		},
 		getRequestCount: () => requestCount,
 		async pick() {
 			const receivedAtMs = clock.monotonicMs();
@@ -171,6 +196,18 @@
 			assert.match(ends[0]!, 'a with a permit');
 		});
 
+		// Guards against targets that count as warm by a probe of long ago because their responses tell their load.
+		it('does not take a target as warm that has told only its load since', async () => {
+			const {pick, advance, answer, ends} = makePicker({
+				targets: {a: 'cold'},
+				answering: [],
+			});
+			answer('a');
+			void pick();
+			await advance(10);
+			assert.equal(ends, []);
+		});
+
 		it('asks for no permit while a warm target is better', async () => {
 			const {pick, advance, getRequestCount} = makePicker({
 				targets: {a: 'cold', b: 'warm'},
