Test cold targets that start again under their ids, which fails

Cause: holders are ranked and buckets kept by the incarnation. While some hosts know of the new start by the entry and others don't, the same target has two sets of holders; the probes tell both that it is cold.

--- a/packages/gateway/test/warm-up/warm-up-fleet.ts
+++ b/packages/gateway/test/warm-up/warm-up-fleet.ts
@@ -42,6 +42,8 @@
 	readonly seed: number;
 	readonly disruptions: readonly Disruption[];
 	readonly spells: readonly ColdSpell[];
+	/** Set if it keeps its id when it starts again: how long every second host goes by the entry from before, in milliseconds. */
+	readonly staleEntryMs?: number;
 	/** Time before the first request, in milliseconds. */
 	readonly leadMs?: number;
 };
@@ -122,7 +124,9 @@
 	#serve(host: ModelHost<WarmUpHost>): void {
 		const {clock, random} = this.#fleet;
 		const reportAtMs = clock.monotonicMs() - random() * reportAgeMs;
-		const incarnation = this.#getIncarnation(reportAtMs);
+		const incarnation = this.#getIncarnation(
+			reportAtMs - this.#getEntryLagMs(host),
+		);
 		if (!this.#isCold(reportAtMs) || host.process === undefined) {
 			this.#send(host, incarnation, undefined);
 			return;
@@ -170,14 +174,22 @@
 	}
 
 	/** A target that has started again rejects requests that are meant for its former id. */
-	#write(incarnation: TargetIncarnation): void {
+	#write(expected: TargetIncarnation): void {
 		const sentMs = this.#fleet.clock.monotonicMs();
-		if (this.#isCold(sentMs) && incarnation === this.#getIncarnation(sentMs)) {
+		const incarnation = this.#getIncarnation(sentMs);
+		const isAccepted =
+			this.#plan.staleEntryMs !== undefined || expected === incarnation;
+		if (this.#isCold(sentMs) && isAccepted) {
 			const arrivedMs = sentMs + 0.5 + 4.5 * this.#fleet.random();
 			this.sends.push({incarnation, sentMs, arrivedMs});
 		}
 	}
 
+	#getEntryLagMs(host: ModelHost<WarmUpHost>): number {
+		const isStale = this.#fleet.hosts.indexOf(host) % 2 === 1;
+		return isStale ? (this.#plan.staleEntryMs ?? 0) : 0;
+	}
+
 	#isCold(nowMs: number): boolean {
 		const passedMs = nowMs - this.#fleet.startsAtMs;
 		return this.#plan.spells.some(
--- a/packages/gateway/test/warm-up/warm-up-limiter.test.ts
+++ b/packages/gateway/test/warm-up/warm-up-limiter.test.ts
@@ -205,6 +205,15 @@
 				},
 				size,
 			);
+			doTest(
+				'when the target starts again under its id and hosts learn that at different times',
+				{
+					perSecond: 1.6,
+					staleEntryMs: 1500,
+					spells: [{atMs: 1000, durationMs: 8000, isRestart: true}],
+				},
+				size,
+			);
 			doTest(
 				'when all hosts are killed while half of them are cut off',
 				{
