Test that restarts beside a silent host leave cold targets their requests, which fails

Cause: a host that has started holds no part until all others have replied that were known in the last 75 s. After all have restarted in turn beside one that doesn't answer, nobody holds any for more than a minute.

--- a/packages/gateway/test/warm-up/warm-up-limiter.test.ts
+++ b/packages/gateway/test/warm-up/warm-up-limiter.test.ts
@@ -262,6 +262,33 @@
 			});
 		}
 
+		// Guards against hosts that hold no part for as long as one that does not answer may be up.
+		it('when hosts restart one after another and one does not answer', async () => {
+			const fleet = new WarmUpFleet(
+				{
+					hostCount: 6,
+					requestsPerSecond: 60,
+					perSecond: 2,
+					bound,
+					seed: 1,
+					disruptions: [
+						...repeat('cut', [500], 0.1, 60_000),
+						...repeat(
+							'kill',
+							Array.from({length: 24}, (_, index) => 1000 + 600 * index),
+							0.1,
+						),
+					],
+					spells: [{...longSpell, atMs: 25_000}],
+				},
+				startHost,
+			);
+			await fleet.run(40_000);
+			const borne = (2 * longSpell.durationMs) / 1000;
+			const count = fleet.sends.length;
+			assert.ok(count >= 0.5 * borne, `${count} of ${borne}`);
+		});
+
 		doTest(1, 10);
 		doTest(2, 10);
 		doTest(6, 2);
