Test retries when all hosts restart while half of them are cut off, which fails

Cause: the same as for cold targets: hosts that restart in a cut know only their own side and hold the whole slack there.

--- a/packages/gateway/test/limits/retry-fleet.test.ts
+++ b/packages/gateway/test/limits/retry-fleet.test.ts
@@ -211,6 +211,17 @@
 				},
 				size,
 			);
+			doTest(
+				'when all hosts are killed while half of them are cut off',
+				{
+					disruptions: [
+						...repeat('cut', [500], 0.5, 40_000),
+						...repeat('kill', [1000], 1),
+					],
+					spells: [{atMs: 18_000, durationMs: 6000, refusedShare: 0.95}],
+				},
+				size,
+			);
 			doTest(
 				'when half of the hosts forward all requests',
 				{
