--- a/packages/gateway/src/context/shared-limits.ts
+++ b/packages/gateway/src/context/shared-limits.ts
@@ -18,7 +18,7 @@
 import type {RetryBudgetLimit} from '../limits/retry-budget.js';
 import {RetryBudgets} from '../limits/retry-budgets.js';
 import {RetryLoans} from '../limits/retry-loans.js';
-import {RetryPartTracker} from '../limits/retry-part.js';
+import {RetryPartTracker, type RetryPartOptions} from '../limits/retry-part.js';
 import type {EventLog} from '../records/event-log.js';
 import type {GatewayMetrics} from '../records/gateway-metrics.js';
 import {permitSpanMs, type WarmUpBound} from '../warm-up/warm-up-bound.js';
@@ -74,15 +74,18 @@
 		const {log, directory, getRetryLimit, getWarmUpBound, getWarmUpRate} =
 			options;
 		this.#announcement = new HostAnnouncement(options);
-		const makePart = (limit: string) =>
+		const makePart = (
+			limit: string,
+			announcement: RetryPartOptions['announcement'],
+		) =>
 			new RetryPartTracker({
 				...options,
-				announcement: this.#announcement,
+				announcement,
 				onChange(changed) {
 					log.write(`part of the ${limit} changed`, changed);
 				},
 			});
-		const retryPart = makePart('retry budget');
+		const retryPart = makePart('retry budget', this.#announcement);
 		this.budgets = new RetryBudgets({
 			getLimit: getRetryLimit,
 			getPart: (windowMs) => retryPart.getPart(windowMs),
@@ -92,8 +95,13 @@
 			getBudget: (service) => this.budgets.get(service),
 			hasService: (service) => getWarmUpRate(service) !== undefined,
 		});
-		// A host may hold parts of both limits on the same conditions; only the time differs in which a previous run counts.
-		const warmUpPart = makePart('warm-up limits');
+		// Hosts that can't be reached may hold parts of their own; the division of the limits allows for them.
+		const announcement = this.#announcement;
+		const warmUpPart = makePart('warm-up limits', {
+			get isComplete() {
+				return announcement.hasReachedAll;
+			},
+		});
 		this.warmUp = new WarmUpLimiter({
 			...options,
 			getHosts: () => directory.getHosts(),
--- a/packages/gateway/src/fleet/host-announcement.ts
+++ b/packages/gateway/src/fleet/host-announcement.ts
@@ -22,6 +22,8 @@
 const messagesPerRound = 40;
 /** Time until a host that has not replied gets another message, in milliseconds. */
 const repeatMs = 1000;
+/** Messages to a host after which it counts as down or out of reach. */
+const maxUnansweredCount = 3;
 /** Hosts without evidence for longer are probably down, in seconds; gossip names a host for a minute after its last sign of life. */
 const maxAgeSeconds = 75;
 
@@ -31,7 +33,10 @@
 	readonly #startedAtMs: number;
 	readonly #replied = new Set<string>();
 	readonly #sentAtMs = new Map<string, number>();
+	/** How many messages each host was sent. */
+	readonly #sentCounts = new Map<string, number>();
 	#isComplete: boolean;
+	#hasReachedAll: boolean;
 	#cancel: CancelFunction = () => undefined;
 
 	/**
@@ -41,6 +46,7 @@
 		this.#options = options;
 		this.#startedAtMs = options.clock.monotonicMs();
 		this.#isComplete = options.isAlone;
+		this.#hasReachedAll = options.isAlone;
 	}
 
 	/** Whether all hosts that are probably up know this one; stays true, as later hosts announce themselves. */
@@ -48,6 +54,11 @@
 		return this.#isComplete;
 	}
 
+	/** Whether all hosts know this one that are up and reachable: those that have not replied were sent several messages. */
+	get hasReachedAll(): boolean {
+		return this.#hasReachedAll;
+	}
+
 	/** Starts to send, unless this host is alone. */
 	start(): void {
 		if (this.#isComplete) {
@@ -83,10 +94,15 @@
 					ageSeconds <= maxAgeSeconds && !this.#replied.has(address),
 			)
 			.map(([address]) => address);
-		this.#isComplete =
-			unaware.length === 0 &&
+		const hasDiscovered =
 			(list.length > 0 || !hasOtherSeeds()) &&
 			nowMs - this.#startedAtMs >= discoveryMs;
+		this.#hasReachedAll ||=
+			hasDiscovered &&
+			unaware.every(
+				(address) => (this.#sentCounts.get(address) ?? 0) > maxUnansweredCount,
+			);
+		this.#isComplete = hasDiscovered && unaware.length === 0;
 		if (this.#isComplete) {
 			return;
 		}
@@ -98,6 +114,7 @@
 		);
 		for (const address of due.slice(0, messagesPerRound)) {
 			this.#sentAtMs.set(address, nowMs);
+			this.#sentCounts.set(address, (this.#sentCounts.get(address) ?? 0) + 1);
 			send(address, {method: 'contact-check', check: 0});
 		}
 
--- a/packages/gateway/src/warm-up/cold-target.ts
+++ b/packages/gateway/src/warm-up/cold-target.ts
@@ -1,8 +1,12 @@
 /** The state that this host keeps of the limit of one cold target. */
 
-import type {Clock, RandomSource, ServiceName} from '@bilberryscale/core';
+import type {
+	Clock,
+	RandomSource,
+	ServiceName,
+	TargetId,
+} from '@bilberryscale/core';
 import {TokenBucket} from '../accounts/token-bucket.js';
-import type {TargetIncarnation} from '../plan/registered-target.js';
 import {
 	divideWarmUpLimit,
 	type WarmUpBound,
@@ -20,7 +24,7 @@
 	readonly clock: Clock;
 	readonly random: RandomSource;
 	readonly service: ServiceName;
-	readonly incarnation: TargetIncarnation;
+	readonly id: TargetId;
 	/** The IP address of this host. */
 	readonly self: string;
 	/** Gets the other hosts; the same array until one is added or forgotten. */
@@ -210,11 +214,11 @@
 	}
 
 	#getHolders(count: number): readonly string[] {
-		const {getHosts, incarnation, self} = this.#options;
+		const {getHosts, id, self} = this.#options;
 		const hosts = getHosts();
 		if (hosts !== this.#hosts || this.#holders.length !== count) {
 			this.#hosts = hosts;
-			this.#holders = getWarmUpHolders(incarnation, [...hosts, self], count);
+			this.#holders = getWarmUpHolders(id, [...hosts, self], count);
 		}
 
 		return this.#holders;
--- a/packages/gateway/src/warm-up/warm-up-limiter.ts
+++ b/packages/gateway/src/warm-up/warm-up-limiter.ts
@@ -1,10 +1,7 @@
 /** Keeps the requests of all hosts to cold targets within the limits that their services publish. */
 
-import type {Clock, RandomSource, ServiceName} from '@bilberryscale/core';
-import type {
-	RegisteredTarget,
-	TargetIncarnation,
-} from '../plan/registered-target.js';
+import type {ServiceName, TargetId} from '@bilberryscale/core';
+import type {RegisteredTarget} from '../plan/registered-target.js';
 import type {EventLog} from '../records/event-log.js';
 import type {GatewayMetrics} from '../records/gateway-metrics.js';
 import {ColdTarget, type ColdTargetOptions} from './cold-target.js';
@@ -21,22 +18,19 @@
 } from './warm-up-permit.js';
 
 /** This host, the others and the limits. */
-export type WarmUpLimiterOptions = Omit<
-	ColdTargetOptions,
-	'incarnation' | 'service'
-> & {
+export type WarmUpLimiterOptions = Omit<ColdTargetOptions, 'id' | 'service'> & {
 	readonly log: Pick<EventLog, 'write'>;
 	readonly metrics: Pick<GatewayMetrics, 'recordWarmUpPermit'>;
 	readonly send: (address: string, message: WarmUpMessage) => void;
 };
 
 /** A target, as the limiter identifies it. */
-type LimitedTarget = Pick<RegisteredTarget, 'incarnation' | 'service'>;
+type LimitedTarget = Pick<RegisteredTarget, 'id' | 'service'>;
 
 type PendingRequest = {
 	readonly target: ColdTarget;
 	readonly service: ServiceName;
-	readonly incarnation: TargetIncarnation;
+	readonly id: TargetId;
 	readonly holder: string;
 	/** Takes effect if the holder grants it. */
 	readonly permit: WarmUpPermit;
@@ -57,10 +51,10 @@
 /** Gives permits to this host and to others, and asks others for permits. */
 export class WarmUpLimiter {
 	readonly #options: WarmUpLimiterOptions;
-	readonly #targets = new Map<TargetIncarnation, ColdTarget>();
+	readonly #targets = new Map<TargetId, ColdTarget>();
 	readonly #pending = new Map<number, PendingRequest>();
 	/** When this host may ask for a permit to each target again, on the monotonic clock, in milliseconds. */
-	readonly #askAtMs = new Map<TargetIncarnation, number>();
+	readonly #askAtMs = new Map<TargetId, number>();
 	#lastRequestNumber: number;
 	#sweptAtMs = 0;
 
@@ -111,38 +105,38 @@
 		}
 	}
 
-	#take({service, incarnation}: LimitedTarget): WarmUpPermit | undefined {
-		const target = this.#getTarget({service, incarnation});
+	#take({service, id}: LimitedTarget): WarmUpPermit | undefined {
+		const target = this.#getTarget({service, id});
 		const isOwn = target.permitCount === 0;
 		const permit = target.take();
 		if (permit !== undefined) {
-			this.#record(target, {service, incarnation}, isOwn ? 'own' : 'borrowed');
+			this.#record(target, {service, id}, isOwn ? 'own' : 'borrowed');
 		}
 
 		return permit;
 	}
 
-	#request({service, incarnation}: LimitedTarget, onGranted: () => void): void {
+	#request({service, id}: LimitedTarget, onGranted: () => void): void {
 		const {clock, random, getHosts, send} = this.#options;
 		const nowMs = clock.monotonicMs();
-		if (nowMs < (this.#askAtMs.get(incarnation) ?? 0)) {
+		if (nowMs < (this.#askAtMs.get(id) ?? 0)) {
 			return;
 		}
 
-		const target = this.#getTarget({service, incarnation});
+		const target = this.#getTarget({service, id});
 		const holder = target.chooseHolder();
 		if (holder === undefined) {
 			return;
 		}
 
 		const intervalMs = requestIntervalPerHostMs * (getHosts().length + 1);
-		this.#askAtMs.set(incarnation, nowMs + intervalMs * (0.5 + random()));
+		this.#askAtMs.set(id, nowMs + intervalMs * (0.5 + random()));
 		this.#lastRequestNumber++;
 		const requestNumber = this.#lastRequestNumber;
 		this.#pending.set(requestNumber, {
 			target,
 			service,
-			incarnation,
+			id,
 			holder,
 			permit: makeWarmUpPermit(clock),
 			onGranted,
@@ -150,19 +144,19 @@
 		clock.schedule(replyTimeoutMs, () => {
 			if (this.#pending.delete(requestNumber)) {
 				target.addRefusal(holder, silentPauseMs);
-				this.#record(target, {service, incarnation}, 'unanswered', holder);
+				this.#record(target, {service, id}, 'unanswered', holder);
 			}
 		});
 		send(holder, {
 			method: 'warm-up-permit',
 			requestNumber,
 			service,
-			incarnation,
+			target: id,
 		});
 	}
 
 	#answer(
-		{requestNumber, service, incarnation}: PermitRequest,
+		{requestNumber, service, target: id}: PermitRequest,
 		sender: string,
 	): void {
 		const {getPerSecond, send} = this.#options;
@@ -172,10 +166,10 @@
 			return;
 		}
 
-		const target = this.#getTarget({service, incarnation});
+		const target = this.#getTarget({service, id});
 		const isGranted = target.grant() !== undefined;
 		if (isGranted) {
-			this.#record(target, {service, incarnation}, 'granted', sender);
+			this.#record(target, {service, id}, 'granted', sender);
 		}
 
 		const retryAfterMs = isGranted ? 0 : target.getRetryAfterMs();
@@ -198,19 +192,21 @@
 			this.#record(target, pending, 'refused', sender);
 		} else if (isUsable(permit, this.#options.clock)) {
 			target.add(permit);
+			// Where few hosts have callers, they get all that the target bears.
+			this.#askAtMs.delete(pending.id);
 			onGranted();
 		}
 	}
 
-	#getTarget({service, incarnation}: LimitedTarget): ColdTarget {
-		const existing = this.#targets.get(incarnation);
+	#getTarget({service, id}: LimitedTarget): ColdTarget {
+		const existing = this.#targets.get(id);
 		if (existing !== undefined) {
 			return existing;
 		}
 
 		this.#sweep();
-		const target = new ColdTarget({...this.#options, service, incarnation});
-		this.#targets.set(incarnation, target);
+		const target = new ColdTarget({...this.#options, service, id});
+		this.#targets.set(id, target);
 		return target;
 	}
 
@@ -221,17 +217,17 @@
 		}
 
 		this.#sweptAtMs = nowMs;
-		for (const [incarnation, {usedAtMs}] of this.#targets) {
+		for (const [id, {usedAtMs}] of this.#targets) {
 			if (nowMs - usedAtMs > memoryMs) {
-				this.#targets.delete(incarnation);
-				this.#askAtMs.delete(incarnation);
+				this.#targets.delete(id);
+				this.#askAtMs.delete(id);
 			}
 		}
 	}
 
 	#record(
 		target: ColdTarget,
-		{service, incarnation}: LimitedTarget,
+		{service, id}: LimitedTarget,
 		result: 'own' | 'borrowed' | 'granted' | 'refused' | 'unanswered',
 		host?: string,
 	): void {
@@ -240,7 +236,7 @@
 		metrics.recordWarmUpPermit(service, result, {perSecond, ownPerSecond});
 		log.write('warm-up permit', {
 			service,
-			life: incarnation,
+			target: id,
 			result,
 			host,
 			perSecond,
--- a/packages/gateway/src/warm-up/warm-up-message.ts
+++ b/packages/gateway/src/warm-up/warm-up-message.ts
@@ -1,7 +1,6 @@
 /** The messages by which hosts share the limits of cold targets, as methods and parameters of JSON-RPC. */
 
-import {makeId, type ServiceName} from '@bilberryscale/core';
-import type {TargetIncarnation} from '../plan/registered-target.js';
+import {makeId, type ServiceName, type TargetId} from '@bilberryscale/core';
 
 /** Asks a holder for a permit to send a request to a cold target. */
 export type PermitRequest = {
@@ -9,7 +8,7 @@
 	/** Identifies the request at its sender. */
 	readonly requestNumber: number;
 	readonly service: ServiceName;
-	readonly incarnation: TargetIncarnation;
+	readonly target: TargetId;
 };
 
 /** Answers a request for a permit. */
@@ -49,7 +48,7 @@
 	message: WarmUpMessage,
 ): readonly unknown[] {
 	return message.method === 'warm-up-permit'
-		? [message.requestNumber, message.service, message.incarnation]
+		? [message.requestNumber, message.service, message.target]
 		: [
 				message.requestNumber,
 				message.isGranted,
@@ -79,7 +78,7 @@
 					method,
 					requestNumber: Number(requestNumber),
 					service: makeId<ServiceName>(second),
-					incarnation: makeId<TargetIncarnation>(third),
+					target: makeId<TargetId>(third),
 				}
 			: undefined;
 	}
--- a/packages/gateway/test/warm-up/warm-up-fleet.ts
+++ b/packages/gateway/test/warm-up/warm-up-fleet.ts
@@ -1,6 +1,6 @@
 /** Many hosts that send requests to one target, which turns cold, without a network. */
 
-import {makeId} from '@bilberryscale/core';
+import {makeId, type TargetId} from '@bilberryscale/core';
 import type {TargetIncarnation} from '../../src/plan/registered-target.js';
 import type {WarmUpBound} from '../../src/warm-up/warm-up-bound.js';
 import type {WarmUpGate} from '../../src/warm-up/warm-up-gate.js';
@@ -21,7 +21,7 @@
 
 /** The part of a host that decides about requests to cold targets. */
 export type WarmUpHost = ModelProcess & {
-	readonly getGate: (incarnation: TargetIncarnation) => WarmUpGate;
+	readonly getGate: (id: TargetId) => WarmUpGate;
 };
 
 /** A time in which the target is cold. */
@@ -132,7 +132,7 @@
 			return;
 		}
 
-		const gate = host.process.getGate(incarnation);
+		const gate = host.process.getGate(this.#getId(incarnation));
 		const endMs = clock.monotonicMs() + waitMs;
 		let hasSent = false;
 		const trySend = () => {
@@ -166,7 +166,8 @@
 				clock.monotonicMs() - random() * reportAgeMs,
 			);
 			const isPermitted =
-				!isKnownCold || process?.getGate(incarnation).confirm(permit) === true;
+				!isKnownCold ||
+				process?.getGate(this.#getId(incarnation)).confirm(permit) === true;
 			if (isPermitted) {
 				this.#write(incarnation);
 			}
@@ -185,6 +186,12 @@
 		}
 	}
 
+	#getId(incarnation: TargetIncarnation): TargetId {
+		return makeId<TargetId>(
+			this.#plan.staleEntryMs === undefined ? incarnation : 'i-1',
+		);
+	}
+
 	#getEntryLagMs(host: ModelHost<WarmUpHost>): number {
 		const isStale = this.#fleet.hosts.indexOf(host) % 2 === 1;
 		return isStale ? (this.#plan.staleEntryMs ?? 0) : 0;
--- a/packages/gateway/test/warm-up/warm-up-limiter.test.ts
+++ b/packages/gateway/test/warm-up/warm-up-limiter.test.ts
@@ -68,7 +68,11 @@
 		clock,
 		isFirstStart,
 		directory,
-		announcement,
+		announcement: {
+			get isComplete() {
+				return announcement.hasReachedAll;
+			},
+		},
 		onChange: () => undefined,
 	});
 	const limiter = new WarmUpLimiter({
@@ -86,7 +90,7 @@
 	knownHosts.start();
 	announcement.start();
 	return {
-		getGate: (incarnation) => limiter.makeGate({service: reading, incarnation}),
+		getGate: (id) => limiter.makeGate({service: reading, id}),
 		receive(message, sender) {
 			if (isWarmUpMessage(message)) {
 				limiter.receive(message, sender);
--- a/packages/gateway/test/warm-up/warm-up-message.test.ts
+++ b/packages/gateway/test/warm-up/warm-up-message.test.ts
@@ -1,7 +1,6 @@
-import {makeId, type ServiceName} from '@bilberryscale/core';
+import {makeId, type ServiceName, type TargetId} from '@bilberryscale/core';
 import {describe, it} from '@bilberryscale/testing';
 import * as assert from 'uvu/assert';
-import type {TargetIncarnation} from '../../src/plan/registered-target.js';
 import {
 	decodeWarmUpMessage,
 	encodeWarmUpParameters,
@@ -20,7 +19,7 @@
 		method: 'warm-up-permit',
 		requestNumber: 7,
 		service: makeId<ServiceName>('reading'),
-		incarnation: makeId<TargetIncarnation>('i-1 1'),
+		target: makeId<TargetId>('i-1'),
 	});
 	doTest({
 		method: 'warm-up-permit-reply',
