--- a/packages/daemon/test/http/caller-server.test.ts
+++ b/packages/daemon/test/http/caller-server.test.ts
@@ -96,6 +96,16 @@
 			makeHead('GET /svc/a', 'X-A : b'),
 			malformed,
 		);
+		doTest(
+			'a space in the name of a header',
+			makeHead('GET /svc/a', 'X A: b'),
+			malformed,
+		);
+		doTest(
+			'a space before the colon of a framing header',
+			makeHead('POST /svc/a', 'Content-Length : 4'),
+			malformed,
+		);
 		doTest('no Host header', 'GET /svc/a HTTP/1.1\r\n\r\n', malformed);
 		doTest('two Host headers', makeHead('GET /svc/a', 'Host: b'), malformed);
 		doTest('not HTTP', 'hello\r\n\r\n', malformed);
