Pass request ids on as callers send them

Callers whose ids had other characters than letters, digits, - and _ (such as the dot of a second attempt) had them replaced in silence, so targets ran requests under ids that no caller had sent. Now an id of 1 to 256 visible characters of ASCII, with spaces between them, is passed on unchanged; several ids and others are rejected with a clear 400 and, at the gateway, the line 'request refused'. A request without an id gets one, as before.

--- a/packages/cli/src/commands/explain.ts
+++ b/packages/cli/src/commands/explain.ts
@@ -1,5 +1,6 @@
 /** `explain`: shows the decisions about a recent request, collected from all hosts. */
 
+import {isRequestId, maxRequestIdLength} from '@bilberryscale/daemon/edge';
 import {z} from 'zod';
 import {
 	queryHosts,
@@ -30,8 +31,6 @@
 
 type CallRecord = z.infer<typeof callRecordSchema>;
 
-const requestIdPattern = /^[\w\-]{1,64}$/v;
-
 /** The `explain` command. */
 export const explain: Command = {
 	usage: 'explain <requestId>',
@@ -41,16 +40,16 @@
 		'explain 0198c1d2-7a00-7000-8000-000000000001 --hosts-file hosts.txt',
 	],
 	async run([requestId = ''], flags, context) {
-		if (!requestIdPattern.test(requestId)) {
+		if (!isRequestId(requestId)) {
 			throw new UsageError(
-				`<requestId>: must be 1 to 64 letters, digits, - or _; seen: ${requestId}`,
+				`<requestId>: must be 1 to ${maxRequestIdLength} characters of ASCII; seen: ${requestId}`,
 			);
 		}
 
 		const selection = readHostSelectionOrThrow(flags, context);
 		const {responses, faults} = await queryHosts(
 			selection,
-			() => `/explain/${requestId}`,
+			() => `/explain/${encodeURIComponent(requestId)}`,
 			callRecordsSchema,
 			context,
 		);
--- a/packages/daemon/src/http/caller-listener.ts
+++ b/packages/daemon/src/http/caller-listener.ts
@@ -4,14 +4,12 @@
 import type {Socket} from 'node:net';
 import {Readable} from 'node:stream';
 import {
-	makeId,
 	notRunFailure,
 	possiblyRunFailure,
 	type Clock,
 	type Failure,
 	type RequestId,
 } from '@bilberryscale/core';
-import {uuidv7} from 'uuidv7';
 import {
 	Exchange,
 	type Answer,
@@ -24,6 +22,7 @@
 import type {OpenRequest} from './open-request.js';
 import {addIssuedKey, scopeRunStateToKey} from './scope-run-state.js';
 import {getProblemAnswer} from './problem-answer.js';
+import {checkRequestId, getRequestId} from './request-id.js';
 import {writeAnswer} from './write-answer.js';
 
 /** Logs unexpected errors. */
@@ -40,6 +39,8 @@
 	readonly getUnavailableFailure: () => Failure | undefined;
 	/** Whether connections close after their next response, such as during a shutdown. */
 	readonly isClosingConnections?: () => boolean;
+	/** Called when a request is rejected for its head. */
+	readonly onRejection?: (requestId: RequestId, failure: Failure) => void;
 	/** Names and formats of the headers; {@link defaultCallerProtocol} by default. */
 	readonly protocol?: CallerProtocol;
 };
@@ -83,7 +84,6 @@
 
 /** Retry delay for callers whose request a host ended without sending it, in milliseconds; others serve them at once. */
 const endedRetryAfterMs = 20;
-const requestIdPattern = /^[\w\-]{1,64}$/v;
 
 /**
  * Makes the listener.
@@ -216,7 +216,12 @@
 
 		exchanges.set(response, {exchange, end});
 	});
-	const failure = checkRequest(request);
+	const failure =
+		checkRequest(request) ?? checkRequestId(request, protocol.requestIdHeader);
+	if (failure !== undefined) {
+		options.onRejection?.(requestId, failure);
+	}
+
 	const result =
 		failure === undefined
 			? getAnswer(exchange, options)
@@ -289,7 +294,7 @@
 		originalUrl?: string;
 	};
 	return new Exchange({
-		requestId: getRequestId(request, protocol),
+		requestId: getRequestId(request, protocol.requestIdHeader),
 		method: request.method ?? 'GET',
 		url: originalUrl ?? '/',
 		headers: request.headers,
@@ -300,16 +305,6 @@
 	});
 }
 
-function getRequestId(
-	request: IncomingMessage,
-	{requestIdHeader}: CallerProtocol,
-): RequestId {
-	const headerValue = request.headers[requestIdHeader];
-	const isValid =
-		typeof headerValue === 'string' && requestIdPattern.test(headerValue);
-	return makeId<RequestId>(isValid ? headerValue : uuidv7());
-}
-
 async function getAnswer(
 	exchange: Exchange,
 	options: CallerListenerOptions,
@@ -379,7 +374,7 @@
 	response: ServerResponse,
 	{clock, protocol = defaultCallerProtocol}: CallerListenerOptions,
 ): void {
-	const requestId = getRequestId(request, protocol);
+	const requestId = getRequestId(request, protocol.requestIdHeader);
 	const expected = String(request.headers.expect);
 	const failure = notRunFailure('bad-request', `"${expected}" cannot be met.`);
 	const answer = getProblemAnswer(failure, requestId, protocol);
--- a/packages/daemon/test/http/caller-server.test.ts
+++ b/packages/daemon/test/http/caller-server.test.ts
@@ -106,6 +106,22 @@
 			makeHead('POST /svc/a', 'Content-Length : 4'),
 			malformed,
 		);
+		doTest(
+			'two ids',
+			makeHead('GET /svc/a', 'X-Request-Id: a', 'X-Request-Id: b'),
+			malformed,
+		);
+		doTest('an empty id', makeHead('GET /svc/a', 'X-Request-Id:'), malformed);
+		doTest(
+			'an id with a character that is not of ASCII',
+			makeHead('GET /svc/a', 'X-Request-Id: \u00E4'),
+			malformed,
+		);
+		doTest(
+			'an id of 257 characters',
+			makeHead('GET /svc/a', `X-Request-Id: ${'a'.repeat(257)}`),
+			malformed,
+		);
 		doTest('no Host header', 'GET /svc/a HTTP/1.1\r\n\r\n', malformed);
 		doTest('two Host headers', makeHead('GET /svc/a', 'Host: b'), malformed);
 		doTest('not HTTP', 'hello\r\n\r\n', malformed);
@@ -251,6 +267,34 @@
 			{line: 'POST /a HTTP/1.1', body: 'body'},
 		);
 
+		// Guards against a target that runs a request under an id that no caller sent.
+		describe('their ids', () => {
+			function doTestId(id: string): void {
+				it(`are passed on unchanged: ${id.slice(0, 40)}`, async () =>
+					withEdge({script: answerOk}, async (edge) => {
+						const answer = await edge.exchange(
+							makeHead(
+								'GET /svc/a',
+								`X-Request-Id: ${id}`,
+								'Connection: close',
+							),
+						);
+						assert.is(answer.status, 200, answer.text);
+						assert.is(answer.headers.get('x-request-id'), id);
+						const [request] = edge.target.requests;
+						const line = request!.head
+							.split('\r\n')
+							.find((text) => text.toLowerCase().startsWith('x-request-id:'));
+						assert.is(line?.slice('x-request-id: '.length), id);
+					}));
+			}
+
+			doTestId('9c41d07be2a35f68');
+			doTestId('9c41d07be2a35f68.2');
+			doTestId('a/b:c+d=e~f@g "h" (i), j;k');
+			doTestId('a'.repeat(256));
+		});
+
 		it('drops the hop-by-hop headers of the caller connection', async () =>
 			withEdge({script: answerOk}, async (edge) => {
 				const hopByHop = ['TE: trailers', 'Upgrade: x', 'Keep-Alive: 5'];
--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -343,6 +343,9 @@
 				},
 			},
 			getUnavailableFailure: () => undefined,
+			onRejection(requestId, {kind, ran, detail}) {
+				log.write('request refused', {requestId, outcome: kind, ran, detail});
+			},
 			isClosingConnections: () =>
 				isShuttingDown() || this.#plans.plan === undefined,
 			protocol: options.callerProtocol,
