Log when and where requests were sent that a stop ends

Cause: the line for a request that a stopping process ends itself told its phase and its age only, so that the record of the LOST cases can't show which estimate let it through.

--- a/packages/daemon/src/edge.ts
+++ b/packages/daemon/src/edge.ts
@@ -19,6 +19,7 @@
 	type Answer,
 	type FilterResult,
 	type IncomingCall,
+	type SentCopy,
 } from './pipeline/exchange.js';
 export {BodyReader} from './pipeline/filters/read-body.js';
 export {Connection} from './upstream/connection.js';
--- a/packages/daemon/src/http/caller-listener.ts
+++ b/packages/daemon/src/http/caller-listener.ts
@@ -268,7 +268,7 @@
 
 function describeOpenRequest(
 	{headersSent}: ServerResponse,
-	{incoming, mayHaveRun}: Exchange,
+	{incoming, mayHaveRun, lastCopy, getExpectedMs}: Exchange,
 ): OpenRequest {
 	const {requestId, receivedAtMs} = incoming;
 	const unansweredPhase = mayHaveRun ? 'sent' : 'waiting';
@@ -276,6 +276,8 @@
 		requestId,
 		receivedAtMs,
 		phase: headersSent ? 'answering' : unansweredPhase,
+		lastCopy,
+		expectedMs: lastCopy?.expectedMs ?? getExpectedMs?.(),
 	};
 }
 
--- a/packages/daemon/src/http/open-request.ts
+++ b/packages/daemon/src/http/open-request.ts
@@ -1,6 +1,7 @@
 /** A request whose answer has not been delivered yet. */
 
 import type {RequestId} from '@bilberryscale/core';
+import type {SentCopy} from '../pipeline/exchange.js';
 
 /** How far an open request has got. */
 export type OpenRequestPhase =
@@ -17,4 +18,8 @@
 	/** When its head was received, on the monotonic clock, in milliseconds. */
 	readonly receivedAtMs: number;
 	readonly phase: OpenRequestPhase;
+	/** The copy that was sent last; undefined if none was. */
+	readonly lastCopy?: SentCopy | undefined;
+	/** How long a target was expected to take at the most, in milliseconds; undefined if that is not known. */
+	readonly expectedMs?: number | undefined;
 };
--- a/packages/daemon/src/pipeline/exchange.ts
+++ b/packages/daemon/src/pipeline/exchange.ts
@@ -60,6 +60,16 @@
 /** The result of a filter: a response to forward, or the failure in its place. */
 export type FilterResult = Result<Answer, Failure>;
 
+/** A copy of a request that is on its way to a target or to another host; times are on the monotonic clock, in milliseconds. */
+export type SentCopy = {
+	/** The id of the target or the address of the host. */
+	readonly to: string;
+	/** How long the shutdown limit expected the copy to take at the most, in milliseconds. */
+	readonly expectedMs: number;
+	/** When it was written to the connection; undefined before. */
+	writtenAtMs?: number;
+};
+
 /** One request and what the filters determined about it. */
 export class Exchange {
 	readonly incoming: IncomingCall;
@@ -79,6 +89,10 @@
 	unsettledCopies: number | undefined;
 	/** Checks whether a target could no longer answer before the host shuts down; undefined until that is known. */
 	isTooLate: (() => boolean) | undefined;
+	/** Gets how long the shutdown limit expects a target to take at the most, in milliseconds; undefined until that is known. */
+	getExpectedMs: (() => number) | undefined;
+	/** The copy that was sent last; undefined if none was or nobody counts them. */
+	lastCopy: SentCopy | undefined;
 	#identity: CallIdentity | undefined;
 
 	/**
--- a/packages/gateway/src/context/graceful-shutdown.ts
+++ b/packages/gateway/src/context/graceful-shutdown.ts
@@ -6,7 +6,7 @@
 	type CallerListener,
 	type OpenRequest,
 } from '@bilberryscale/daemon/edge';
-import type {EventLog} from '../records/event-log.js';
+import type {EventFields, EventLog} from '../records/event-log.js';
 import {
 	makeShutdownSchedule,
 	type ShutdownSchedule,
@@ -153,11 +153,7 @@
 			unanswered: requests.length,
 			requests: requests
 				.slice(0, maxLoggedRequests)
-				.map(({requestId, receivedAtMs, phase}) => ({
-					requestId,
-					phase,
-					ageMs: Math.round(nowMs - receivedAtMs),
-				})),
+				.map((request) => describeRequest(request, nowMs)),
 		});
 	}
 
@@ -167,3 +163,21 @@
 		});
 	}
 }
+
+/** Describes an open request for the log; what isn't known is left out. */
+function describeRequest(
+	{requestId, receivedAtMs, phase, lastCopy, expectedMs}: OpenRequest,
+	nowMs: number,
+): EventFields {
+	const writtenAtMs = lastCopy?.writtenAtMs;
+	return {
+		requestId,
+		phase,
+		ageMs: Math.round(nowMs - receivedAtMs),
+		waitedMs: Math.round((writtenAtMs ?? nowMs) - receivedAtMs),
+		sentTo: lastCopy?.to,
+		sentAgoMs:
+			writtenAtMs === undefined ? undefined : Math.round(nowMs - writtenAtMs),
+		expectedMs: expectedMs === undefined ? undefined : Math.round(expectedMs),
+	};
+}
--- a/packages/gateway/src/context/make-relay.ts
+++ b/packages/gateway/src/context/make-relay.ts
@@ -140,6 +140,7 @@
 	const dispatcher = new AttemptDispatcher({
 		clock,
 		serviceTimes,
+		shutdownLimit,
 		lastSlotFactor,
 		fullTargets,
 		recorder,
--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -7,7 +7,7 @@
 	type ServiceName,
 	type TargetId,
 } from '@bilberryscale/core';
-import type {CallerProtocol} from '@bilberryscale/daemon/edge';
+import type {CallerProtocol, SentCopy} from '@bilberryscale/daemon/edge';
 import {getHostAccountHeaders} from '../accounts/account-headers.js';
 import {probeTargets} from '../choice/probe-targets.js';
 import {TargetProbe} from '../choice/target-probe.js';
@@ -181,7 +181,11 @@
 		const protocol = this.#makeProtocol(attemptsLeft);
 		const {headers} = exchange.incoming;
 		state.addSend();
-		addCopy(exchange);
+		const copy: SentCopy = {
+			to: state.registration.address,
+			expectedMs: exchange.getExpectedMs?.() ?? 0,
+		};
+		addCopy(exchange, copy);
 		const result = await new TargetAttempt({
 			incoming: exchange.incoming,
 			body,
@@ -200,6 +204,9 @@
 			stallTimeoutMs: undefined,
 			canRetry: () => false,
 			isTooLate: exchange.isTooLate,
+			onWrite(writtenAtMs) {
+				copy.writtenAtMs = writtenAtMs;
+			},
 		}).run();
 		settleCopy(exchange, result);
 		metrics.recordForward(result.kind);
--- a/packages/gateway/src/relay/attempt-dispatcher.ts
+++ b/packages/gateway/src/relay/attempt-dispatcher.ts
@@ -6,7 +6,7 @@
 	type Digest,
 	type Failure,
 } from '@bilberryscale/core';
-import {getRequestSignature} from '@bilberryscale/daemon/edge';
+import {getRequestSignature, type SentCopy} from '@bilberryscale/daemon/edge';
 import type {CrashSuspects} from '@bilberryscale/decisions';
 import {getTargetAccountHeaders} from '../accounts/account-headers.js';
 import type {FullTargetBehaviour} from '../choice/full-target-behaviour.js';
@@ -27,11 +27,13 @@
 import type {SilenceDetector} from './silence-detector.js';
 import {TargetAttempt, type TargetAttemptOptions} from './target-attempt.js';
 import type {ServiceTimes} from './service-times.js';
+import type {ShutdownLimit} from './shutdown-limit.js';
 
 /** Dependencies of the dispatcher. */
 export type AttemptDispatcherOptions = {
 	readonly clock: Clock;
 	readonly serviceTimes: ServiceTimes;
+	readonly shutdownLimit: Pick<ShutdownLimit, 'getExpectedMs'>;
 	readonly lastSlotFactor: LastSlotFactor;
 	readonly fullTargets: FullTargetBehaviour;
 	readonly silenceDetector: SilenceDetector;
@@ -114,6 +116,7 @@
 	): Promise<AttemptResult> {
 		const {clock, protocol, silenceDetector, recorder, serviceTimes} =
 			this.#options;
+		const {shutdownLimit} = this.#options;
 		const {exchange, route, body, deadlineMs, account} = request;
 		const {state, connection, load, expectedMs, probedCount, waitedMs} = picked;
 		const {report} = state;
@@ -121,7 +124,11 @@
 		const slowdownFactor = report?.slowdownFactor ?? 1;
 		const limitPerSecond = state.availability.limit.perSecond;
 		const coldForMs = state.getColdForMs(startedAtMs);
-		addCopy(exchange);
+		const copy: SentCopy = {
+			to: state.registration.id,
+			expectedMs: shutdownLimit.getExpectedMs(route, expectedMs),
+		};
+		addCopy(exchange, copy);
 		const targetAttempt = new TargetAttempt({
 			incoming: exchange.incoming,
 			body,
@@ -148,6 +155,9 @@
 					})
 				: undefined,
 			isTooLate: exchange.isTooLate,
+			onWrite(writtenAtMs) {
+				copy.writtenAtMs = writtenAtMs;
+			},
 			warmUpPermit: picked.warmUpPermit,
 			...control,
 		});
--- a/packages/gateway/src/relay/request-reader.ts
+++ b/packages/gateway/src/relay/request-reader.ts
@@ -58,7 +58,7 @@
 		remainingMs: number,
 	) => ReturnTime | undefined;
 	readonly accountCheck: AccountCheck;
-	readonly shutdownLimit: Pick<ShutdownLimit, 'isTooLate'>;
+	readonly shutdownLimit: Pick<ShutdownLimit, 'getExpectedMs' | 'isTooLate'>;
 };
 
 /** Maximum pause between parts of a body, in milliseconds. */
@@ -115,6 +115,8 @@
 		const deadlineMs = receivedAtMs + this.#getTimeoutMs(exchange, route);
 		exchange.isTooLate = () =>
 			this.#options.shutdownLimit.isTooLate({route, deadlineMs});
+		exchange.getExpectedMs = () =>
+			this.#options.shutdownLimit.getExpectedMs(route);
 		if (exchange.isTooLate()) {
 			return Err(makeShutdownFailure());
 		}
--- a/packages/gateway/src/relay/shutdown-limit.ts
+++ b/packages/gateway/src/relay/shutdown-limit.ts
@@ -39,25 +39,39 @@
 	 * @param expectedMs - The expected latency at the target that it would be sent to, in milliseconds; that of a target at its typical speed by default.
 	 * @returns Whether it is too late for the request.
 	 */
-	isTooLate(
-		{route: {name, targetLatencyMs}, deadlineMs}: LimitedRequest,
-		expectedMs?: number,
-	): boolean {
-		const {clock, serviceTimes, getShutdownMs} = this.#options;
+	isTooLate({route, deadlineMs}: LimitedRequest, expectedMs?: number): boolean {
+		const {clock, getShutdownMs} = this.#options;
 		const shutdownMs = getShutdownMs();
 		if (deadlineMs <= shutdownMs) {
 			return false;
 		}
 
-		const boundMs = serviceTimes.getQuantileMs(
-			name,
-			targetLatencyMs,
-			answeredShare,
+		return (
+			clock.monotonicMs() + this.getExpectedMs(route, expectedMs) > shutdownMs
 		);
+	}
+
+	/**
+	 * Gets the time within which nearly all requests of a route are answered.
+	 *
+	 * @param route - The route.
+	 * @param expectedMs - The expected latency at a target, in milliseconds; that of a target at its typical speed by default.
+	 * @returns The time in milliseconds.
+	 */
+	getExpectedMs(
+		{name, targetLatencyMs}: LimitedRequest['route'],
+		expectedMs?: number,
+	): number {
+		const {serviceTimes} = this.#options;
 		const slowdownFactor =
 			expectedMs === undefined
 				? 1
 				: expectedMs / serviceTimes.getMs(name, targetLatencyMs);
-		return clock.monotonicMs() + boundMs * slowdownFactor > shutdownMs;
+		const boundMs = serviceTimes.getQuantileMs(
+			name,
+			targetLatencyMs,
+			answeredShare,
+		);
+		return boundMs * slowdownFactor;
 	}
 }
--- a/packages/gateway/src/relay/target-attempt.ts
+++ b/packages/gateway/src/relay/target-attempt.ts
@@ -48,6 +48,8 @@
 	readonly warmUpPermit?: WarmUpPermit | undefined;
 	/** Checks whether the target could no longer answer before the host shuts down; asked when the connection is open. */
 	readonly isTooLate?: (() => boolean) | undefined;
+	/** Called just before the request is written, with the time on the monotonic clock, in milliseconds. */
+	readonly onWrite: (writtenAtMs: number) => void;
 };
 
 /**
@@ -194,6 +196,7 @@
 		}
 
 		this.#writtenAtMs = nowMs;
+		this.#options.onWrite(nowMs);
 		return undefined;
 	}
 
--- a/packages/gateway/src/relay/unsettled-copies.ts
+++ b/packages/gateway/src/relay/unsettled-copies.ts
@@ -1,14 +1,16 @@
 /** Counts the copies of a request that were sent, and those that targets may have run or may be at work on. */
 
-import type {Exchange} from '@bilberryscale/daemon/edge';
+import type {Exchange, SentCopy} from '@bilberryscale/daemon/edge';
 import {mayHaveRun, type AttemptResult} from './attempt-result.js';
 
 /**
  * Counts a copy that is about to be sent.
  *
  * @param exchange - The request.
+ * @param copy - Where the copy is sent, and how long it is expected to take.
  */
-export function addCopy(exchange: Exchange): void {
+export function addCopy(exchange: Exchange, copy: SentCopy): void {
+	exchange.lastCopy = copy;
 	exchange.sentCopies++;
 	exchange.unsettledCopies = (exchange.unsettledCopies ?? 0) + 1;
 }
--- /dev/null
+++ b/packages/gateway/test/context/graceful-shutdown.test.ts
@@ -0,0 +1,102 @@
+import {makeId, ManualClock, type RequestId} from '@bilberryscale/core';
+import type {OpenRequest} from '@bilberryscale/daemon/edge';
+import {describe, it} from '@bilberryscale/testing';
+import * as assert from 'uvu/assert';
+import {GracefulShutdown} from '../../src/context/graceful-shutdown.js';
+import {EventLog} from '../../src/records/event-log.js';
+
+const shutdownMs = 6000;
+const stepMs = 10;
+const requestId = makeId<RequestId>('r');
+
+/** Runs a shutdown during which a request gets no answer, and gets what the log says of it when it is ended. */
+async function runShutdown(
+	request: Omit<OpenRequest, 'requestId'>,
+): Promise<unknown> {
+	const clock = new ManualClock();
+	const lines: Array<Record<string, unknown>> = [];
+	const shutdown = new GracefulShutdown({
+		clock,
+		log: new EventLog({
+			clock,
+			origin: {},
+			writeLine(line) {
+				lines.push(JSON.parse(line) as Record<string, unknown>);
+			},
+		}),
+		getServers: () => [
+			{
+				close: () => undefined,
+				endRequests: () => undefined,
+				getConnectionCount: () => 1,
+				getOpenRequests: () => [{requestId, ...request}],
+				refuseLateRequests: () => [],
+			},
+		],
+		getRunningCount: () => 1,
+	});
+	const ended = shutdown.run(shutdownMs);
+	for (let ms = 0; ms < shutdownMs; ms += stepMs) {
+		clock.advance(stepMs);
+		await new Promise((resolve) => {
+			setImmediate(resolve);
+		});
+	}
+
+	await ended;
+	return lines.find(({message}) => message === 'requests ended by the shutdown')
+		?.requests;
+}
+
+describe('GracefulShutdown', () => {
+	describe('a request that it ends', () => {
+		function doTest(
+			name: string,
+			input: Omit<OpenRequest, 'requestId'>,
+			expected: Readonly<Record<string, unknown>>,
+		): void {
+			it(name, async () => {
+				assert.equal(await runShutdown(input), [{requestId, ...expected}]);
+			});
+		}
+
+		doTest(
+			'is named with its target and the time that was expected',
+			{
+				receivedAtMs: 1000,
+				phase: 'sent',
+				lastCopy: {to: 'i-1', expectedMs: 300.4, writtenAtMs: 3000},
+				expectedMs: 300.4,
+			},
+			{
+				phase: 'sent',
+				ageMs: 4700,
+				waitedMs: 2000,
+				sentTo: 'i-1',
+				sentAgoMs: 2700,
+				expectedMs: 300,
+			},
+		);
+		doTest(
+			'is named with its target while the connection opens',
+			{
+				receivedAtMs: 1000,
+				phase: 'sent',
+				lastCopy: {to: 'i-1', expectedMs: 300},
+				expectedMs: 300,
+			},
+			{
+				phase: 'sent',
+				ageMs: 4700,
+				waitedMs: 4700,
+				sentTo: 'i-1',
+				expectedMs: 300,
+			},
+		);
+		doTest(
+			'is named without a target if it has none',
+			{receivedAtMs: 1000, phase: 'waiting'},
+			{phase: 'waiting', ageMs: 4700, waitedMs: 4700},
+		);
+	});
+});
