Send nothing on an estimate once load balancers have noticed a stop

Cause: a stopping host took a request on if 0.98 of its route's last 64 would have fitted in the time left, until its end; by design it broke some of them off, and a longer one than the samples always. Change: 2.8 s after the signal, when load balancers have dropped the host and new requests are refused anyway, a request is sent or forwarded only if its deadline (that of its caller or of its route, with the 0.08 s in which a late answer is still taken) comes before open requests are ended. Waiting requests and second attempts ask the same check, waiting ones every 50 ms. Before that time the estimate stays: what it breaks off is sent early, and ends in the last sixth of the time for the stop.

--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -323,6 +323,7 @@
 			getSnapshotAgeMs: () => this.#feed.ageMs,
 			isShuttingDown,
 			getShutdownMs: () => this.#shutdown.endsRequestsAtMs,
+			getEstimatesUntilMs: () => this.#shutdown.acceptsUntilMs,
 			hedging: options.hedging,
 			probe: (state) => {
 				this.#probe(state);
--- a/packages/gateway/src/context/graceful-shutdown.ts
+++ b/packages/gateway/src/context/graceful-shutdown.ts
@@ -60,12 +60,14 @@
 		return this.#schedule?.endsRequestsAtMs ?? Number.POSITIVE_INFINITY;
 	}
 
+	/** When load balancers have noticed and the last pending requests are read, on the monotonic clock, in milliseconds; infinite before the request. */
+	get acceptsUntilMs(): number {
+		return this.#schedule?.acceptsUntilMs ?? Number.POSITIVE_INFINITY;
+	}
+
 	/** Whether a request that is read now is refused, as it came too late. */
 	get isRefusing(): boolean {
-		return (
-			this.#schedule !== undefined &&
-			this.#options.clock.monotonicMs() > this.#schedule.acceptsUntilMs
-		);
+		return this.#options.clock.monotonicMs() > this.acceptsUntilMs;
 	}
 
 	/**
--- a/packages/gateway/src/context/make-relay.ts
+++ b/packages/gateway/src/context/make-relay.ts
@@ -64,6 +64,8 @@
 	readonly isShuttingDown: () => boolean;
 	/** Gets when open requests are ended because the host shuts down, on the monotonic clock, in milliseconds; infinite before. */
 	readonly getShutdownMs: () => number;
+	/** Gets until when the shutdown lets requests be sent on an estimate, on the monotonic clock, in milliseconds; infinite before. */
+	readonly getEstimatesUntilMs: () => number;
 	/** How hedged requests are sent; undefined for none. */
 	readonly hedging: HedgingOptions | undefined;
 	/** Probes a target. */
@@ -107,6 +109,7 @@
 		clock,
 		serviceTimes,
 		getShutdownMs: dependencies.getShutdownMs,
+		getEstimatesUntilMs: dependencies.getEstimatesUntilMs,
 	});
 	const hasPriorityClasses = (service: ServiceName) =>
 		plans.plan?.prioritizedServices.has(service) ?? false;
--- a/packages/gateway/src/context/shutdown-schedule.ts
+++ b/packages/gateway/src/context/shutdown-schedule.ts
@@ -4,7 +4,10 @@
 export type ShutdownSchedule = {
 	/** Connections are closed and no new ones accepted. */
 	readonly closesAtMs: number;
-	/** Requests that are read after this time are refused; somewhat later than `closesAtMs`, for those that were pending then. */
+	/**
+	 * Requests that are read after this time are refused; somewhat later than `closesAtMs`, for those that were pending then.
+	 * Those that were read before are sent later only if their deadlines come before open requests are ended.
+	 */
 	readonly acceptsUntilMs: number;
 	/** Requests that are still open get an error response. */
 	readonly endsRequestsAtMs: number;
--- a/packages/gateway/src/relay/shutdown-limit.ts
+++ b/packages/gateway/src/relay/shutdown-limit.ts
@@ -4,6 +4,7 @@
 import {answeredShare} from '@bilberryscale/daemon/edge';
 import type {Route} from '../plan/routing-plan.js';
 import type {ServiceTimes} from './service-times.js';
+import {deadlineResponseGraceMs} from './target-attempt.js';
 
 /** The dependencies of a limit. */
 export type ShutdownLimitOptions = {
@@ -11,6 +12,8 @@
 	readonly serviceTimes: Pick<ServiceTimes, 'getMs' | 'getQuantileMs'>;
 	/** Gets when open requests are ended because the host shuts down, on the monotonic clock, in milliseconds; infinite before. */
 	readonly getShutdownMs: () => number;
+	/** Gets until when a request may be sent because it will probably be answered in time, on the monotonic clock, in milliseconds; infinite before the shutdown. */
+	readonly getEstimatesUntilMs: () => number;
 };
 
 /** A request that is about to be sent. */
@@ -32,22 +35,25 @@
 	}
 
 	/**
-	 * Checks whether a request that is sent now would probably be ended by the shutdown before a target has answered.
-	 * A request whose own deadline comes first would not.
+	 * Checks whether a request that is sent now could be ended by the shutdown before a target has answered.
+	 * A request whose own deadline comes first could not. While load balancers may still send requests, it is enough that the
+	 * request will probably be answered in time; later, other hosts get all new requests, and none is sent on an estimate.
 	 *
 	 * @param request - The request.
 	 * @param expectedMs - The expected latency at the target that it would be sent to, in milliseconds; that of a target at its typical speed by default.
 	 * @returns Whether it is too late for the request.
 	 */
 	isTooLate({route, deadlineMs}: LimitedRequest, expectedMs?: number): boolean {
-		const {clock, getShutdownMs} = this.#options;
+		const {clock, getShutdownMs, getEstimatesUntilMs} = this.#options;
+		const nowMs = clock.monotonicMs();
 		const shutdownMs = getShutdownMs();
-		if (deadlineMs <= shutdownMs) {
-			return false;
+		if (nowMs > getEstimatesUntilMs()) {
+			return deadlineMs + deadlineResponseGraceMs > shutdownMs;
 		}
 
 		return (
-			clock.monotonicMs() + this.getExpectedMs(route, expectedMs) > shutdownMs
+			deadlineMs > shutdownMs &&
+			nowMs + this.getExpectedMs(route, expectedMs) > shutdownMs
 		);
 	}
 
--- a/packages/gateway/src/relay/target-attempt.ts
+++ b/packages/gateway/src/relay/target-attempt.ts
@@ -56,7 +56,7 @@
  * How long after the deadline a response is still accepted, in milliseconds.
  * Targets stop work at the deadline themselves and then respond.
  */
-const deadlineResponseGraceMs = 80;
+export const deadlineResponseGraceMs = 80;
 /** A longer body that nobody needs is not read to its end. */
 const maxDiscardedBytes = 65_536;
 const minSuccessStatus = 200;
--- a/packages/gateway/test/relay/shutdown-limit.test.ts
+++ b/packages/gateway/test/relay/shutdown-limit.test.ts
@@ -15,6 +15,8 @@
 				readonly remainingMs: number;
 				readonly deadlineMs?: number;
 				readonly expectedMs?: number;
+				/** Whether load balancers have noticed the shutdown. */
+				readonly isLate?: boolean;
 			},
 			expected: boolean,
 		): void {
@@ -29,6 +31,8 @@
 					clock: new ManualClock(),
 					serviceTimes,
 					getShutdownMs: () => input.remainingMs,
+					getEstimatesUntilMs: () =>
+						input.isLate === true ? -1 : Number.POSITIVE_INFINITY,
 				});
 				const route = {name, targetLatencyMs: 600};
 				const {deadlineMs = 10_000, expectedMs} = input;
@@ -62,5 +66,20 @@
 			{remainingMs: 510, expectedMs: 1000},
 			true,
 		);
+		doTest(
+			'is true late if the deadline comes after the end, however short requests are',
+			{isLate: true, remainingMs: 2900, deadlineMs: 2901},
+			true,
+		);
+		doTest(
+			'is true late if an answer at the deadline would come after the end',
+			{isLate: true, remainingMs: 2900, deadlineMs: 2821},
+			true,
+		);
+		doTest(
+			'is false late if an answer at the deadline would come before the end',
+			{isLate: true, remainingMs: 2900, deadlineMs: 2820},
+			false,
+		);
 	});
 });
