--- a/packages/gateway/src/context/graceful-shutdown.ts
+++ b/packages/gateway/src/context/graceful-shutdown.ts
@@ -6,7 +6,7 @@
 	type CallerListener,
 	type OpenRequest,
 } from '@bilberryscale/daemon/edge';
-import type {EventLog} from '../records/event-log.js';
+import type {EventFields, EventLog} from '../records/event-log.js';
 import {
 	makeShutdownSchedule,
 	type ShutdownSchedule,
@@ -60,12 +60,14 @@
 		return this.#schedule?.endsRequestsAtMs ?? Number.POSITIVE_INFINITY;
 	}
 
+	/** When load balancers have noticed and the last pending requests are read, on the monotonic clock, in milliseconds; infinite before the request. */
+	get acceptsUntilMs(): number {
+		return this.#schedule?.acceptsUntilMs ?? Number.POSITIVE_INFINITY;
+	}
+
 	/** Whether a request that is read now is refused, as it came too late. */
 	get isRefusing(): boolean {
-		return (
-			this.#schedule !== undefined &&
-			this.#options.clock.monotonicMs() > this.#schedule.acceptsUntilMs
-		);
+		return this.#options.clock.monotonicMs() > this.acceptsUntilMs;
 	}
 
 	/**
@@ -153,11 +155,7 @@
 			unanswered: requests.length,
 			requests: requests
 				.slice(0, maxLoggedRequests)
-				.map(({requestId, receivedAtMs, phase}) => ({
-					requestId,
-					phase,
-					ageMs: Math.round(nowMs - receivedAtMs),
-				})),
+				.map((request) => describeRequest(request, nowMs)),
 		});
 	}
 
@@ -167,3 +165,21 @@
 		});
 	}
 }
+
+/** Describes an open request for the log; what isn't known is left out. */
+function describeRequest(
+	{requestId, receivedAtMs, phase, lastCopy, expectedMs}: OpenRequest,
+	nowMs: number,
+): EventFields {
+	const writtenAtMs = lastCopy?.writtenAtMs;
+	return {
+		requestId,
+		phase,
+		ageMs: Math.round(nowMs - receivedAtMs),
+		waitedMs: Math.round((writtenAtMs ?? nowMs) - receivedAtMs),
+		sentTo: lastCopy?.to,
+		sentAgoMs:
+			writtenAtMs === undefined ? undefined : Math.round(nowMs - writtenAtMs),
+		expectedMs: expectedMs === undefined ? undefined : Math.round(expectedMs),
+	};
+}
--- a/packages/gateway/src/relay/shutdown-limit.ts
+++ b/packages/gateway/src/relay/shutdown-limit.ts
@@ -4,6 +4,7 @@
 import {answeredShare} from '@bilberryscale/daemon/edge';
 import type {Route} from '../plan/routing-plan.js';
 import type {ServiceTimes} from './service-times.js';
+import {deadlineResponseGraceMs} from './target-attempt.js';
 
 /** The dependencies of a limit. */
 export type ShutdownLimitOptions = {
@@ -11,6 +12,8 @@
 	readonly serviceTimes: Pick<ServiceTimes, 'getMs' | 'getQuantileMs'>;
 	/** Gets when open requests are ended because the host shuts down, on the monotonic clock, in milliseconds; infinite before. */
 	readonly getShutdownMs: () => number;
+	/** Gets until when a request may be sent because it will probably be answered in time, on the monotonic clock, in milliseconds; infinite before the shutdown. */
+	readonly getEstimatesUntilMs: () => number;
 };
 
 /** A request that is about to be sent. */
@@ -32,32 +35,49 @@
 	}
 
 	/**
-	 * Checks whether a request that is sent now would probably be ended by the shutdown before a target has answered.
-	 * A request whose own deadline comes first would not.
+	 * Checks whether a request that is sent now could be ended by the shutdown before a target has answered.
+	 * A request whose own deadline comes first could not. While load balancers may still send requests, it is enough that the
+	 * request will probably be answered in time; later, other hosts get all new requests, and none is sent on an estimate.
 	 *
 	 * @param request - The request.
 	 * @param expectedMs - The expected latency at the target that it would be sent to, in milliseconds; that of a target at its typical speed by default.
 	 * @returns Whether it is too late for the request.
 	 */
-	isTooLate(
-		{route: {name, targetLatencyMs}, deadlineMs}: LimitedRequest,
-		expectedMs?: number,
-	): boolean {
-		const {clock, serviceTimes, getShutdownMs} = this.#options;
+	isTooLate({route, deadlineMs}: LimitedRequest, expectedMs?: number): boolean {
+		const {clock, getShutdownMs, getEstimatesUntilMs} = this.#options;
+		const nowMs = clock.monotonicMs();
 		const shutdownMs = getShutdownMs();
-		if (deadlineMs <= shutdownMs) {
-			return false;
+		if (nowMs > getEstimatesUntilMs()) {
+			return deadlineMs + deadlineResponseGraceMs > shutdownMs;
 		}
 
-		const boundMs = serviceTimes.getQuantileMs(
-			name,
-			targetLatencyMs,
-			answeredShare,
+		return (
+			deadlineMs > shutdownMs &&
+			nowMs + this.getExpectedMs(route, expectedMs) > shutdownMs
 		);
+	}
+
+	/**
+	 * Gets the time within which nearly all requests of a route are answered.
+	 *
+	 * @param route - The route.
+	 * @param expectedMs - The expected latency at a target, in milliseconds; that of a target at its typical speed by default.
+	 * @returns The time in milliseconds.
+	 */
+	getExpectedMs(
+		{name, targetLatencyMs}: LimitedRequest['route'],
+		expectedMs?: number,
+	): number {
+		const {serviceTimes} = this.#options;
 		const slowdownFactor =
 			expectedMs === undefined
 				? 1
 				: expectedMs / serviceTimes.getMs(name, targetLatencyMs);
-		return clock.monotonicMs() + boundMs * slowdownFactor > shutdownMs;
+		const boundMs = serviceTimes.getQuantileMs(
+			name,
+			targetLatencyMs,
+			answeredShare,
+		);
+		return boundMs * slowdownFactor;
 	}
 }
--- a/packages/gateway/src/relay/target-attempt.ts
+++ b/packages/gateway/src/relay/target-attempt.ts
@@ -48,13 +48,15 @@
 	readonly warmUpPermit?: WarmUpPermit | undefined;
 	/** Checks whether the target could no longer answer before the host shuts down; asked when the connection is open. */
 	readonly isTooLate?: (() => boolean) | undefined;
+	/** Called just before the request is written, with the time on the monotonic clock, in milliseconds. */
+	readonly onWrite: (writtenAtMs: number) => void;
 };
 
 /**
  * How long after the deadline a response is still accepted, in milliseconds.
  * Targets stop work at the deadline themselves and then respond.
  */
-const deadlineResponseGraceMs = 80;
+export const deadlineResponseGraceMs = 80;
 /** A longer body that nobody needs is not read to its end. */
 const maxDiscardedBytes = 65_536;
 const minSuccessStatus = 200;
@@ -194,6 +196,7 @@
 		}
 
 		this.#writtenAtMs = nowMs;
+		this.#options.onWrite(nowMs);
 		return undefined;
 	}
 
