Read what has arrived before a stop ends open requests

After a blockage across the end of a stop, the timer that ends open requests ran before the sockets were read, so requests were answered 504 whose answers had arrived.

--- a/packages/gateway/src/context/graceful-shutdown.ts
+++ b/packages/gateway/src/context/graceful-shutdown.ts
@@ -97,6 +97,8 @@
 		}
 
 		await this.#waitForConnections(schedule.endsRequestsAtMs);
+		// After a blockage, answers may have arrived that are not read yet.
+		await waitForPendingIo();
 		if (servers.some((server) => server.getOpenRequests().length > 0)) {
 			this.#logOpenRequests('requests ended by the shutdown');
 		}
--- a/packages/gateway/test/context/graceful-shutdown.test.ts
+++ b/packages/gateway/test/context/graceful-shutdown.test.ts
@@ -8,8 +8,17 @@
 
 const shutdownMs = 6000;
 const stepMs = 10;
+/** Turns of the event loop within one step of the clock. */
+const eventTurns = 5;
 const requestId = makeId<RequestId>('r');
 
+/** Lets pending events and what waits for them run, without time passing. */
+async function settle(): Promise<void> {
+	for (let turn = 0; turn < eventTurns; turn++) {
+		await new Promise(setImmediate);
+	}
+}
+
 /** Runs a shutdown during which a request gets no answer, and gets what the log says of it when it is ended. */
 async function runShutdown(
 	request: Omit<OpenRequest, 'requestId'>,
@@ -39,9 +48,7 @@
 	const ended = shutdown.run(shutdownMs);
 	for (let ms = 0; ms < shutdownMs; ms += stepMs) {
 		clock.advance(stepMs);
-		await new Promise((resolve) => {
-			setImmediate(resolve);
-		});
+		await settle();
 	}
 
 	await ended;
