Leave a silent or stalled target only when the request can go to another one at once

Callers got 502 for safe requests while their targets worked on them, one to three at a time, also around restarts: an attempt that took 2.5 times the expected time, or whose target had missed two health checks, was ended before a second one was certain. If then no other target took the request, or the retry had expired while it waited for one, the host answered 502 in its place. Unsafe requests, which are not watched, were answered 200.

Now the retry is taken and the other target picked first, and only then the attempt is cancelled; until that succeeds the request waits on and tries again every 400 ms. A target that is picked and not needed is released, its retry given back.

In hedged-dispatcher.test.ts the same checks wait for the answer of secureRetry, which was canRetry.

--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -202,7 +202,7 @@
 			onNotice: () => undefined,
 			silenceDetector: route.isIdempotent ? this.#silenceDetector : undefined,
 			stallTimeoutMs: undefined,
-			canRetry: () => false,
+			secureRetry: async () => false,
 			isTooLate: exchange.isTooLate,
 			onWrite(writtenAtMs) {
 				copy.writtenAtMs = writtenAtMs;
--- a/packages/gateway/src/relay/attempt-dispatcher.ts
+++ b/packages/gateway/src/relay/attempt-dispatcher.ts
@@ -60,7 +60,7 @@
 /** What ends an attempt before its deadline. */
 export type AttemptControl = Pick<
 	TargetAttemptOptions,
-	'canRetry' | 'supersededSignal'
+	'secureRetry' | 'supersededSignal'
 >;
 
 /** Retry delay for a blocked request, in milliseconds. */
--- a/packages/gateway/src/relay/hedged-dispatcher.ts
+++ b/packages/gateway/src/relay/hedged-dispatcher.ts
@@ -56,8 +56,8 @@
 	readonly executions: number;
 	/** The targets that the request was already sent to, the picked one included. */
 	readonly triedTargets: ReadonlySet<TargetId>;
-	/** Whether the request may be sent to another target if this one stalls. */
-	readonly canRetry: () => boolean;
+	/** Makes sure that the request can be sent to another target at once if this one is silent or stalls. */
+	readonly secureRetry: () => Promise<boolean>;
 	/** Checks whether the retry budget allows a hedge. */
 	readonly canTakeRetry: () => boolean;
 	/** Takes a hedge out of the retry budget. */
@@ -127,7 +127,7 @@
 			request,
 			picked,
 			context.attempt,
-			() => !isSecondRunning && context.canRetry(),
+			async () => !isSecondRunning && context.secureRetry(),
 		);
 		if (delayMs === undefined) {
 			return [await first.outcome];
@@ -207,12 +207,12 @@
 		request: RoutedRequest,
 		picked: PickedTarget,
 		attempt: number,
-		canRetry: () => boolean,
+		secureRetry: () => Promise<boolean>,
 	): Copy<EndedCopy> {
 		const controller = new AbortController();
 		return {
 			outcome: this.#sendCopy(request, picked, attempt, {
-				canRetry,
+				secureRetry,
 				supersededSignal: controller.signal,
 			}),
 			cancel() {
@@ -290,7 +290,12 @@
 		recorder.recordHedgeSent();
 		// The key may belong to another account by now.
 		const checked = accountCheck.recheck(request).unwrapOr(request);
-		return this.#startCopy(checked, picked, context.attempt + 1, () => false);
+		return this.#startCopy(
+			checked,
+			picked,
+			context.attempt + 1,
+			async () => false,
+		);
 	}
 
 	#getObstacle(
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -72,6 +72,14 @@
 const retryShare = 0.6;
 /** Maximum attempts beyond the route's limit, to targets that refused the request at random before. */
 const maxRepeatedAttempts = 3;
+/** Stands for an attempt whose target is silent or has stalled. */
+const leftResult: AttemptResult = {
+	kind: 'failed',
+	cause: 'stalled',
+	mayHaveRun: true,
+	detail: 'the target does not respond',
+};
+
 /** Relays requests to targets within the retry budget of each service. */
 export class Relay {
 	readonly #options: RelayOptions;
@@ -178,6 +186,7 @@
 			const {best} = progress;
 			if (
 				best !== undefined &&
+				progress.next === undefined &&
 				!(await retryAllowance.take(request, best, progress))
 			) {
 				return buildResult(
@@ -208,6 +217,7 @@
 			progress.executions += mayHaveRun(result) ? 1 : 0;
 			progress.best = pickBetterResult(best, result);
 			if (!this.#canRetry(request, result, progress)) {
+				this.#releaseNext(request, progress);
 				return buildResult(progress.best, progress.executions, undefined);
 			}
 		}
@@ -220,6 +230,12 @@
 		canForward: boolean,
 	): Promise<Result<AttemptResult, Failure>> {
 		const {registry} = this.#options;
+		const {next} = progress;
+		if (next !== undefined) {
+			progress.next = undefined;
+			return this.#send(request, next.picked, progress);
+		}
+
 		const wasLost = registry.pathMonitor.isLost;
 		if (wasLost) {
 			const forwarded = await this.#forward(request, progress, canForward);
@@ -314,28 +330,84 @@
 	async #sendCopies(
 		request: RoutedRequest,
 		picked: PickedTarget,
-		{triedTargets, attempts, executions}: RequestProgress,
+		progress: RequestProgress,
 	): Promise<SentCopies> {
 		const {dispatcher, hedging, clock, retryAllowance} = this.#options;
+		const {triedTargets, attempts, executions} = progress;
 		const attempt = attempts + 1;
-		const canRetry = () => this.#canLeaveStalledTarget(request, executions);
-		if (hedging === undefined) {
-			const target = picked.state.registration.id;
-			const result = await dispatcher.send(request, picked, attempt, {
-				canRetry,
+		const ended = new AbortController();
+		const secureRetry = async () =>
+			this.#secureRetry(request, progress, ended.signal);
+		try {
+			if (hedging === undefined) {
+				const target = picked.state.registration.id;
+				const result = await dispatcher.send(request, picked, attempt, {
+					secureRetry,
+				});
+				return [{target, result}];
+			}
+
+			const budget = retryAllowance.getBudget(request);
+			return await hedging.send(request, picked, {
+				attempt,
+				executions,
+				triedTargets,
+				secureRetry,
+				canTakeRetry: () => budget.canTake(clock.monotonicMs(), retryShare),
+				takeRetry: () => budget.take(clock.monotonicMs(), retryShare),
 			});
-			return [{target, result}];
+		} finally {
+			ended.abort();
 		}
+	}
 
-		const budget = retryAllowance.getBudget(request);
-		return hedging.send(request, picked, {
-			attempt,
-			executions,
-			triedTargets,
-			canRetry,
-			canTakeRetry: () => budget.canTake(clock.monotonicMs(), retryShare),
-			takeRetry: () => budget.take(clock.monotonicMs(), retryShare),
-		});
+	/**
+	 * Takes a retry and picks another target for a request whose target is silent or
+	 * has stalled. That one may still respond, so it is left only after this. While
+	 * the host shuts down, another attempt might not complete in time.
+	 */
+	async #secureRetry(
+		request: RoutedRequest,
+		progress: RequestProgress,
+		ended: AbortSignal,
+	): Promise<boolean> {
+		const {clock, isShuttingDown, retryAllowance} = this.#options;
+		const {route, exchange, service} = request;
+		if (isShuttingDown() || progress.executions + 1 >= route.maxAttempts) {
+			return false;
+		}
+
+		// The attempt may end meanwhile, and the request go on with a retry of its own.
+		const secured = {...progress};
+		if (!(await retryAllowance.take(request, leftResult, secured))) {
+			return false;
+		}
+
+		const signal = AbortSignal.any([exchange.incoming.signal, ended]);
+		const picked = await this.#pick(request, secured, false, signal);
+		if (picked.isOk()) {
+			const isOver = ended.aborted || isShuttingDown();
+			if (!isOver && retryAllowance.use(request, secured)) {
+				progress.next = {picked: picked.value, takenAtMs: clock.monotonicMs()};
+				return true;
+			}
+
+			this.#release(service, picked.value);
+		}
+
+		retryAllowance.giveBack(request, secured);
+		return false;
+	}
+
+	/** Gives up a retry that was secured for an attempt that has brought a result after all. */
+	#releaseNext(request: RoutedRequest, progress: RequestProgress): void {
+		const {next} = progress;
+		if (next !== undefined) {
+			progress.next = undefined;
+			this.#release(request.service, next.picked);
+			progress.retryTakenAtMs = next.takenAtMs;
+			this.#options.retryAllowance.giveBack(request, progress);
+		}
 	}
 
 	/**
@@ -398,31 +470,15 @@
 		);
 	}
 
-	/**
-	 * Checks whether an attempt that has stalled may be cancelled for another one.
-	 * While the host shuts down, the other one might not complete in time.
-	 */
-	#canLeaveStalledTarget(
-		request: RoutedRequest,
-		previousExecutions: number,
-	): boolean {
-		const {isShuttingDown, retryAllowance} = this.#options;
-		return (
-			!isShuttingDown() &&
-			previousExecutions + 1 < request.route.maxAttempts &&
-			retryAllowance.isAvailable(request)
-		);
-	}
-
 	async #pick(
 		request: RoutedRequest,
 		{triedTargets, refusingTargets, permit}: RequestProgress,
 		endsOutOfReach: boolean,
+		signal = request.exchange.incoming.signal,
 	): Promise<Result<PickedTarget, Failure>> {
 		const {picker, accountCheck, shutdownLimit} = this.#options;
 		const {route, service, deadlineMs} = request;
 		const isTargetLimitReached = triedTargets.size >= route.maxAttempts;
-		const {signal} = request.exchange.incoming;
 		const picked = await pickWithPermit(
 			permit,
 			signal,
--- a/packages/gateway/src/relay/request-progress.ts
+++ b/packages/gateway/src/relay/request-progress.ts
@@ -2,9 +2,17 @@
 
 import type {TargetId} from '@bilberryscale/core';
 import type {AllotmentPermit} from '../accounts/allotment-permit.js';
+import type {PickedTarget} from '../choice/target-picker.js';
 import {mayHaveRun, type AttemptResult} from './attempt-result.js';
 import type {SentCopy} from './hedged-dispatcher.js';
 
+/** A target that is ready for the next attempt. */
+export type SecuredRetry = {
+	readonly picked: PickedTarget;
+	/** When the retry was taken, on the monotonic clock, in milliseconds. */
+	readonly takenAtMs: number;
+};
+
 /** What has become of a request so far. */
 export type RequestProgress = {
 	readonly triedTargets: Set<TargetId>;
@@ -16,6 +24,8 @@
 	isCounted: boolean;
 	/** When a retry was taken out of the budget that is not sent yet, on the monotonic clock; undefined if there is none. */
 	retryTakenAtMs: number | undefined;
+	/** The target for the next attempt, if it is already picked, and when its retry was taken out of the budget. */
+	next: SecuredRetry | undefined;
 	attempts: number;
 	/** The number of attempts in which a target may have run the request. */
 	executions: number;
@@ -42,6 +52,7 @@
 		permit,
 		isCounted,
 		retryTakenAtMs: undefined,
+		next: undefined,
 		attempts: 0,
 		executions: 0,
 		best: undefined,
--- a/packages/gateway/src/relay/retry-allowance.ts
+++ b/packages/gateway/src/relay/retry-allowance.ts
@@ -132,15 +132,4 @@
 			this.getBudget(request).giveBack(takenAtMs, nowMs);
 		}
 	}
-
-	/**
-	 * Checks whether this host has a retry for a request, without asking others.
-	 *
-	 * @param request - The request.
-	 * @returns Whether there is one.
-	 */
-	isAvailable(request: RoutedRequest): boolean {
-		const nowMs = this.#options.clock.monotonicMs();
-		return this.getBudget(request).canTake(nowMs);
-	}
 }
--- a/packages/gateway/src/relay/silence-detector.ts
+++ b/packages/gateway/src/relay/silence-detector.ts
@@ -38,7 +38,7 @@
 	 * Watches a target during a request.
 	 *
 	 * @param state - The target.
-	 * @param onSilent - Called once if the target responds neither to requests nor to probes.
+	 * @param onSilent - Called again and again while the target responds neither to requests nor to probes.
 	 * @returns A function that stops watching for this request.
 	 */
 	watch(state: TargetState, onSilent: () => void): () => void {
@@ -75,8 +75,6 @@
 			for (const listener of watched.listeners) {
 				listener();
 			}
-
-			return;
 		}
 
 		const nowMs = this.#options.clock.monotonicMs();
--- a/packages/gateway/src/relay/target-attempt.ts
+++ b/packages/gateway/src/relay/target-attempt.ts
@@ -36,12 +36,15 @@
 		notice: AvailabilityNotice | undefined,
 		namesRequest: boolean,
 	) => void;
-	/** Cancels the attempt if the target stops responding; set only for requests that may run twice. */
+	/** Tells when the target stops responding; set only for requests that may run twice. */
 	readonly silenceDetector: SilenceDetector | undefined;
-	/** After which time without a response the attempt is cancelled, in milliseconds; undefined for never. */
+	/** After which time without a response the attempt has stalled, in milliseconds; undefined for never. */
 	readonly stallTimeoutMs: number | undefined;
-	/** Whether the request may be sent to another target, so that a stalled attempt may be cancelled. */
-	readonly canRetry: () => boolean;
+	/**
+	 * Makes sure that the request can be sent to another target at once, so that an
+	 * attempt may be cancelled whose target is silent or has stalled.
+	 */
+	readonly secureRetry: () => Promise<boolean>;
 	/** Aborts when another copy of the request has been answered; undefined if there is none. */
 	readonly supersededSignal?: AbortSignal | undefined;
 	/** Permits the request while the target is cold; checked when the connection is open. */
@@ -59,6 +62,8 @@
 export const deadlineResponseGraceMs = 80;
 /** A longer body that nobody needs is not read to its end. */
 const maxDiscardedBytes = 65_536;
+/** Time between two tries to find another target for a request whose target is silent or has stalled, in milliseconds. */
+const retrySecuringIntervalMs = 400;
 const minSuccessStatus = 200;
 const minRedirectStatus = 300;
 const minServerErrorStatus = 500;
@@ -90,6 +95,10 @@
 	#cancelStallTimer: () => void = () => undefined;
 	#stopWatching: () => void = () => undefined;
 	#hasEnded = false;
+	#hasAnswer = false;
+	#isSecuringRetry = false;
+	/** When it may next try to secure a retry, on the monotonic clock, in milliseconds. */
+	#securesRetryAtMs = Number.NEGATIVE_INFINITY;
 	#isSettled = false;
 	#isResponseInvalid = false;
 	#writtenAtMs: number | undefined;
@@ -156,9 +165,9 @@
 		);
 		this.#stopWatching =
 			silenceDetector?.watch(state, () => {
-				this.#cancel('silent');
+				void this.#leave('silent');
 			}) ?? this.#stopWatching;
-		this.#startStallTimer();
+		this.#startStallTimer(this.#options.stallTimeoutMs);
 		connection.dispatch(
 			{
 				method: incoming.method,
@@ -171,19 +180,34 @@
 		);
 	}
 
-	#startStallTimer(): void {
-		const {clock, stallTimeoutMs, canRetry} = this.#options;
-		if (stallTimeoutMs === undefined) {
+	#startStallTimer(delayMs: number | undefined): void {
+		if (delayMs === undefined) {
 			return;
 		}
 
-		this.#cancelStallTimer = clock.schedule(stallTimeoutMs, () => {
-			if (canRetry()) {
-				this.#cancel('stalled');
-			}
+		this.#cancelStallTimer = this.#options.clock.schedule(delayMs, () => {
+			void this.#leave('stalled');
+			this.#startStallTimer(retrySecuringIntervalMs);
 		});
 	}
 
+	/** Cancels the attempt if the request can go to another target at once; until then its target may still respond. */
+	async #leave(cause: FailureCause): Promise<void> {
+		const {clock, secureRetry} = this.#options;
+		const nowMs = clock.monotonicMs();
+		if (this.#isSecuringRetry || nowMs < this.#securesRetryAtMs) {
+			return;
+		}
+
+		this.#isSecuringRetry = true;
+		this.#securesRetryAtMs = nowMs + retrySecuringIntervalMs;
+		const isSecured = await secureRetry();
+		this.#isSecuringRetry = false;
+		if (isSecured && !this.#hasAnswer) {
+			this.#cancel(cause);
+		}
+	}
+
 	#checkBeforeWrite(): AttemptCancelledError | undefined {
 		const {clock, isTooLate, state, warmUpPermit} = this.#options;
 		if (isTooLate?.() === true) {
@@ -233,6 +257,7 @@
 		const {protocol, state, clock, incoming, onNotice} = this.#options;
 		const {status, headers, body} = answer;
 		this.#cancelStallTimer();
+		this.#hasAnswer = true;
 		const mixUp = this.#findMixUp(answer);
 		if (mixUp !== undefined) {
 			this.#rejectAnswer(body, mixUp);
--- a/packages/gateway/test/relay/hedged-dispatcher.test.ts
+++ b/packages/gateway/test/relay/hedged-dispatcher.test.ts
@@ -107,7 +107,7 @@
 
 type Attempt = {
 	readonly number: number;
-	readonly canRetry: () => boolean;
+	readonly secureRetry: () => Promise<boolean>;
 	readonly end: (result: AttemptResult) => void;
 };
 
@@ -130,9 +130,9 @@
 	const dispatcher = new HedgedDispatcher({
 		clock,
 		dispatcher: {
-			async send(_request, _picked, number, {canRetry, supersededSignal}) {
+			async send(_request, _picked, number, {secureRetry, supersededSignal}) {
 				return new Promise<AttemptResult>((resolve) => {
-					attempts.push({number, canRetry, end: resolve});
+					attempts.push({number, secureRetry, end: resolve});
 					supersededSignal?.addEventListener('abort', () => {
 						resolve(superseded);
 					});
@@ -181,7 +181,7 @@
 					attempt: executions + 1,
 					executions,
 					triedTargets: new Set([first.state.registration.id]),
-					canRetry: () => true,
+					secureRetry: async () => true,
 					canTakeRetry: () => true,
 					takeRetry() {
 						retriesTaken++;
@@ -249,10 +249,10 @@
 	it('lets a stalled first copy be cancelled again once the second has failed', async () => {
 		const context = makeDispatcher();
 		await context.send();
-		assert.is(context.attempts[0]!.canRetry(), false);
+		assert.is(await context.attempts[0]!.secureRetry(), false);
 		context.attempts[1]!.end(refused);
 		await settle();
-		assert.is(context.attempts[0]!.canRetry(), true);
+		assert.is(await context.attempts[0]!.secureRetry(), true);
 	});
 
 	function doTestObstacle(
