Keep the probes of all hosts within the limit after starts

Cause: each new process had half a minute's probes at once, and divided the limit by the hosts that gossip had brought, 16 at least, of which a large fleet has many more.

--- a/packages/gateway/src/context/make-relay.ts
+++ b/packages/gateway/src/context/make-relay.ts
@@ -55,10 +55,12 @@
 	readonly plans: PlanHolder;
 	/** The rate limits of client accounts. */
 	readonly allotments: AllotmentGate;
-	readonly retries: Pick<SharedLimits, 'budgets' | 'loans'>;
+	readonly sharedLimits: Pick<
+		SharedLimits,
+		'budgets' | 'loans' | 'getProbingHostCount'
+	>;
 	/** The requests that may have crashed targets. */
 	readonly crashSuspects: CrashSuspects;
-	readonly getHostCount: () => number;
 	/** Gets the time since the store confirmed the published state, in milliseconds. */
 	readonly getSnapshotAgeMs: () => number;
 	readonly isShuttingDown: () => boolean;
@@ -86,8 +88,7 @@
  */
 export function makeRelay(dependencies: RelayDependencies): Relay {
 	const {clock, random, log, metrics, settings, protocol, plans} = dependencies;
-	const {targetRegistry, crashSuspects, getHostCount, isShuttingDown, probe} =
-		dependencies;
+	const {targetRegistry, crashSuspects, isShuttingDown, probe} = dependencies;
 	const {host, dataCentre} = settings.current;
 	const lastSlotFactor = new LastSlotFactor();
 	const fullTargets = new FullTargetBehaviour(clock, (service, limit) => {
@@ -126,7 +127,8 @@
 		host,
 		dataCentre,
 		getProbesPerTargetSecond: () => settings.current.questionsPerTargetSecond,
-		getHostCount,
+		getHostCount: (targetCount) =>
+			dependencies.sharedLimits.getProbingHostCount(targetCount),
 		onFarProbes(service, count) {
 			metrics.recordFarProbes(service, count);
 		},
@@ -231,8 +233,8 @@
 		shutdownLimit,
 		retryAllowance: new RetryAllowance({
 			clock,
-			budgets: dependencies.retries.budgets,
-			loans: dependencies.retries.loans,
+			budgets: dependencies.sharedLimits.budgets,
+			loans: dependencies.sharedLimits.loans,
 			capacity: dependencies.capacity,
 			recorder,
 		}),
--- a/packages/gateway/src/context/shared-limits.ts
+++ b/packages/gateway/src/context/shared-limits.ts
@@ -1,4 +1,4 @@
-/** Wires up the limits that all hosts keep together: the retry budgets and the limits of cold targets. */
+/** Wires up the limits that all hosts keep together: the retry budgets, the limits of cold targets and the probes. */
 
 import type {
 	Clock,
@@ -13,6 +13,7 @@
 } from '../accounts/allotment-message.js';
 import {HostAnnouncement} from '../fleet/host-announcement.js';
 import type {HostDirectory} from '../fleet/host-directory.js';
+import {getProbingHostCount} from '../limits/get-probing-host-count.js';
 import type {HostPlace} from '../limits/get-rate-share.js';
 import type {LoanMessage} from '../limits/loan-message.js';
 import type {RetryBudgetLimit} from '../limits/retry-budget.js';
@@ -66,6 +67,7 @@
 	readonly loans: RetryLoans;
 	readonly warmUp: WarmUpLimiter;
 	readonly #announcement: HostAnnouncement;
+	readonly #directory: HostDirectory;
 
 	/**
 	 * @param options - This host, the others and the limits.
@@ -73,6 +75,7 @@
 	constructor(options: SharedLimitsOptions) {
 		const {log, directory, getRetryLimit, getWarmUpBound, getWarmUpRate} =
 			options;
+		this.#directory = directory;
 		this.#announcement = new HostAnnouncement(options);
 		const makePart = (limit: string) =>
 			new RetryPartTracker({
@@ -103,6 +106,20 @@
 		});
 	}
 
+	/**
+	 * Gets among how many hosts the probes of a service are divided.
+	 *
+	 * @param targetCount - The number of its targets.
+	 * @returns The number of hosts.
+	 */
+	getProbingHostCount(targetCount: number): number {
+		return getProbingHostCount({
+			knownCount: this.#directory.getHosts().length + 1,
+			isComplete: this.#announcement.isComplete,
+			targetCount,
+		});
+	}
+
 	/** Starts to make this host known. */
 	start(): void {
 		this.#announcement.start();
