Divide the limits that targets name among all known hosts

Cause: hosts counted those that gossip had brought within a minute. After a cut of over a minute each part took itself for the whole fleet, and hosts killed beside a cut counted few others; a margin of a quarter covered two parts only.

Change: LimitShares goes by the hosts of the directory and by the conditions of the retry budget and of cold targets (RetryPartTracker, with its own log line); HostPlaces keeps their data centres, which gossip brings.

Tests: the model's gossip forgets hosts after a minute. LimitShares no longer has a time of its own; its test takes it from RetryPartTracker, with the same 5 s.

--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -25,7 +25,6 @@
 import {ForwardingServer} from '../forwarding/forwarding-server.js';
 import {PathRecovery} from '../forwarding/path-recovery.js';
 import type {ForwardedRequest} from '../forwarding/forwarding-protocol.js';
-import {LimitShares} from '../limits/limit-shares.js';
 import type {SharedLimitMessage} from '../fleet/gossip.js';
 import {defaultWarmUpBound} from '../warm-up/warm-up-bound.js';
 import {SnapshotFeed} from '../snapshot/snapshot-feed.js';
@@ -199,6 +198,7 @@
 			directory: this.#knownHosts.directory,
 			hasOtherSeeds,
 			getPeers: () => this.#fleet.getShuffledPeers(),
+			getKnownPeers: () => this.#fleet.knownPeers,
 			getRetryLimit: () => this.#settings.current.retryBound,
 			getWarmUpBound: () =>
 				this.#settings.current.warmUpBound ?? defaultWarmUpBound,
@@ -238,15 +238,6 @@
 			},
 		});
 		const getHostCount = () => this.#fleet.hostCount;
-		const limitShares = new LimitShares({
-			clock,
-			random,
-			self: {
-				address: settings.callers.address,
-				dataCentre: settings.dataCentre,
-			},
-			getPeers: () => this.#fleet.knownPeers,
-		});
 		this.#targetRegistry = new TargetRegistry({
 			clock,
 			log,
@@ -254,8 +245,9 @@
 			localAddress: settings.callers.address,
 			getHostCount,
 			makeLimitPolicy: (target) => ({
-				getShare: (perSecond) => limitShares.getShare(target, perSecond),
-				getCheckDelayMs: () => limitShares.getCheckDelayMs(),
+				getShare: (perSecond) =>
+					this.#limits.shares.getShare(target, perSecond),
+				getCheckDelayMs: () => this.#limits.shares.getCheckDelayMs(),
 			}),
 			makeWarmUpGate: (target) => this.#limits.warmUp.makeGate(target),
 			onLimitChange: (notice) => {
--- a/packages/gateway/src/context/shared-limits.ts
+++ b/packages/gateway/src/context/shared-limits.ts
@@ -1,4 +1,4 @@
-/** Wires up the limits that all hosts keep together: the retry budgets, the limits of cold targets and the probes. */
+/** Wires up the limits that all hosts keep together: the retry budgets, the limits of cold targets, those that targets name, and the probes. */
 
 import type {
 	Clock,
@@ -13,8 +13,10 @@
 } from '../accounts/allotment-message.js';
 import {HostAnnouncement} from '../fleet/host-announcement.js';
 import type {HostDirectory} from '../fleet/host-directory.js';
+import {HostPlaces} from '../fleet/host-places.js';
 import {getProbingHostCount} from '../limits/get-probing-host-count.js';
 import type {HostPlace} from '../limits/get-rate-share.js';
+import {LimitShares} from '../limits/limit-shares.js';
 import type {LoanMessage} from '../limits/loan-message.js';
 import type {RetryBudgetLimit} from '../limits/retry-budget.js';
 import {RetryBudgets} from '../limits/retry-budgets.js';
@@ -51,6 +53,8 @@
 	 * @returns The hosts in random order.
 	 */
 	readonly getPeers: () => readonly HostPlace[];
+	/** Gets the other hosts that gossip has brought lately; the same array until one is added or removed. */
+	readonly getKnownPeers: () => readonly HostPlace[];
 	readonly getRetryLimit: () => RetryBudgetLimit;
 	readonly getWarmUpBound: () => WarmUpBound;
 	/** Gets how many requests a second a cold target of a service bears; undefined if the plan in force does not have the service. */
@@ -61,11 +65,16 @@
 	) => void;
 };
 
+/** Requests of a previous run count against the limits of targets for less than the time in which a host becomes known, in milliseconds. */
+const limitSpanMs = 0;
+
 /** This host's parts of the limits, and what it exchanges with other hosts about them. */
 export class SharedLimits {
 	readonly budgets: RetryBudgets;
 	readonly loans: RetryLoans;
 	readonly warmUp: WarmUpLimiter;
+	/** The parts of the limits that targets name. */
+	readonly shares: LimitShares;
 	readonly #announcement: HostAnnouncement;
 	readonly #directory: HostDirectory;
 
@@ -73,8 +82,8 @@
 	 * @param options - This host, the others and the limits.
 	 */
 	constructor(options: SharedLimitsOptions) {
-		const {log, directory, getRetryLimit, getWarmUpBound, getWarmUpRate} =
-			options;
+		const {log, self, dataCentre, directory} = options;
+		const {getRetryLimit, getWarmUpBound, getWarmUpRate} = options;
 		this.#directory = directory;
 		this.#announcement = new HostAnnouncement(options);
 		const makePart = (limit: string) =>
@@ -95,7 +104,7 @@
 			getBudget: (service) => this.budgets.get(service),
 			hasService: (service) => getWarmUpRate(service) !== undefined,
 		});
-		// A host may hold parts of both limits on the same conditions; only the time differs in which a previous run counts.
+		// A host may hold parts of all limits on the same conditions; only the time differs in which a previous run counts.
 		const warmUpPart = makePart('warm-up limits');
 		this.warmUp = new WarmUpLimiter({
 			...options,
@@ -104,6 +113,17 @@
 			getPerSecond: getWarmUpRate,
 			getBound: getWarmUpBound,
 		});
+		const sharesPart = makePart('limits of targets');
+		const places = new HostPlaces({
+			getHosts: () => directory.getHosts(),
+			getPeers: options.getKnownPeers,
+		});
+		this.shares = new LimitShares({
+			random: options.random,
+			self: {address: self, dataCentre},
+			getPeers: () => places.getPlaces(),
+			mayHold: () => sharesPart.getPart(limitSpanMs).hasSlack,
+		});
 	}
 
 	/**
--- a/packages/gateway/src/limits/get-rate-share.ts
+++ b/packages/gateway/src/limits/get-rate-share.ts
@@ -1,6 +1,7 @@
 /** Divides the request rate that a target accepts among the hosts, without any message between them. */
 
 import type {DataCentreId} from '@bilberryscale/core';
+import type {KnownPlace} from '../fleet/host-places.js';
 import type {RegisteredTarget} from '../plan/registered-target.js';
 import {getRendezvousRank} from '../targets/get-rendezvous-rank.js';
 
@@ -19,7 +20,7 @@
 	/** The host whose share is computed. */
 	readonly self: HostPlace;
 	/** The other hosts that it knows of. */
-	readonly peers: readonly HostPlace[];
+	readonly peers: readonly KnownPlace[];
 };
 
 /** Share of the limit that is given out, since hosts that do not know of each other yet give out more together. */
@@ -48,9 +49,9 @@
 	return betterCount < holderCount ? (usedShare * perSecond) / holderCount : 0;
 }
 
-/** Ranks hosts in the target's data centre before all others. */
+/** Ranks hosts in the target's data centre before all others, and before those whose data centre is unknown. */
 function getRank(
-	{address, dataCentre}: HostPlace,
+	{address, dataCentre}: KnownPlace,
 	target: RateShareOptions['target'],
 ): number {
 	const remoteOffset = dataCentre === target.dataCentre ? 0 : 2 ** 32;
--- a/packages/gateway/src/limits/limit-shares.ts
+++ b/packages/gateway/src/limits/limit-shares.ts
@@ -1,6 +1,7 @@
 /** Keeps the parts that this host may use of the limits that targets have named. */
 
-import type {Clock, RandomSource} from '@bilberryscale/core';
+import type {RandomSource} from '@bilberryscale/core';
+import type {KnownPlace} from '../fleet/host-places.js';
 import type {
 	RegisteredTarget,
 	TargetIncarnation,
@@ -9,7 +10,6 @@
 
 /** This host and how it gets to know the others. */
 export type LimitSharesOptions = {
-	readonly clock: Clock;
 	readonly random: RandomSource;
 	readonly self: HostPlace;
 	/**
@@ -17,29 +17,27 @@
 	 *
 	 * @returns The same array until a host is added or removed.
 	 */
-	readonly getPeers: () => readonly HostPlace[];
+	readonly getPeers: () => readonly KnownPlace[];
+	/** Whether this host may use a part: all others know it, and it is on the larger side of a cut. */
+	readonly mayHold: () => boolean;
 };
 
 type CachedShare = {readonly perSecond: number; readonly share: number};
 
-/** Time until a host that has started knows the others, in milliseconds; it uses no part of a limit before. */
-const startupMs = 5000;
 /** Mean time between two checks of all hosts together whether a target still names its limit, in milliseconds. */
 const checkIntervalMs = 5000;
 
 /** Computes and caches this host's parts of limits. */
 export class LimitShares {
 	readonly #options: LimitSharesOptions;
-	readonly #startedAtMs: number;
 	readonly #shares = new Map<TargetIncarnation, CachedShare>();
-	#peers: readonly HostPlace[] = [];
+	#peers: readonly KnownPlace[] = [];
 
 	/**
 	 * @param options - This host and the others.
 	 */
 	constructor(options: LimitSharesOptions) {
 		this.#options = options;
-		this.#startedAtMs = options.clock.monotonicMs();
 	}
 
 	/**
@@ -50,8 +48,8 @@
 	 * @returns Requests per second.
 	 */
 	getShare(target: RegisteredTarget, perSecond: number): number {
-		const {clock, self, getPeers} = this.#options;
-		if (clock.monotonicMs() - this.#startedAtMs < startupMs) {
+		const {self, getPeers, mayHold} = this.#options;
+		if (!mayHold()) {
 			return 0;
 		}
 
--- a/packages/gateway/test/limits/get-rate-share.test.ts
+++ b/packages/gateway/test/limits/get-rate-share.test.ts
@@ -14,6 +14,7 @@
 import * as assert from 'uvu/assert';
 import {getRateShare, type HostPlace} from '../../src/limits/get-rate-share.js';
 import {LimitShares} from '../../src/limits/limit-shares.js';
+import {RetryPartTracker} from '../../src/limits/retry-part.js';
 import {east, makeRegisteredTarget, west} from '../fixtures.js';
 
 const windowSeconds = 4;
@@ -97,10 +98,21 @@
 });
 
 describe('LimitShares', () => {
+	function makePart(clock: ManualClock): () => boolean {
+		const part = new RetryPartTracker({
+			clock,
+			isFirstStart: false,
+			directory: {getHosts: () => [], hasMajority: true},
+			announcement: {isComplete: true},
+			onChange: () => undefined,
+		});
+		return () => part.getPart(0).hasSlack;
+	}
+
 	it('has no part of a limit until the host knows the others', () => {
 		const clock = new ManualClock();
 		const shares = new LimitShares({
-			clock,
+			mayHold: makePart(clock),
 			random: () => 0.5,
 			self: {address: '10.0.0.1', dataCentre: east},
 			getPeers: () => [],
@@ -115,7 +127,7 @@
 		const clock = new ManualClock();
 		let peers: readonly HostPlace[] = [];
 		const shares = new LimitShares({
-			clock,
+			mayHold: makePart(clock),
 			random: () => 0.5,
 			self: {address: '10.0.0.1', dataCentre: east},
 			getPeers: () => peers,
--- a/packages/gateway/test/limits/model-fleet.ts
+++ b/packages/gateway/test/limits/model-fleet.ts
@@ -39,6 +39,8 @@
 	readonly durationMs: number;
 	/** The share of the hosts, from 0 to 1. */
 	readonly share: number;
+	/** The side on which a cut puts the hosts; 1 by default, and 0 is that of the others. */
+	readonly side?: number;
 };
 
 /** The hosts and what happens to them. */
@@ -58,6 +60,8 @@
 	/** Undefined while the process is down. */
 	process: Process | undefined;
 	peers: ReadonlyArray<{readonly address: string}>;
+	/** When gossip last brought each host that it has not forgotten, by address, in milliseconds. */
+	seenAtMs: Map<string, number>;
 	hasPath: boolean;
 	/** The side of a cut on which it is. */
 	side: number;
@@ -71,6 +75,8 @@
 /** How much of the fleet a host gets to know in that time, as measured with the gossip of 114 hosts. */
 const discoveryShare = 0.04;
 const seedCount = 3;
+/** Time after which gossip forgets a host that it does not hear of, in milliseconds. */
+const forgettingMs = 60_000;
 const lossShare = 0.01;
 const usualLeadMs = 10_000;
 const restartMs = 300;
@@ -94,6 +100,7 @@
 			clock: new HostClock(this.clock),
 			process: undefined,
 			peers: [],
+			seenAtMs: new Map(),
 			hasPath: true,
 			side: 0,
 			weight: 0.3 + this.random(),
@@ -175,6 +182,7 @@
 		const clock = new HostClock(this.clock);
 		host.clock = clock;
 		host.peers = [];
+		host.seenAtMs = new Map();
 		host.process = this.#options.startProcess({
 			clock,
 			random: this.random,
@@ -189,7 +197,7 @@
 	}
 
 	#disrupt(
-		{kind, share, durationMs}: Disruption,
+		{kind, share, durationMs, side = 1}: Disruption,
 		joining: ReadonlyArray<ModelHost<Process>>,
 	): void {
 		const hosts = this.#drawHosts(share);
@@ -223,7 +231,7 @@
 
 			case 'cut': {
 				for (const host of hosts) {
-					host.side = 1;
+					host.side = side;
 					later(() => {
 						host.side = 0;
 					});
@@ -291,18 +299,39 @@
 	}
 
 	#discover(): void {
+		const nowMs = this.clock.monotonicMs();
 		for (const [index, host] of this.hosts.entries()) {
-			const known = new Set(host.peers.map(({address}) => address));
+			const isUpFor = (other: ModelHost<Process>) =>
+				other.process !== undefined && other.side === host.side;
+			for (const other of this.hosts) {
+				if (host.seenAtMs.has(other.address) && isUpFor(other)) {
+					host.seenAtMs.set(other.address, nowMs);
+				}
+			}
+
 			const added = this.hosts.filter(
 				(other) =>
 					other !== host &&
-					other.process !== undefined &&
-					other.side === host.side &&
-					!known.has(other.address) &&
+					isUpFor(other) &&
+					!host.seenAtMs.has(other.address) &&
 					(index < seedCount || this.random() < discoveryShare),
 			);
-			if (added.length > 0) {
-				host.peers = [...host.peers, ...added];
+			for (const {address} of added) {
+				host.seenAtMs.set(address, nowMs);
+			}
+
+			const isForgotten = ({address}: {readonly address: string}) =>
+				nowMs - (host.seenAtMs.get(address) ?? nowMs) > forgettingMs;
+			const forgotten = host.peers.filter((peer) => isForgotten(peer));
+			for (const {address} of forgotten) {
+				host.seenAtMs.delete(address);
+			}
+
+			if (added.length > 0 || forgotten.length > 0) {
+				host.peers = [
+					...host.peers.filter((peer) => !forgotten.includes(peer)),
+					...added,
+				];
 			}
 		}
 	}
--- a/packages/gateway/test/limits/probe-fleet.test.ts
+++ b/packages/gateway/test/limits/probe-fleet.test.ts
@@ -70,6 +70,7 @@
 		isAlone: false,
 		hasOtherSeeds: () => seeds.some((seed) => seed !== address),
 		getPeers: () => [],
+		getKnownPeers: () => [],
 		getRetryLimit: () => ({ratio: 0.2, slack: 60, windowMs: 10_000}),
 		getWarmUpBound: () => defaultWarmUpBound,
 		getWarmUpRate: () => undefined,
