Merge the bounds of probes and of limits that targets name

Limits that targets name wait for the hosts that can be reached, as those of cold targets do, so that one silent host does not keep restarted hosts from a part for 75 s.

--- a/packages/gateway/src/context/shared-limits.ts
+++ b/packages/gateway/src/context/shared-limits.ts
@@ -1,4 +1,4 @@
-/** Wires up the limits that all hosts keep together: the retry budgets and the limits of cold targets. */
+/** Wires up the limits that all hosts keep together: the retry budgets, the limits of cold targets, those that targets name, and the probes. */
 
 import type {
 	Clock,
@@ -13,7 +13,10 @@
 } from '../accounts/allotment-message.js';
 import {HostAnnouncement} from '../fleet/host-announcement.js';
 import type {HostDirectory} from '../fleet/host-directory.js';
+import {HostPlaces} from '../fleet/host-places.js';
+import {getProbingHostCount} from '../limits/get-probing-host-count.js';
 import type {HostPlace} from '../limits/get-rate-share.js';
+import {LimitShares} from '../limits/limit-shares.js';
 import type {LoanMessage} from '../limits/loan-message.js';
 import type {RetryBudgetLimit} from '../limits/retry-budget.js';
 import {RetryBudgets} from '../limits/retry-budgets.js';
@@ -50,6 +53,8 @@
 	 * @returns The hosts in random order.
 	 */
 	readonly getPeers: () => readonly HostPlace[];
+	/** Gets the other hosts that gossip has brought lately; the same array until one is added or removed. */
+	readonly getKnownPeers: () => readonly HostPlace[];
 	readonly getRetryLimit: () => RetryBudgetLimit;
 	readonly getWarmUpBound: () => WarmUpBound;
 	/** Gets how many requests a second a cold target of a service bears; undefined if the plan in force does not have the service. */
@@ -60,19 +65,26 @@
 	) => void;
 };
 
+/** Requests of a previous run count against the limits of targets for less than the time in which a host becomes known, in milliseconds. */
+const limitSpanMs = 0;
+
 /** This host's parts of the limits, and what it exchanges with other hosts about them. */
 export class SharedLimits {
 	readonly budgets: RetryBudgets;
 	readonly loans: RetryLoans;
 	readonly warmUp: WarmUpLimiter;
+	/** The parts of the limits that targets name. */
+	readonly shares: LimitShares;
 	readonly #announcement: HostAnnouncement;
+	readonly #directory: HostDirectory;
 
 	/**
 	 * @param options - This host, the others and the limits.
 	 */
 	constructor(options: SharedLimitsOptions) {
-		const {log, directory, getRetryLimit, getWarmUpBound, getWarmUpRate} =
-			options;
+		const {log, self, dataCentre, directory} = options;
+		const {getRetryLimit, getWarmUpBound, getWarmUpRate} = options;
+		this.#directory = directory;
 		this.#announcement = new HostAnnouncement(options);
 		const makePart = (
 			limit: string,
@@ -95,13 +107,14 @@
 			getBudget: (service) => this.budgets.get(service),
 			hasService: (service) => getWarmUpRate(service) !== undefined,
 		});
-		// Hosts that can't be reached may hold parts of their own; the division of the limits allows for them.
+		// Limits of targets are in use at once, so they don't wait for hosts that can't be reached.
 		const announcement = this.#announcement;
-		const warmUpPart = makePart('warm-up limits', {
+		const reachable = {
 			get isComplete() {
 				return announcement.hasReachedAll;
 			},
-		});
+		};
+		const warmUpPart = makePart('warm-up limits', reachable);
 		this.warmUp = new WarmUpLimiter({
 			...options,
 			getHosts: () => directory.getHosts(),
@@ -109,6 +122,31 @@
 			getPerSecond: getWarmUpRate,
 			getBound: getWarmUpBound,
 		});
+		const sharesPart = makePart('limits of targets', reachable);
+		const places = new HostPlaces({
+			getHosts: () => directory.getHosts(),
+			getPeers: options.getKnownPeers,
+		});
+		this.shares = new LimitShares({
+			random: options.random,
+			self: {address: self, dataCentre},
+			getPeers: () => places.getPlaces(),
+			mayHold: () => sharesPart.getPart(limitSpanMs).hasSlack,
+		});
+	}
+
+	/**
+	 * Gets among how many hosts the probes of a service are divided.
+	 *
+	 * @param targetCount - The number of its targets.
+	 * @returns The number of hosts.
+	 */
+	getProbingHostCount(targetCount: number): number {
+		return getProbingHostCount({
+			knownCount: this.#directory.getHosts().length + 1,
+			isComplete: this.#announcement.isComplete,
+			targetCount,
+		});
 	}
 
 	/** Starts to make this host known. */
