Take forwarded requests in a stop only by their deadline

Cause: a stopping host took requests of another host on an estimate, too. Their callers stand at a host that may not stop at all, and that host can send them to a third one at once; what was broken off was lost to them. Change: a stopping host sends a forwarded request only if its deadline comes before open requests are ended, from the signal on.

--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -95,7 +95,10 @@
 		forwarding?: ForwardedRequest,
 	): Promise<FilterResult> {
 		exchange.unsettledCopies = 0;
-		const result = await this.#options.reader.read(exchange);
+		const result = await this.#options.reader.read(
+			exchange,
+			forwarding !== undefined,
+		);
 		if (result.isErr()) {
 			this.#options.recorder.recordRefusal(exchange, result.error);
 			return result;
--- a/packages/gateway/src/relay/request-reader.ts
+++ b/packages/gateway/src/relay/request-reader.ts
@@ -29,6 +29,8 @@
 	readonly service: ServiceName;
 	/** When the response must be complete, on the monotonic clock, in milliseconds. */
 	readonly deadlineMs: number;
+	/** Whether another host has forwarded it. */
+	readonly isForwarded?: boolean;
 	readonly body: Buffer | undefined;
 	/** Whether the caller probably repeats a request that was refused. */
 	readonly isReturning: boolean;
@@ -83,9 +85,13 @@
 	 * Finds the route, the client account and the service of a request, and reads its body.
 	 *
 	 * @param exchange - The request.
+	 * @param isForwarded - Whether another host has forwarded it.
 	 * @returns The routed request, or the reason for a refusal.
 	 */
-	async read(exchange: Exchange): Promise<Result<RoutedRequest, Failure>> {
+	async read(
+		exchange: Exchange,
+		isForwarded: boolean,
+	): Promise<Result<RoutedRequest, Failure>> {
 		const {plans} = this.#options;
 		const plan = plans.plan ?? (await plans.waitForPlan());
 		if (plan === undefined) {
@@ -114,7 +120,7 @@
 
 		const deadlineMs = receivedAtMs + this.#getTimeoutMs(exchange, route);
 		exchange.isTooLate = () =>
-			this.#options.shutdownLimit.isTooLate({route, deadlineMs});
+			this.#options.shutdownLimit.isTooLate({route, deadlineMs, isForwarded});
 		exchange.getExpectedMs = () =>
 			this.#options.shutdownLimit.getExpectedMs(route);
 		if (exchange.isTooLate()) {
@@ -134,6 +140,7 @@
 				route,
 				service,
 				deadlineMs,
+				isForwarded,
 				body: bytes,
 				isReturning: elapsedMs > 0,
 				elapsedMs,
--- a/packages/gateway/src/relay/shutdown-limit.ts
+++ b/packages/gateway/src/relay/shutdown-limit.ts
@@ -21,6 +21,8 @@
 	readonly route: Pick<Route, 'name' | 'targetLatencyMs'>;
 	/** When the response must be complete, on the monotonic clock, in milliseconds. */
 	readonly deadlineMs: number;
+	/** Whether another host has forwarded it, which can send it to a third one at once. */
+	readonly isForwarded?: boolean;
 };
 
 /** Compares the time that is left of a shutdown with the time that requests take. */
@@ -38,16 +40,20 @@
 	 * Checks whether a request that is sent now could be ended by the shutdown before a target has answered.
 	 * A request whose own deadline comes first could not. While load balancers may still send requests, it is enough that the
 	 * request will probably be answered in time; later, other hosts get all new requests, and none is sent on an estimate.
+	 * None that another host has forwarded ever is.
 	 *
 	 * @param request - The request.
 	 * @param expectedMs - The expected latency at the target that it would be sent to, in milliseconds; that of a target at its typical speed by default.
 	 * @returns Whether it is too late for the request.
 	 */
-	isTooLate({route, deadlineMs}: LimitedRequest, expectedMs?: number): boolean {
+	isTooLate(
+		{route, deadlineMs, isForwarded = false}: LimitedRequest,
+		expectedMs?: number,
+	): boolean {
 		const {clock, getShutdownMs, getEstimatesUntilMs} = this.#options;
 		const nowMs = clock.monotonicMs();
 		const shutdownMs = getShutdownMs();
-		if (nowMs > getEstimatesUntilMs()) {
+		if (isForwarded || nowMs > getEstimatesUntilMs()) {
 			return deadlineMs + deadlineResponseGraceMs > shutdownMs;
 		}
 
