Export the memory of the process and how busy its event loop is

Change: bilberryscale_process_memory_bytes and bilberryscale_loop_utilization, read when the metrics are exported, so that they cost nothing otherwise.

--- a/packages/gateway/src/records/gateway-metrics.ts
+++ b/packages/gateway/src/records/gateway-metrics.ts
@@ -1,5 +1,7 @@
 /** Prometheus counters and histograms of the gateway. */
 
+import {performance} from 'node:perf_hooks';
+import process from 'node:process';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 
 /** Upper bounds of the latency buckets, in seconds. */
@@ -7,6 +9,7 @@
 	0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.75, 1, 1.5, 2, 3, 5, 10,
 ];
 const msPerSecond = 1000;
+const bytesPerKilobyte = 1024;
 
 /** Registers and updates the metrics of the gateway. */
 export class GatewayMetrics {
@@ -225,6 +228,21 @@
 		registers: [this.#registry],
 	});
 
+	readonly #memory = new Gauge({
+		name: 'bilberryscale_process_memory_bytes',
+		help: 'Memory of the process: resident now, the peak of that, the heap in use, and buffers outside of the heap',
+		labelNames: ['kind'],
+		registers: [this.#registry],
+	});
+
+	readonly #loopUtilization = new Gauge({
+		name: 'bilberryscale_loop_utilization',
+		help: 'Share of the time since the last export in which the event loop was busy',
+		registers: [this.#registry],
+	});
+
+	#loopReading = performance.eventLoopUtilization();
+
 	/** Gets the content type of the exported text. */
 	get contentType(): string {
 		return this.#registry.contentType;
@@ -500,6 +518,26 @@
 	 * @returns The metrics in the Prometheus text format.
 	 */
 	async getText(): Promise<string> {
+		this.#recordProcess();
 		return this.#registry.metrics();
 	}
+
+	/** Records what the process uses; read only for an export, because it takes system calls. */
+	#recordProcess(): void {
+		const {rss, heapUsed, external} = process.memoryUsage();
+		this.#memory.set({kind: 'resident'}, rss);
+		this.#memory.set(
+			{kind: 'resident-peak'},
+			process.resourceUsage().maxRSS * bytesPerKilobyte,
+		);
+		this.#memory.set({kind: 'heap'}, heapUsed);
+		this.#memory.set({kind: 'external'}, external);
+		const reading = performance.eventLoopUtilization();
+		const {utilization} = performance.eventLoopUtilization(
+			reading,
+			this.#loopReading,
+		);
+		this.#loopReading = reading;
+		this.#loopUtilization.set(utilization);
+	}
 }
