Bound the memory of all messages together and count what small pieces cost

Callers saw: requests on a host that had run out of memory end without an answer (LOST), the process ends (FAULT).

Cause: the size of a message was counted in payload bytes and bounded for each message alone. A chunk of one byte is a Buffer of its own that also holds the read buffer it was cut from: a hundred times its byte and more, 1,048,576 of them for each answer. endless-answers.test.ts bounds memory but has no kind with small pieces. Class: a limit that counts something else than what is used, and that holds for each but not for all.

Change: ByteCollector copies small pieces together (answers that are collected, bodies of requests, texts of store and peers, bodies that are passed on). ByteBudget counts what a request and its response hold until the response has left; over an eighth of memory_mb the newest request that holds 64 KiB or more fails: 503 if nothing ran, 500 else, a reset if its answer has begun. bilberryscale_held_bytes and bilberryscale_revoked_requests tell of it.

Result: ByteCollector costs at most three times its bytes for 100,000 pieces of one byte (unit test).

--- a/packages/daemon/src/edge.ts
+++ b/packages/daemon/src/edge.ts
@@ -22,5 +22,11 @@
 	type SentCopy,
 } from './pipeline/exchange.js';
 export {BodyReader} from './pipeline/filters/read-body.js';
+export {
+	ByteBudget,
+	processByteBudget,
+	type ByteLease,
+} from './buffers/byte-budget.js';
+export {ByteCollector} from './buffers/byte-collector.js';
 export {Connection} from './upstream/connection.js';
 export {TargetRequest, type TargetAnswer} from './upstream/target-request.js';
--- a/packages/daemon/src/http/caller-listener.ts
+++ b/packages/daemon/src/http/caller-listener.ts
@@ -16,6 +16,7 @@
 	type IncomingCall,
 } from '../pipeline/exchange.js';
 import type {Pipeline} from '../pipeline/filter.js';
+import {processByteBudget} from '../buffers/byte-budget.js';
 import {CallerConnections, writeProblem} from './caller-connections.js';
 import {defaultCallerProtocol, type CallerProtocol} from './caller-protocol.js';
 import {checkRequest} from './check-request.js';
@@ -84,6 +85,8 @@
 
 /** Retry delay for callers whose request a host ended without sending it, in milliseconds; others serve them at once. */
 const endedRetryAfterMs = 20;
+/** Retry delay for callers whose request was refused for want of memory, in milliseconds. */
+const memoryRetryAfterMs = 200;
 
 /**
  * Makes the listener.
@@ -184,7 +187,17 @@
 	}
 
 	const controller = new AbortController();
+	let endWith: (failure: Failure) => void = () => undefined;
+	const lease = processByteBudget.lease(() => {
+		if (response.headersSent) {
+			// A reset shows the caller that the answer is not whole, however its end is marked.
+			request.socket.resetAndDestroy();
+		} else {
+			endWith(makeMemoryFailure(exchange));
+		}
+	});
 	response.once('close', () => {
+		lease.release();
 		exchanges.delete(response);
 		connections.removeRequest(request.socket);
 		if (!response.writableFinished) {
@@ -200,18 +213,23 @@
 
 	const exchange = makeExchange(request, options, {
 		signal: controller.signal,
+		lease,
 		...(isBodyAwaited && {requestBody}),
 	});
 	const {requestId} = exchange.incoming;
 	const ended = new Promise<Answer>((resolve) => {
-		const end = () => {
+		endWith = (failure) => {
 			if (response.headersSent) {
 				return;
 			}
 
-			const failure = scopeRunStateToKey(getEndFailure(exchange), exchange);
+			const scoped = scopeRunStateToKey(failure, exchange);
 			controller.abort();
-			resolve(getProblemAnswer(failure, requestId, protocol));
+			resolve(getProblemAnswer(scoped, requestId, protocol));
+		};
+
+		const end = () => {
+			endWith(getEndFailure(exchange));
 		};
 
 		exchanges.set(response, {exchange, end});
@@ -289,7 +307,7 @@
 function makeExchange(
 	request: IncomingMessage,
 	{clock, protocol = defaultCallerProtocol}: CallerListenerOptions,
-	control: Pick<IncomingCall, 'requestBody' | 'signal'>,
+	control: Pick<IncomingCall, 'requestBody' | 'signal' | 'lease'>,
 ): Exchange {
 	// Fastify keeps the URL from before `rewriteUrl` in `originalUrl`.
 	const {originalUrl = request.url} = request as IncomingMessage & {
@@ -352,6 +370,14 @@
 			);
 }
 
+/** Gets the failure of a request for which the host has no memory left. */
+function makeMemoryFailure(exchange: Exchange): Failure {
+	const detail = 'The messages that this host holds need too much memory.';
+	return exchange.mayHaveRun
+		? possiblyRunFailure('internal', detail)
+		: notRunFailure('over-capacity', detail, memoryRetryAfterMs);
+}
+
 /** Discards a result that came after another answer was sent. */
 async function discardOther(
 	result: Answer | Promise<Answer>,
--- a/packages/daemon/src/pipeline/exchange.ts
+++ b/packages/daemon/src/pipeline/exchange.ts
@@ -11,6 +11,7 @@
 } from '@bilberryscale/core';
 import type {ServiceDispatcher, TargetState} from '@bilberryscale/decisions';
 import type {Result} from 'ts-results-es';
+import type {ByteLease} from '../buffers/byte-budget.js';
 import type {Decision} from '../operators/decision-log.js';
 
 /** A request as it was received from the caller. */
@@ -29,6 +30,8 @@
 	readonly receivedAtMs: number;
 	/** Aborts when the caller disconnects. */
 	readonly signal: AbortSignal;
+	/** Accounts for the memory that the request and its response hold; undefined if nobody does. */
+	readonly lease?: ByteLease | undefined;
 };
 
 /** What the identify filter determined about a request. */
--- a/packages/daemon/src/pipeline/filters/read-body.ts
+++ b/packages/daemon/src/pipeline/filters/read-body.ts
@@ -1,9 +1,11 @@
 /** Reads a request body before a target is acquired. */
 
-import {Buffer} from 'node:buffer';
+import {type Buffer} from 'node:buffer';
 import type {Readable} from 'node:stream';
 import {notRunFailure, type Clock, type Failure} from '@bilberryscale/core';
 import {Err, Ok, type Result} from 'ts-results-es';
+import type {ByteLease} from '../../buffers/byte-budget.js';
+import {ByteCollector} from '../../buffers/byte-collector.js';
 import type {Filter} from '../filter.js';
 
 /** The limits that apply to every body. */
@@ -20,6 +22,8 @@
 	readonly limitBytes: number;
 	/** When the body must be complete, on the monotonic clock, in milliseconds. */
 	readonly deadlineMs: number;
+	/** Accounts for the memory that the body holds. */
+	readonly lease?: ByteLease | undefined;
 };
 
 /**
@@ -45,7 +49,8 @@
 		}
 
 		exchange.incoming.requestBody?.();
-		const limits = {...options, limitBytes, deadlineMs};
+		const {lease} = exchange.incoming;
+		const limits = {...options, limitBytes, deadlineMs, lease};
 		const bytes = await new BodyReader(body, limits).read();
 		if (bytes.isErr()) {
 			return bytes;
@@ -60,8 +65,7 @@
 export class BodyReader {
 	readonly #body: Readable;
 	readonly #limits: BodyLimits;
-	readonly #chunks: Buffer[] = [];
-	#size = 0;
+	readonly #bytes = new ByteCollector();
 	#expiresAtMs = 0;
 	#cancelTimer: () => void = () => undefined;
 	#resolve: (result: BodyResult) => void = () => undefined;
@@ -93,18 +97,19 @@
 	}
 
 	readonly #onData = (chunk: Buffer): void => {
-		this.#size += chunk.length;
-		if (this.#size > this.#limits.limitBytes) {
+		if (this.#bytes.length + chunk.length > this.#limits.limitBytes) {
 			this.#finish(Err(makeOversizeFailure(this.#limits.limitBytes)));
 			return;
 		}
 
-		this.#chunks.push(chunk);
+		const {cost} = this.#bytes;
+		this.#bytes.add(chunk);
 		this.#resetIdleTimeout();
+		this.#limits.lease?.add(this.#bytes.cost - cost);
 	};
 
 	readonly #onEnd = (): void => {
-		this.#finish(Ok(Buffer.concat(this.#chunks)));
+		this.#finish(Ok(this.#bytes.take()));
 	};
 
 	readonly #onAborted = (): void => {
--- a/packages/daemon/src/upstream/target-request.ts
+++ b/packages/daemon/src/upstream/target-request.ts
@@ -1,9 +1,10 @@
 /** A request on a connection to a target. */
 
-import {Buffer} from 'node:buffer';
+import {type Buffer} from 'node:buffer';
 import type {IncomingHttpHeaders} from 'node:http';
 import {Readable} from 'node:stream';
 import type {Dispatcher} from 'undici';
+import {ByteCollector} from '../buffers/byte-collector.js';
 
 /** The response of a target. */
 export type TargetAnswer = {
@@ -26,6 +27,8 @@
 };
 
 const minFinalStatus = 200;
+/** Smaller pieces that come together are passed on as one, in bytes. */
+const minPassedBytes = 16_384;
 /** Statuses whose responses have no body, whatever `Content-Length` they state. */
 const bodilessStatuses = new Set([204, 304]);
 
@@ -38,7 +41,9 @@
 	readonly #events: TargetRequestEvents;
 	#controller: Dispatcher.DispatchController | undefined;
 	#cancelReason: Error | undefined;
-	#chunks: Buffer[] = [];
+	/** The part of the body that was not passed on yet. */
+	readonly #pending = new ByteCollector();
+	#isFlushScheduled = false;
 	#body: Readable | undefined;
 	#hasAnswered = false;
 	#hasEnded = false;
@@ -97,10 +102,23 @@
 		controller: Dispatcher.DispatchController,
 		chunk: Buffer,
 	): void {
+		this.#pending.add(chunk);
 		if (this.#body === undefined) {
-			this.#chunks.push(chunk);
-		} else if (!this.#body.push(chunk)) {
-			controller.pause();
+			return;
+		}
+
+		if (this.#pending.length >= minPassedBytes) {
+			if (!this.#flush()) {
+				controller.pause();
+			}
+		} else if (!this.#isFlushScheduled) {
+			this.#isFlushScheduled = true;
+			queueMicrotask(() => {
+				this.#isFlushScheduled = false;
+				if (!this.#hasEnded && !this.#flush()) {
+					controller.pause();
+				}
+			});
 		}
 	}
 
@@ -117,6 +135,7 @@
 
 		this.#hasEnded = true;
 		if (this.#hasAnswered) {
+			this.#flush();
 			this.#body?.push(null);
 			this.#events.onEnd(undefined);
 		}
@@ -139,7 +158,7 @@
 		const isCloseDelimited =
 			!bodilessStatuses.has(status) && !hasBodyFraming(headers);
 		if (this.#hasEnded) {
-			const body = joinChunks(this.#chunks);
+			const body = this.#pending.take();
 			this.#events.onAnswer({status, headers, body, isCloseDelimited});
 			this.#events.onEnd(undefined);
 			return;
@@ -164,14 +183,22 @@
 				done(error);
 			},
 		});
-		for (const chunk of this.#chunks) {
-			body.push(chunk);
+		if (this.#pending.length > 0) {
+			body.push(this.#pending.take());
 		}
 
-		this.#chunks = [];
 		return body;
 	}
 
+	/** Passes on what has come of the body; returns whether more of it should be read. */
+	#flush(): boolean {
+		return (
+			this.#body === undefined ||
+			this.#pending.length === 0 ||
+			this.#body.push(this.#pending.take())
+		);
+	}
+
 	#fail(error: Error): void {
 		if (this.#hasEnded) {
 			return;
@@ -190,7 +217,3 @@
 		headers['transfer-encoding'] !== undefined
 	);
 }
-
-function joinChunks(chunks: readonly Buffer[]): Buffer {
-	return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
-}
--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -4,6 +4,7 @@
 import {
 	makeCallerListener,
 	makeShutdownFailure,
+	processByteBudget,
 	type CallerListener,
 	type CallerProtocol,
 	type Exchange,
@@ -73,6 +74,8 @@
 
 /** Targets that are probed to tell a crashed target from lost links. */
 const linkCheckTargets = 2;
+/** The share of the memory of the process that messages may hold. */
+const messageMemoryShare = 0.125;
 const okStatus = 200;
 const unavailableStatus = 503;
 
@@ -111,6 +114,10 @@
 		this.#options = options;
 		this.#settings = new LiveSettings(options.settings);
 		const {clock, settings, log, decode, store} = options;
+		if (settings.memoryBytes !== undefined) {
+			processByteBudget.limitBytes = settings.memoryBytes * messageMemoryShare;
+		}
+
 		const random = makeSeededRandom(options.seed);
 		this.#plans = new PlanHolder(clock);
 		this.#crashDetector = new CrashDetector({
--- a/packages/gateway/src/context/gateway-settings.ts
+++ b/packages/gateway/src/context/gateway-settings.ts
@@ -42,6 +42,8 @@
 	 * accepted, in milliseconds; undefined if the last known keys always are.
 	 */
 	readonly maxAccountsAgeMs: number | undefined;
+	/** The memory that the process may use, in bytes; undefined if it is not known. */
+	readonly memoryBytes?: number | undefined;
 	/** Whether the whole fleet starts for the first time, so that no host has run before. */
 	readonly isFirstStart: boolean;
 	/** Maximum duration of a shutdown, in milliseconds. */
--- a/packages/gateway/src/edge/fetch-text.ts
+++ b/packages/gateway/src/edge/fetch-text.ts
@@ -4,7 +4,11 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import {gunzipSync} from 'node:zlib';
 import type {Clock} from '@bilberryscale/core';
-import {TargetRequest, type Connection} from '@bilberryscale/daemon/edge';
+import {
+	processByteBudget,
+	TargetRequest,
+	type Connection,
+} from '@bilberryscale/daemon/edge';
 import {Err, Ok, type Result} from 'ts-results-es';
 import {collectBody} from '../relay/collect-body.js';
 
@@ -51,6 +55,11 @@
 	const headers = getRequestHeaders(request);
 	return new Promise((resolve) => {
 		let response: Result<TextResponse, string> | undefined;
+		const lease = processByteBudget.lease(() => {
+			targetRequest.cancel(
+				new Error('the messages that this host holds need too much memory'),
+			);
+		});
 		const cancelTimer = clock.schedule(timeoutMs, () => {
 			targetRequest.cancel(new Error(`no response within ${timeoutMs} ms`));
 		});
@@ -62,20 +71,21 @@
 				}
 
 				responseBody.on('error', () => undefined);
-				collectBody(
-					responseBody,
-					(bytes) => {
+				collectBody(responseBody, {
+					onComplete(bytes) {
 						cancelTimer();
 						resolve(decodeResponse(status, responseHeaders, bytes));
 					},
-					() => {
+					onOversized() {
 						targetRequest.cancel(new Error('the response is too large'));
 					},
-					maxTextBytes,
-				);
+					maxBytes: maxTextBytes,
+					lease,
+				});
 			},
 			onEnd(error) {
 				cancelTimer();
+				lease.release();
 				if (error !== undefined) {
 					resolve(Err(error.message));
 				} else if (response !== undefined) {
--- a/packages/gateway/src/records/gateway-metrics.ts
+++ b/packages/gateway/src/records/gateway-metrics.ts
@@ -2,6 +2,7 @@
 
 import {performance} from 'node:perf_hooks';
 import process from 'node:process';
+import {processByteBudget} from '@bilberryscale/daemon/edge';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 
 /** Upper bounds of the latency buckets, in seconds. */
@@ -228,6 +229,19 @@
 		registers: [this.#registry],
 	});
 
+	readonly #heldBytes = new Gauge({
+		name: 'bilberryscale_held_bytes',
+		help: 'Memory that requests and responses hold, and its limit',
+		labelNames: ['kind'],
+		registers: [this.#registry],
+	});
+
+	readonly #revocations = new Gauge({
+		name: 'bilberryscale_revoked_requests',
+		help: 'Requests that were ended since the start because all together held too much memory',
+		registers: [this.#registry],
+	});
+
 	readonly #memory = new Gauge({
 		name: 'bilberryscale_process_memory_bytes',
 		help: 'Memory of the process: resident now, the peak of that, the heap in use, and buffers outside of the heap',
@@ -532,6 +546,10 @@
 		);
 		this.#memory.set({kind: 'heap'}, heapUsed);
 		this.#memory.set({kind: 'external'}, external);
+		const {heldBytes, limitBytes, revokedCount} = processByteBudget;
+		this.#heldBytes.set({kind: 'held'}, heldBytes);
+		this.#heldBytes.set({kind: 'limit'}, limitBytes);
+		this.#revocations.set(revokedCount);
 		const reading = performance.eventLoopUtilization();
 		const {utilization} = performance.eventLoopUtilization(
 			reading,
--- a/packages/gateway/src/relay/collect-body.ts
+++ b/packages/gateway/src/relay/collect-body.ts
@@ -1,7 +1,20 @@
 /** Buffers the body of a target's response, so that an incomplete one is not passed on. */
 
-import {Buffer} from 'node:buffer';
+import type {Buffer} from 'node:buffer';
 import type {Readable} from 'node:stream';
+import {ByteCollector, type ByteLease} from '@bilberryscale/daemon/edge';
+
+/** Whom to tell of a body, and its limits. */
+export type BodyCollection = {
+	/** Called with all bytes when the body is complete. */
+	readonly onComplete: (bytes: Buffer) => void;
+	/** Called with the stream if the body exceeds the limit; the stream holds all of the body. */
+	readonly onOversized: (body: Readable) => void;
+	/** The limit, in bytes; 1 MiB by default. */
+	readonly maxBytes?: number;
+	/** Accounts for the memory that the body holds. */
+	readonly lease?: ByteLease | undefined;
+};
 
 /** The largest body of a target's response that is buffered until it is complete, in bytes. */
 const maxBufferedBytes = 1_048_576;
@@ -10,34 +23,41 @@
  * Collects a body up to a size limit.
  *
  * @param body - The body.
- * @param onComplete - Called with all bytes when the body is complete.
- * @param onOversized - Called with the stream if the body exceeds the limit; the stream holds all of the body.
- * @param maxBytes - The limit, in bytes.
+ * @param collection - Whom to tell of it, and its limits.
  */
 export function collectBody(
 	body: Readable,
-	onComplete: (bytes: Buffer) => void,
-	onOversized: (body: Readable) => void,
-	maxBytes = maxBufferedBytes,
+	{onComplete, onOversized, maxBytes = maxBufferedBytes, lease}: BodyCollection,
 ): void {
-	const chunks: Buffer[] = [];
-	let size = 0;
+	const collector = new ByteCollector();
 	const onData = (chunk: Buffer) => {
-		chunks.push(chunk);
-		size += chunk.length;
-		if (size > maxBytes) {
+		const {cost} = collector;
+		collector.add(chunk);
+		lease?.add(collector.cost - cost);
+		if (collector.length > maxBytes) {
 			body.pause();
-			body.off('data', onData);
-			body.off('end', onEnd);
-			body.unshift(Buffer.concat(chunks));
+			stop();
+			body.unshift(collector.take());
 			onOversized(body);
 		}
 	};
 
 	const onEnd = () => {
-		onComplete(Buffer.concat(chunks));
+		stop();
+		onComplete(collector.take());
+	};
+
+	const onClose = () => {
+		lease?.add(-collector.cost);
+	};
+
+	const stop = () => {
+		body.off('data', onData);
+		body.off('end', onEnd);
+		body.off('close', onClose);
 	};
 
 	body.on('data', onData);
 	body.once('end', onEnd);
+	body.once('close', onClose);
 }
--- a/packages/gateway/src/relay/request-reader.ts
+++ b/packages/gateway/src/relay/request-reader.ts
@@ -188,6 +188,7 @@
 			idleMs: maxBodyPauseMs,
 			limitBytes: maxBodyBytes,
 			deadlineMs,
+			lease: exchange.incoming.lease,
 		};
 		return new BodyReader(body, bounds).read();
 	}
--- a/packages/gateway/src/relay/target-attempt.ts
+++ b/packages/gateway/src/relay/target-attempt.ts
@@ -64,6 +64,8 @@
 const maxDiscardedBytes = 65_536;
 /** Time between two tries to find another target for a request whose target is silent or has stalled, in milliseconds. */
 const retrySecuringIntervalMs = 400;
+/** What a body that is passed on as it comes holds at most, in the buffers from the target to the caller, in bytes. */
+const streamBytes = 131_072;
 const minSuccessStatus = 200;
 const minRedirectStatus = 300;
 const minServerErrorStatus = 500;
@@ -288,20 +290,23 @@
 		}
 
 		if (Buffer.isBuffer(body)) {
+			incoming.lease?.add(body.length);
 			this.#settleAnswered(answer, body);
 			return;
 		}
 
 		body.on('error', () => undefined);
-		collectBody(
-			body,
-			(bytes) => {
+		const {lease} = incoming;
+		collectBody(body, {
+			onComplete: (bytes) => {
 				this.#settleAnswered(answer, bytes);
 			},
-			(remaining) => {
+			onOversized: (remaining) => {
+				lease?.add(streamBytes);
 				this.#settleAnswered(answer, remaining);
 			},
-		);
+			lease,
+		});
 	}
 
 	#rejectAnswer(body: Buffer | Readable, fault: string): void {
