Share the event loop among connections and cut off targets that flood

Callers saw: 503 and 504 or answers after seconds from sound targets, while a target of another service sent bytes without end.

Cause: the parser got all that a connection had received, 64 KiB of each in a turn of the event loop, and nothing but a deadline ended heads of 103, empty lines, reason phrases, chunk extensions or chunks of one byte. undici's own limit of heads only marks the socket: it goes on parsing and makes an error for each further line. Such a target was asked again at once. Class: work that others cause without a limit that holds for all of them.

Change: MeteredSocket stands between each socket that the host opens and the parser. Limits of the head, of its lines and of framing end a flood with ResponseFloodError; FloodPause leaves its target alone for 100 ms, doubled each time. Told as 'target flooded' and bilberryscale_target_floods_total. Bodies of health checks that nobody uses are cut as others are.

--- a/packages/daemon/src/edge.ts
+++ b/packages/daemon/src/edge.ts
@@ -29,4 +29,8 @@
 } from './buffers/byte-budget.js';
 export {ByteCollector} from './buffers/byte-collector.js';
 export {Connection} from './upstream/connection.js';
+export {
+	type ResponseFlood,
+	type ResponseFloodKind,
+} from './upstream/response-flood.js';
 export {TargetRequest, type TargetAnswer} from './upstream/target-request.js';
--- a/packages/daemon/src/upstream/connection.ts
+++ b/packages/daemon/src/upstream/connection.ts
@@ -1,6 +1,8 @@
 /** A connection to a target. */
 
 import {buildConnector, Client, type Dispatcher} from 'undici';
+import {MeteredSocket} from './metered-socket.js';
+import type {ResponseFlood} from './response-flood.js';
 import type {TargetRequest} from './target-request.js';
 
 /** Options of a connection. */
@@ -8,10 +10,13 @@
 	readonly origin: string;
 	/** The local IP address that the connection is opened from. */
 	readonly localAddress: string;
+	/** Called when the target sent bytes without end, for which its connection is closed. */
+	readonly onFlood?: ((flood: ResponseFlood) => void) | undefined;
 };
 
 const idleTimeoutMs = 10_000;
 const connectTimeoutMs = 1000;
+const maxHeaderSize = 131_072;
 
 /** A connection that opens on its first request and reopens after it was closed. */
 export class Connection {
@@ -26,17 +31,24 @@
 	/** How many requests are in flight or queued on the connection. */
 	requestCount = 0;
 	readonly #client: Client;
+	readonly #onFlood: (flood: ResponseFlood) => void;
 	#socketError: Error | undefined;
+	#meter: MeteredSocket | undefined;
+	/** The request that was sent last. */
+	#current: TargetRequest | undefined;
 
 	/**
 	 * @param options - The origin and the local address.
 	 */
 	constructor(options: ConnectionOptions) {
+		this.#onFlood = options.onFlood ?? (() => undefined);
 		this.#client = new Client(options.origin, {
 			pipelining: 1,
 			keepAliveTimeout: idleTimeoutMs,
 			headersTimeout: 0,
 			bodyTimeout: 0,
+			// The meter of the socket has a lower limit: undici goes on parsing after its own.
+			maxHeaderSize,
 			localAddress: options.localAddress,
 			connect: this.#makeConnector(),
 		});
@@ -50,9 +62,23 @@
 	 */
 	dispatch(request: Dispatcher.DispatchOptions, handler: TargetRequest): void {
 		handler.getSocketError = () => this.#socketError;
+		handler.onStart = () => {
+			this.#current = handler;
+			this.#meter?.startResponse();
+		};
+
 		this.#client.dispatch(request, handler);
 	}
 
+	/**
+	 * Reports a body that nobody uses and that is longer than what is worth reading.
+	 *
+	 * @param bytes - How much of it was read.
+	 */
+	reportUnusedBody(bytes: number): void {
+		this.#onFlood({kind: 'unused body', bytes});
+	}
+
 	/** Closes the connection once its requests have ended. */
 	async close(): Promise<void> {
 		await this.#client.close();
@@ -72,9 +98,17 @@
 		return (options, callback) => {
 			this.#socketError = undefined;
 			connect(options, (...outcome) => {
-				outcome[1]?.once('error', (error: Error) => {
+				const [, socket] = outcome;
+				socket?.once('error', (error: Error) => {
 					this.#socketError = error;
 				});
+				if (socket !== undefined && socket !== null) {
+					this.#meter = new MeteredSocket(socket, {
+						getProgress: () => this.#current,
+						onFlood: this.#onFlood,
+					});
+				}
+
 				callback(...outcome);
 			});
 		};
--- a/packages/daemon/src/upstream/target-request.ts
+++ b/packages/daemon/src/upstream/target-request.ts
@@ -5,6 +5,7 @@
 import {Readable} from 'node:stream';
 import type {Dispatcher} from 'undici';
 import {ByteCollector} from '../buffers/byte-collector.js';
+import type {ResponseProgress} from './metered-socket.js';
 
 /** The response of a target. */
 export type TargetAnswer = {
@@ -33,11 +34,21 @@
 const bodilessStatuses = new Set([204, 304]);
 
 /** Handles the events that undici reports for a request in flight. */
-export class TargetRequest implements Dispatcher.DispatchHandler {
+export class TargetRequest
+	implements Dispatcher.DispatchHandler, ResponseProgress
+{
 	/** Whether bytes of the request may have been written to a connection. */
 	isWritten = false;
 	/** Gets the socket error of the connection, if any; set by the connection. */
 	getSocketError: () => Error | undefined = () => undefined;
+	/** Called when the connection starts to send the request; set by the connection. */
+	onStart: () => void = () => undefined;
+	/** The bytes of the body so far, without their framing. */
+	bodyLength = 0;
+	/** The number of informational responses so far. */
+	informationalCount = 0;
+	/** Whether the final head has come. */
+	hasHead = false;
 	readonly #events: TargetRequestEvents;
 	#controller: Dispatcher.DispatchController | undefined;
 	#cancelReason: Error | undefined;
@@ -70,8 +81,14 @@
 		this.#fail(reason);
 	}
 
+	/** Whether the request has ended, with or without a response. */
+	get hasEnded(): boolean {
+		return this.#hasEnded;
+	}
+
 	onRequestStart(controller: Dispatcher.DispatchController): void {
 		this.#controller = controller;
+		this.onStart();
 		if (this.#cancelReason !== undefined) {
 			controller.abort(this.#cancelReason);
 			return;
@@ -90,7 +107,10 @@
 		status: number,
 		headers: IncomingHttpHeaders,
 	): void {
-		if (status >= minFinalStatus) {
+		if (status < minFinalStatus) {
+			this.informationalCount++;
+		} else {
+			this.hasHead = true;
 			this.#hasEnded = bodilessStatuses.has(status);
 			queueMicrotask(() => {
 				this.#deliverAnswer(status, headers);
@@ -102,6 +122,7 @@
 		controller: Dispatcher.DispatchController,
 		chunk: Buffer,
 	): void {
+		this.bodyLength += chunk.length;
 		this.#pending.add(chunk);
 		if (this.#body === undefined) {
 			return;
--- a/packages/gateway/src/choice/target-probe.ts
+++ b/packages/gateway/src/choice/target-probe.ts
@@ -1,6 +1,5 @@
 /** Probes the health path of a target for its load. */
 
-import {Buffer} from 'node:buffer';
 import type {Clock} from '@bilberryscale/core';
 import {
 	TargetRequest,
@@ -9,6 +8,7 @@
 } from '@bilberryscale/daemon/edge';
 import type {RegisteredTarget} from '../plan/registered-target.js';
 import type {EventLog} from '../records/event-log.js';
+import {discardBody} from '../relay/discard-body.js';
 import type {AvailabilityNotice} from '../targets/target-availability.js';
 import type {TargetProtocol} from '../targets/target-protocol.js';
 import type {TargetState} from '../targets/target-state.js';
@@ -101,11 +101,7 @@
 	}
 
 	#handleAnswer({status, headers, body}: TargetAnswer): void {
-		if (!Buffer.isBuffer(body)) {
-			body.on('error', () => undefined);
-			body.resume();
-		}
-
+		discardBody(body, this.#connection);
 		const {protocol, clock} = this.#options;
 		const nowMs = clock.monotonicMs();
 		const {registration} = this.state;
--- a/packages/gateway/src/records/gateway-metrics.ts
+++ b/packages/gateway/src/records/gateway-metrics.ts
@@ -229,6 +229,13 @@
 		registers: [this.#registry],
 	});
 
+	readonly #floods = new Counter({
+		name: 'bilberryscale_target_floods_total',
+		help: 'Connections that were closed because a target sent bytes without end, by what it sent',
+		labelNames: ['kind'],
+		registers: [this.#registry],
+	});
+
 	readonly #heldBytes = new Gauge({
 		name: 'bilberryscale_held_bytes',
 		help: 'Memory that requests and responses hold, and its limit',
@@ -382,6 +389,15 @@
 		this.#targetNotices.inc({notice});
 	}
 
+	/**
+	 * Records a connection that was closed because its target sent bytes without end.
+	 *
+	 * @param kind - What it sent.
+	 */
+	recordFlood(kind: string): void {
+		this.#floods.inc({kind});
+	}
+
 	/**
 	 * Records a request that was sent through another host.
 	 *
--- a/packages/gateway/src/relay/target-attempt.ts
+++ b/packages/gateway/src/relay/target-attempt.ts
@@ -16,6 +16,7 @@
 import type {TargetState} from '../targets/target-state.js';
 import type {WarmUpPermit} from '../warm-up/warm-up-permit.js';
 import {collectBody} from './collect-body.js';
+import {discardBody} from './discard-body.js';
 import type {FailureCause, AttemptResult} from './attempt-result.js';
 import type {SilenceDetector} from './silence-detector.js';
 
@@ -60,8 +61,6 @@
  * Targets stop work at the deadline themselves and then respond.
  */
 export const deadlineResponseGraceMs = 80;
-/** A longer body that nobody needs is not read to its end. */
-const maxDiscardedBytes = 65_536;
 /** Time between two tries to find another target for a request whose target is silent or has stalled, in milliseconds. */
 const retrySecuringIntervalMs = 400;
 /** What a body that is passed on as it comes holds at most, in the buffers from the target to the caller, in bytes. */
@@ -279,7 +278,7 @@
 
 		if (protocol.isNotRun(status, headers)) {
 			this.#settle({kind: 'refused', status, headers}, false);
-			this.#discardBody(body);
+			discardBody(body, this.#options.connection);
 			return;
 		}
 
@@ -312,23 +311,7 @@
 	#rejectAnswer(body: Buffer | Readable, fault: string): void {
 		this.#isResponseInvalid = true;
 		this.#settle(makeFailedResult('broken', true, fault), true);
-		this.#discardBody(body);
-	}
-
-	/** Reads the rest of a response, so that its connection can be reused, but gives up on a long one. */
-	#discardBody(body: Buffer | Readable): void {
-		if (Buffer.isBuffer(body)) {
-			return;
-		}
-
-		let size = 0;
-		body.on('error', () => undefined);
-		body.on('data', (chunk: Buffer) => {
-			size += chunk.length;
-			if (size > maxDiscardedBytes) {
-				body.destroy();
-			}
-		});
+		discardBody(body, this.#options.connection);
 	}
 
 	/**
--- a/packages/gateway/src/targets/connection-pool.ts
+++ b/packages/gateway/src/targets/connection-pool.ts
@@ -1,7 +1,7 @@
 /** Pools the connections of this host to one target. */
 
 import type {Clock} from '@bilberryscale/core';
-import {Connection} from '@bilberryscale/daemon/edge';
+import {Connection, type ResponseFlood} from '@bilberryscale/daemon/edge';
 
 /** How connections are opened, and how many. */
 export type ConnectionPoolOptions = {
@@ -11,6 +11,8 @@
 	readonly localAddress: string;
 	/** Gets the maximum number of connections, idle or busy. */
 	readonly getMaxSize: () => number;
+	/** Called when the target sent bytes without end on a connection, which is closed for it. */
+	readonly onFlood?: ((flood: ResponseFlood) => void) | undefined;
 };
 
 /** Owns the connections to one target; each carries one request at a time. */
--- a/packages/gateway/src/targets/target-registry.ts
+++ b/packages/gateway/src/targets/target-registry.ts
@@ -1,6 +1,7 @@
 /** Keeps the state of every published target. */
 
 import type {Clock, ServiceName, TargetId} from '@bilberryscale/core';
+import type {ResponseFlood} from '@bilberryscale/daemon/edge';
 import {
 	getOpenTargets,
 	emptySnapshot,
@@ -172,7 +173,9 @@
 			({availability}) => !availability.isLeaving,
 		);
 		const untilMs = Math.min(
-			...paused.map(({availability}) => availability.pausedUntilMs),
+			...paused.map(({availability, floodPause}) =>
+				Math.max(availability.pausedUntilMs, floodPause.untilMs),
+			),
 		);
 		return paused.length > 0 && untilMs > nowMs ? untilMs - nowMs : undefined;
 	}
@@ -342,21 +345,41 @@
 			origin: `http://${registration.address}:${registration.port}`,
 			localAddress: this.#options.localAddress,
 			getMaxSize: () => this.#getMaxPoolSize(registration.service),
+			onFlood: (flood) => {
+				this.#addFlood(state, flood);
+			},
 		});
-		this.#states.set(
-			registration.id,
-			new TargetState({
-				registration,
-				pool,
-				nowMs: this.#options.clock.monotonicMs(),
-				availability: new TargetAvailability(
-					this.#leavingTargets.has(registration.incarnation),
-					this.#limits.get(registration),
-				),
-				warmUp: this.#options.makeWarmUpGate(registration),
-				pathMonitor: this.pathMonitor,
-			}),
-		);
+		const state = new TargetState({
+			registration,
+			pool,
+			nowMs: this.#options.clock.monotonicMs(),
+			availability: new TargetAvailability(
+				this.#leavingTargets.has(registration.incarnation),
+				this.#limits.get(registration),
+			),
+			warmUp: this.#options.makeWarmUpGate(registration),
+			pathMonitor: this.pathMonitor,
+		});
+		this.#states.set(registration.id, state);
+	}
+
+	/** Leaves a target alone that sends bytes without end; its open requests go on. */
+	#addFlood(
+		{registration, floodPause}: TargetState,
+		{kind, bytes}: ResponseFlood,
+	): void {
+		const {clock, log, metrics} = this.#options;
+		metrics.recordFlood(kind);
+		const pauseMs = floodPause.addFlood(clock.monotonicMs());
+		if (pauseMs !== undefined) {
+			log.write('target flooded', {
+				target: registration.id,
+				life: registration.incarnation,
+				kind,
+				bytes,
+				pauseMs,
+			});
+		}
 	}
 
 	#getMaxPoolSize(service: ServiceName): number {
@@ -370,8 +393,12 @@
 }
 
 function isOpen(
-	{availability, displacedUntilMs}: TargetState,
+	{availability, displacedUntilMs, floodPause}: TargetState,
 	nowMs: number,
 ): boolean {
-	return availability.isAvailable(nowMs) && displacedUntilMs <= nowMs;
+	return (
+		availability.isAvailable(nowMs) &&
+		displacedUntilMs <= nowMs &&
+		floodPause.untilMs <= nowMs
+	);
 }
--- a/packages/gateway/src/targets/target-state.ts
+++ b/packages/gateway/src/targets/target-state.ts
@@ -5,6 +5,7 @@
 import type {ConnectionPool} from './connection-pool.js';
 import type {HealthReport, LoadReport} from './load-report.js';
 import type {PathMonitor} from './path-monitor.js';
+import {FloodPause} from './flood-pause.js';
 import {TargetAvailability} from './target-availability.js';
 
 /** The target of a state, and what it is kept with. */
@@ -38,6 +39,8 @@
 	readonly pool: ConnectionPool;
 	/** Whether it accepts requests, by its own responses. */
 	readonly availability: TargetAvailability;
+	/** How long it is left alone because it sends bytes without end. */
+	readonly floodPause = new FloodPause();
 	/** Limits the requests of this host while it is cold. */
 	readonly warmUp: WarmUpGate;
 	/** The latest load report. */
@@ -202,6 +205,7 @@
 		if (hasFailed) {
 			this.#failures++;
 		} else {
+			this.floodPause.addResponse();
 			this.#successes++;
 		}
 	}
