Don't take a target that floods for one that has crashed

Callers saw: a request whose targets flood could be refused for a minute (503, 'Targets ended each time they ran this request'), also once they were well.

Cause: a flood ends the connection, which looked like a crash under the request; the health check that should confirm it was flooded too and counted as a target that accepts no connection. Class: an end that this host has made itself, taken for one of the target.

Change: such an attempt has the cause 'flooded', which is still reported as a failure of the target; a health check that is flooded does not count as unreachable.

--- a/packages/daemon/src/edge.ts
+++ b/packages/daemon/src/edge.ts
@@ -31,6 +31,7 @@
 export {Connection} from './upstream/connection.js';
 export {
 	type ResponseFlood,
+	ResponseFloodError,
 	type ResponseFloodKind,
 } from './upstream/response-flood.js';
 export {TargetRequest, type TargetAnswer} from './upstream/target-request.js';
--- a/packages/gateway/src/choice/target-probe.ts
+++ b/packages/gateway/src/choice/target-probe.ts
@@ -2,6 +2,7 @@
 
 import type {Clock} from '@bilberryscale/core';
 import {
+	ResponseFloodError,
 	TargetRequest,
 	type Connection,
 	type TargetAnswer,
@@ -139,7 +140,10 @@
 		}
 
 		if (error !== undefined && !(error instanceof ProbeTimeoutError)) {
-			this.state.addUnreachable(this.#options.clock.monotonicMs());
+			if (!(error instanceof ResponseFloodError)) {
+				this.state.addUnreachable(this.#options.clock.monotonicMs());
+			}
+
 			this.#avoid(error.message, unreachableAvoidMs);
 		}
 
--- a/packages/gateway/src/relay/attempt-result.ts
+++ b/packages/gateway/src/relay/attempt-result.ts
@@ -9,6 +9,8 @@
 	| 'unreachable'
 	/** The connection or the response broke off, or the response is invalid. */
 	| 'broken'
+	/** The target sent bytes without end, and its connection was closed. */
+	| 'flooded'
 	/** The target responds neither to requests nor to probes. */
 	| 'silent'
 	/** The target does not respond to the request in a time that it rarely takes. */
@@ -105,7 +107,8 @@
 export function isTargetFault(result: AttemptResult): boolean {
 	return result.kind === 'answered'
 		? result.answer.status >= minServerErrorStatus
-		: result.kind === 'failed' && result.cause === 'broken';
+		: result.kind === 'failed' &&
+				(result.cause === 'broken' || result.cause === 'flooded');
 }
 
 /**
--- a/packages/gateway/src/relay/target-attempt.ts
+++ b/packages/gateway/src/relay/target-attempt.ts
@@ -5,6 +5,7 @@
 import type {Clock} from '@bilberryscale/core';
 import {
 	getForwardedHeaders,
+	ResponseFloodError,
 	TargetRequest,
 	type Connection,
 	type IncomingCall,
@@ -398,7 +399,9 @@
 			return;
 		}
 
-		const cause = mayHaveRun ? 'broken' : 'unreachable';
+		const sentCause =
+			error instanceof ResponseFloodError ? 'flooded' : 'broken';
+		const cause = mayHaveRun ? sentCause : 'unreachable';
 		this.#settle(makeFailedResult(cause, mayHaveRun, error.message), true);
 	}
 
