Parse what callers send in turn with all other connections

Callers saw: 3 to 10 answers in 4 s, the slowest after 0.6 to 5.8 s, while 20 other callers sent bodies in one-byte chunks, chunk extensions, empty lines or pipelined requests that are refused (447 MB in that case).

The server's parser gets all that a connection has received, 64 KiB of each in a turn of the event loop.

Change: RequestPacer takes the place of the server's own 'data' listener. It parses 1 KiB at once when it arrives, the rest in turn through ReadSchedule, in slices that adapt to the time that they take. What is not read is not sent: the socket's buffer fills. SliceSize is shared with MeteredSocket.

--- /dev/null
+++ b/packages/daemon/src/http/request-pacer.ts
@@ -0,0 +1,133 @@
+/** Limits what the parser of requests gets of a caller's connection in a turn of the event loop. */
+
+import type {Buffer} from 'node:buffer';
+import type {Socket} from 'node:net';
+import {
+	processReadSchedule,
+	type ReadSchedule,
+} from '../upstream/read-schedule.js';
+import {SliceSize} from '../upstream/slice-size.js';
+
+/** How much is parsed at once when it arrives; the rest is parsed in turn with other connections. */
+const immediateBytes = 1024;
+/** A slice may hold many small requests, each of which takes longer than its bytes. */
+const sliceBounds = {
+	initialBytes: 1024,
+	minBytes: 256,
+	maxBytes: 65_536,
+};
+
+/**
+ * Reads from a connection of an HTTP server and passes the bytes to the server's parser.
+ *
+ * @remarks The server's own listener would be given all that has arrived at once.
+ */
+export class RequestPacer {
+	readonly #socket: Socket;
+	readonly #schedule: ReadSchedule;
+	readonly #parse: (bytes: Buffer) => void;
+	readonly #slice = new SliceSize(sliceBounds);
+	/** How much was parsed since all that had arrived was parsed last, in bytes. */
+	#burstLength = 0;
+	/** Whether the server has paused the connection because its responses wait for the caller. */
+	#isPaused = false;
+	#isWaiting = false;
+	#isStopped = false;
+
+	/**
+	 * @param socket - A connection that the server has just accepted.
+	 * @param schedule - Shares the event loop with other connections.
+	 */
+	constructor(socket: Socket, schedule = processReadSchedule) {
+		this.#socket = socket;
+		this.#schedule = schedule;
+		const [parse] = socket.listeners('data') as Array<(bytes: Buffer) => void>;
+		if (parse === undefined) {
+			throw new Error('the server has not accepted the connection');
+		}
+
+		this.#parse = parse.bind(socket);
+		socket.removeListener('data', parse);
+		const pause = socket.pause.bind(socket);
+		const resume = socket.resume.bind(socket);
+		socket.pause = () => {
+			this.#isPaused = true;
+			return pause();
+		};
+
+		socket.resume = () => {
+			this.#isPaused = false;
+			resume();
+			this.#waitForTurn();
+			return socket;
+		};
+
+		socket.on('readable', this.#read);
+	}
+
+	/** Stops to parse, because the connection is not used for HTTP any more. */
+	stop(): void {
+		this.#isStopped = true;
+		this.#socket.off('readable', this.#read);
+	}
+
+	readonly #read = (): void => {
+		while (this.#canRead) {
+			const available = this.#socket.readableLength;
+			const immediate = immediateBytes - this.#burstLength;
+			if (available > 0 && immediate <= 0) {
+				this.#waitForTurn();
+				return;
+			}
+
+			if (!this.#parseSome(Math.min(available, immediate))) {
+				this.#burstLength = 0;
+				this.#slice.reset();
+				return;
+			}
+		}
+	};
+
+	get #canRead(): boolean {
+		return !this.#isPaused && !this.#isStopped && !this.#socket.destroyed;
+	}
+
+	/** Parses up to a number of bytes; returns false if none have arrived. */
+	#parseSome(size: number): boolean {
+		// Without a size, an empty socket is told to receive more.
+		const bytes = (
+			size > 0 ? this.#socket.read(size) : this.#socket.read()
+		) as Buffer | null;
+		if (bytes === null) {
+			return false;
+		}
+
+		this.#burstLength += bytes.length;
+		this.#parse(bytes);
+		return true;
+	}
+
+	#waitForTurn(): void {
+		if (!this.#isWaiting) {
+			this.#isWaiting = true;
+			this.#schedule.add(this.#readInTurn);
+		}
+	}
+
+	readonly #readInTurn = (): void => {
+		this.#isWaiting = false;
+		if (!this.#canRead) {
+			return;
+		}
+
+		const {clock} = this.#schedule;
+		const startedAtMs = clock.monotonicMs();
+		const available = this.#socket.readableLength;
+		if (available > 0) {
+			this.#parseSome(Math.min(available, this.#slice.bytes));
+			this.#slice.adapt(clock.monotonicMs() - startedAtMs);
+		}
+
+		this.#read();
+	};
+}
--- a/packages/daemon/src/upstream/metered-socket.ts
+++ b/packages/daemon/src/upstream/metered-socket.ts
@@ -8,6 +8,7 @@
 	type ResponseFlood,
 	type ResponseFloodKind,
 } from './response-flood.js';
+import {SliceSize} from './slice-size.js';
 
 /** How far the response has come that a connection waits for. */
 export type ResponseProgress = {
@@ -29,10 +30,11 @@
 /** How much of a response is read at once when it arrives, until its head is complete and after that; the rest is read in turn with other connections. */
 const immediateHeadBytes = 1024;
 const immediateBytes = 4096;
-const minSliceBytes = 1024;
-const maxSliceBytes = 65_536;
-/** Slices are made smaller and larger to take about this long, in milliseconds. */
-const sliceMs = 0.5;
+const sliceBounds = {
+	initialBytes: immediateBytes,
+	minBytes: 1024,
+	maxBytes: 65_536,
+};
 /** How long everything before the end of the final head may be, in bytes and in lines. */
 const maxHeadBytes = 32_768;
 const maxHeadLines = 512;
@@ -59,7 +61,7 @@
 	/** The length of the body when it was last found to have grown, and how many bytes the parser had got then. */
 	#bodyLength = 0;
 	#lengthAtBody = 0;
-	#sliceBytes = immediateBytes;
+	readonly #slice = new SliceSize(sliceBounds);
 	#isInTurn = false;
 	#isWaiting = false;
 
@@ -86,7 +88,7 @@
 		this.#headLines = 0;
 		this.#bodyLength = 0;
 		this.#lengthAtBody = 0;
-		this.#sliceBytes = immediateBytes;
+		this.#slice.reset();
 	}
 
 	#read(): Buffer | null {
@@ -97,7 +99,7 @@
 		const available = this.#socket.readableLength;
 		if (this.#isInTurn) {
 			this.#isInTurn = false;
-			return this.#take(Math.min(available, this.#sliceBytes));
+			return this.#take(Math.min(available, this.#slice.bytes));
 		}
 
 		const hasHead = this.#options.getProgress()?.hasHead === true;
@@ -144,12 +146,7 @@
 		// The parser reads again on this event, unless it is paused; then it reads when it is resumed.
 		this.#socket.emit('readable');
 		this.#isInTurn = false;
-		const durationMs = clock.monotonicMs() - startedAtMs;
-		if (durationMs > sliceMs) {
-			this.#sliceBytes = Math.max(minSliceBytes, this.#sliceBytes / 2);
-		} else if (durationMs < sliceMs / 2) {
-			this.#sliceBytes = Math.min(maxSliceBytes, this.#sliceBytes * 2);
-		}
+		this.#slice.adapt(clock.monotonicMs() - startedAtMs);
 	};
 
 	/** Destroys the socket if what it brings is no useful response. */
--- a/packages/gateway/src/edge/caller-server.ts
+++ b/packages/gateway/src/edge/caller-server.ts
@@ -4,6 +4,7 @@
 import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import type {CallerListener} from '@bilberryscale/daemon/edge';
+import {RequestPacer} from '@bilberryscale/daemon/pacing';
 import type {Endpoint} from '../context/gateway-settings.js';
 import type {CallerLimits} from '../plan/routing-plan.js';
 
@@ -35,6 +36,7 @@
  */
 export class CallerServer {
 	readonly #server: Server;
+	readonly #pacers = new WeakMap<Duplex, RequestPacer>();
 	#listener: CallerListener | undefined;
 	#pendingEvents: PendingEvent[] = [];
 
@@ -48,6 +50,7 @@
 			requireHostHeader: false,
 		});
 		this.#server.on('connection', (socket) => {
+			this.#pacers.set(socket, new RequestPacer(socket));
 			this.#deliver(socket, (listener) => {
 				listener.onConnection(socket);
 			});
@@ -63,6 +66,7 @@
 			});
 		});
 		this.#server.on('connect', (request, socket) => {
+			this.#pacers.get(socket)?.stop();
 			this.#deliver(socket, (listener) => {
 				listener.onConnect(request, socket as Socket);
 			});
