Write an interim response before the head of its own answer

A caller that pipelined a request with `Expect: 100-continue` behind one that was still unanswered got `HTTP/1.1 100 Continue` and an empty line (25 bytes) at the start of the answer's body. The last 25 bytes of the body were left over and were read as the start of the next answer on the connection.

Cause: the interim response is queued while earlier answers are pending. Node puts the head of an answer with the first bytes of its body at the front of that queue if they are a buffer (`_send` in _http_outgoing), so the interim response came after the head.

Change: a queued head is written on its own, which appends it to the queue. It is still written to the socket together with the body.

The two new tests of caller-listener.test.ts failed before the change and pass with it.

--- a/packages/daemon/src/http/write-answer.ts
+++ b/packages/daemon/src/http/write-answer.ts
@@ -74,6 +74,7 @@
 
 	try {
 		response.writeHead(answer.status, headers);
+		queueHead(response);
 		return true;
 	} catch (error) {
 		writeHeadProblem(delivery, error as Error);
@@ -97,9 +98,21 @@
 		protocol,
 	);
 	response.writeHead(problem.status, problem.headers);
+	queueHead(response);
 	response.end(problem.body);
 }
 
+/**
+ * Queues the head of a response that waits for earlier ones on its connection.
+ * Node would otherwise queue it with the body and put it before what waits already,
+ * so that an interim response would become a part of the body.
+ */
+function queueHead(response: ServerResponse): void {
+	if (response.socket === null) {
+		response.flushHeaders();
+	}
+}
+
 /**
  * Keeps reading the request body for up to `lingerTimeoutMs` before ending the
  * response. Closing a connection with unread bytes resets it, and the caller
--- a/packages/daemon/test/http/caller-listener.test.ts
+++ b/packages/daemon/test/http/caller-listener.test.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {createServer} from 'node:http';
 import net, {type AddressInfo} from 'node:net';
+import {Readable} from 'node:stream';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {systemClock} from '@bilberryscale/core';
 import {describe, it} from '@bilberryscale/testing';
@@ -131,6 +132,49 @@
 		);
 	});
 
+	// The interim response became a part of the body, and the rest of the body was read as the next answer.
+	describe('a pipelined request that expects an interim response', () => {
+		function doTest(name: string, makeBody: (text: string) => Answer['body']) {
+			it(`gets it before its answer: ${name}`, async () => {
+				const listener = makeCallerListener({
+					clock: systemClock,
+					log: {error: () => undefined},
+					getUnavailableFailure: () => undefined,
+					async pipeline({incoming: {url, requestBody}}) {
+						requestBody?.();
+						await sleep(url === '/1' ? 30 : 0);
+						const text = `answer to ${url}`;
+						const headers = {'content-length': String(text.length)};
+						return Ok({status: 200, headers, body: makeBody(text)});
+					},
+				});
+				const server = createServer(listener.onRequest);
+				server.on('checkContinue', listener.onContinue);
+				await new Promise<void>((resolve) => {
+					server.listen(0, '127.0.0.1', resolve);
+				});
+				const caller = new RawCaller((server.address() as AddressInfo).port);
+				const expectation = 'Expect: 100-continue\r\n';
+				caller.send(
+					makeRequestText('/1') +
+						makeRequestText('/2', expectation) +
+						makeRequestText('/3', 'Connection: close\r\n'),
+				);
+				await caller.closed;
+				server.close();
+				const {receivedText} = caller;
+				assert.match(
+					receivedText,
+					/answer to \/1HTTP\/1.1 100 Continue\r\n\r\nHTTP\/1.1 200 /v,
+				);
+				assert.match(receivedText, /\r\n\r\nanswer to \/2HTTP\/1.1 200 /v);
+			});
+		}
+
+		doTest('whole', (text) => Buffer.from(text));
+		doTest('a stream', (text) => Readable.from([Buffer.from(text)]));
+	});
+
 	describe('a close-delimited response', () => {
 		it('is replaced by an error while later responses are pending', async () => {
 			const {text} = await sendPipelined(['/1', '/2'], {
