Pass a long answer on without a copy of what has come

A body that exceeds what is collected (1 MiB, without a length 8 MiB) was copied into one buffer before it went on as a stream, so that it was held twice, the copy outside of the budget. Its parts are put back as they are.

--- a/packages/daemon/src/buffers/byte-collector.ts
+++ b/packages/daemon/src/buffers/byte-collector.ts
@@ -58,15 +58,23 @@
 	 * @returns All bytes in order.
 	 */
 	take(): Buffer {
+		const length = this.#length;
+		const parts = this.takeParts();
+		return parts.length === 1 ? parts[0]! : Buffer.concat(parts, length);
+	}
+
+	/**
+	 * Takes what was collected without a copy and starts anew.
+	 *
+	 * @returns The parts in order, with all bytes together.
+	 */
+	takeParts(): readonly Buffer[] {
 		this.#sealBlock();
-		const bytes =
-			this.#parts.length === 1
-				? this.#parts[0]!
-				: Buffer.concat(this.#parts, this.#length);
+		const parts = this.#parts;
 		this.#parts = [];
 		this.#length = 0;
 		this.#cost = 0;
-		return bytes;
+		return parts;
 	}
 
 	#getBlock(): Buffer {
--- a/packages/gateway/src/relay/collect-body.ts
+++ b/packages/gateway/src/relay/collect-body.ts
@@ -37,7 +37,10 @@
 		if (collector.length > maxBytes) {
 			body.pause();
 			stop();
-			body.unshift(collector.take());
+			for (const part of collector.takeParts().toReversed()) {
+				body.unshift(part);
+			}
+
 			onOversized(body);
 		}
 	};
