Leave a store or a host alone that answers with bytes without end

A store or a host that flooded its reader was read again after 80 to 600 ms, each time with up to 16 MiB, and nothing told of it. JSON of a million empty lists was parsed in one go: each costs far more memory than its three bytes.

A text with more than 500,000 items, or one that decompresses to more than 4 MiB, counts as a flood and is not parsed.

--- a/packages/gateway/src/edge/fetch-text.ts
+++ b/packages/gateway/src/edge/fetch-text.ts
@@ -41,6 +41,11 @@
 
 /** The longest text that a compressed response may hold, in bytes; decompressing it takes some milliseconds. */
 const maxDecompressedBytes = 4_194_304;
+/** How many JSON lists, tables and their items a response may hold: each costs much more memory than its bytes. */
+const maxItems = 500_000;
+const comma = 0x2c;
+const openingBracket = 0x5b;
+const openingBrace = 0x7b;
 
 /**
  * Sends a request and reads the complete response.
@@ -55,6 +60,14 @@
 	const headers = getRequestHeaders(request);
 	return new Promise((resolve) => {
 		let response: Result<TextResponse, string> | undefined;
+		const decode = (
+			status: number,
+			responseHeaders: IncomingHttpHeaders,
+			bytes: Buffer,
+		) =>
+			decodeText(responseHeaders, bytes, () => {
+				connection.reportUnusedBody(bytes.length);
+			}).map((text) => ({status, headers: responseHeaders, text}));
 		const lease = processByteBudget.lease(() => {
 			targetRequest.cancel(
 				new Error('the messages that this host holds need too much memory'),
@@ -66,7 +79,7 @@
 		const targetRequest = new TargetRequest({
 			onAnswer({status, headers: responseHeaders, body: responseBody}) {
 				if (Buffer.isBuffer(responseBody)) {
-					response = decodeResponse(status, responseHeaders, responseBody);
+					response = decode(status, responseHeaders, responseBody);
 					return;
 				}
 
@@ -74,9 +87,10 @@
 				collectBody(responseBody, {
 					onComplete(bytes) {
 						cancelTimer();
-						resolve(decodeResponse(status, responseHeaders, bytes));
+						resolve(decode(status, responseHeaders, bytes));
 					},
 					onOversized() {
+						connection.reportUnusedBody(maxTextBytes);
 						targetRequest.cancel(new Error('the response is too large'));
 					},
 					maxBytes: maxTextBytes,
@@ -115,23 +129,50 @@
 	};
 }
 
-function decodeResponse(
-	status: number,
+function decodeText(
 	headers: IncomingHttpHeaders,
 	bytes: Buffer,
-): Result<TextResponse, string> {
-	if (headers['content-encoding'] !== 'gzip') {
-		return Ok({status, headers, text: bytes.toString()});
-	}
+	onFlood: () => void,
+): Result<string, string> {
+	const decompressed =
+		headers['content-encoding'] === 'gzip'
+			? decompress(bytes, onFlood)
+			: Ok(bytes);
+	return decompressed.andThen((text) => {
+		if (text.length > maxItems && countItems(text) > maxItems) {
+			onFlood();
+			return Err(`the response has more than ${maxItems} items`);
+		}
+
+		return Ok(text.toString());
+	});
+}
 
+function decompress(
+	bytes: Buffer,
+	onFlood: () => void,
+): Result<Buffer, string> {
 	try {
-		const decompressed = gunzipSync(bytes, {
-			maxOutputLength: maxDecompressedBytes,
-		});
-		return Ok({status, headers, text: decompressed.toString()});
+		return Ok(gunzipSync(bytes, {maxOutputLength: maxDecompressedBytes}));
 	} catch (error) {
+		if ((error as NodeJS.ErrnoException).code === 'ERR_BUFFER_TOO_LARGE') {
+			onFlood();
+		}
+
 		return Err(
 			`the response is not decompressible: ${(error as Error).message}`,
 		);
 	}
 }
+
+/** Counts the characters that begin or separate items, also those within strings. */
+function countItems(bytes: Buffer): number {
+	let count = 0;
+	for (const byte of bytes) {
+		if (byte === comma || byte === openingBracket || byte === openingBrace) {
+			count++;
+		}
+	}
+
+	return count;
+}
--- a/packages/gateway/src/edge/text-client.ts
+++ b/packages/gateway/src/edge/text-client.ts
@@ -1,8 +1,9 @@
 /** An HTTP client for text responses from one address, with one connection at a time. */
 
 import type {Clock} from '@bilberryscale/core';
-import {Connection} from '@bilberryscale/daemon/edge';
-import type {Result} from 'ts-results-es';
+import {Connection, type ResponseFlood} from '@bilberryscale/daemon/edge';
+import {Err, type Result} from 'ts-results-es';
+import {FloodPause} from '../targets/flood-pause.js';
 import {fetchText, type TextRequest, type TextResponse} from './fetch-text.js';
 
 /** The address to connect to. */
@@ -12,11 +13,15 @@
 	readonly address: string;
 	/** The local IP address to connect from. */
 	readonly localAddress: string;
+	/** Called when the address has sent bytes without end, with the pause in which nothing is sent to it, in milliseconds. */
+	readonly onFlood?:
+		((flood: ResponseFlood, pauseMs: number) => void) | undefined;
 };
 
-/** Holds one connection; the caller must renew it after a failed request, because it can't be used any more. */
+/** Holds one connection and leaves an address alone for a time that sends bytes without end; the caller must renew it after a failed request, because it can't be used any more. */
 export class TextClient {
 	readonly #options: TextClientOptions;
+	readonly #floodPause = new FloodPause();
 	#connection: Connection;
 
 	/**
@@ -31,13 +36,26 @@
 	 * Sends a request and reads the complete response.
 	 *
 	 * @param request - The request.
-	 * @returns The response, or an error message.
+	 * @returns The response, or an error message; the latter at once after a flood.
 	 */
 	async fetch(
 		request: Omit<TextRequest, 'connection' | 'clock'>,
 	): Promise<Result<TextResponse, string>> {
 		const {clock} = this.#options;
-		return fetchText({...request, connection: this.#connection, clock});
+		const pauseMs = this.#floodPause.untilMs - clock.monotonicMs();
+		if (pauseMs > 0) {
+			return Err(
+				`it sent bytes without end and is left alone for ${Math.ceil(pauseMs)} ms`,
+			);
+		}
+
+		const connection = this.#connection;
+		const response = await fetchText({...request, connection, clock});
+		if (response.isOk()) {
+			this.#floodPause.addResponse();
+		}
+
+		return response;
 	}
 
 	/** Destroys the connection and opens a new one. */
@@ -53,6 +71,20 @@
 
 	#connect(): Connection {
 		const {address, localAddress} = this.#options;
-		return new Connection({origin: `http://${address}`, localAddress});
+		return new Connection({
+			origin: `http://${address}`,
+			localAddress,
+			onFlood: (flood) => {
+				this.#addFlood(flood);
+			},
+		});
+	}
+
+	#addFlood(flood: ResponseFlood): void {
+		const {clock, onFlood} = this.#options;
+		const pauseMs = this.#floodPause.addFlood(clock.monotonicMs());
+		if (pauseMs !== undefined) {
+			onFlood?.(flood, pauseMs);
+		}
 	}
 }
--- a/packages/gateway/src/fleet/fleet.ts
+++ b/packages/gateway/src/fleet/fleet.ts
@@ -191,7 +191,7 @@
 			return existing;
 		}
 
-		const {settings, clock} = this.#options;
+		const {settings, clock, log} = this.#options;
 		const port = settings.peers?.port ?? 0;
 		const peer = new PeerReader({
 			clock,
@@ -201,6 +201,9 @@
 				this.#membership.recordResponse(address);
 			},
 			isFar: dataCentre !== settings.dataCentre,
+			onFlood({kind, bytes}, pauseMs) {
+				log.write('host flooded', {address, kind, bytes, pauseMs});
+			},
 		});
 		this.#peers.set(address, peer);
 		return peer;
