Leave a host alone for a moment that floods the forwarder

A host that answered forwarded requests with bytes without end cost each of them its connection and got the next one at once; nothing told of it. The forwarder now pauses it like a target, logs 'host flooded' and counts the flood. The test failed before: the second request was sent there too.

--- a/packages/gateway/src/forwarding/forwarder.ts
+++ b/packages/gateway/src/forwarding/forwarder.ts
@@ -272,7 +272,7 @@
 				(state) =>
 					state.health?.isHealthy === true &&
 					nowMs - state.health.receivedAtMs <= maxAgeMs &&
-					state.avoidUntilMs <= nowMs &&
+					isUsable(state, nowMs) &&
 					!tried.has(state),
 			)
 			.toSorted((a, b) => a.load - b.load)[0];
@@ -284,7 +284,7 @@
 		const nowMs = clock.monotonicMs();
 		return getPeers()
 			.map((peer) => this.#getState(peer))
-			.filter((state) => state.avoidUntilMs <= nowMs && !tried.has(state))
+			.filter((state) => isUsable(state, nowMs) && !tried.has(state))
 			.toSorted((a, b) => getHealthRank(a) - getHealthRank(b))
 			.slice(0, probedHostCount);
 	}
@@ -295,7 +295,7 @@
 			return existing;
 		}
 
-		const {clock, localAddress, port} = this.#options;
+		const {clock, log, metrics, localAddress, port} = this.#options;
 		const state = new TargetState({
 			registration: {
 				id: makeId<TargetId>(address),
@@ -314,6 +314,13 @@
 				origin: `http://${address}:${port}`,
 				localAddress,
 				getMaxSize: () => maxConnectionsPerHost,
+				onFlood({kind, bytes}) {
+					metrics.recordFlood(kind);
+					const pauseMs = state.floodPause.addFlood(clock.monotonicMs());
+					if (pauseMs !== undefined) {
+						log.write('host flooded', {address, kind, bytes, pauseMs});
+					}
+				},
 			}),
 			nowMs: clock.monotonicMs(),
 		});
@@ -332,6 +339,13 @@
 	}
 }
 
+function isUsable(
+	{avoidUntilMs, floodPause}: TargetState,
+	nowMs: number,
+): boolean {
+	return Math.max(avoidUntilMs, floodPause.untilMs) <= nowMs;
+}
+
 function getHealthRank({health}: TargetState): number {
 	return health?.isHealthy === true ? 0 : 1;
 }
--- a/packages/gateway/test/forwarding/forwarder.test.ts
+++ b/packages/gateway/test/forwarding/forwarder.test.ts
@@ -136,7 +136,26 @@
 	response.end();
 }
 
+/** Answers with trailers that don't end. */
+function flood({headers}: IncomingMessage, response: ServerResponse): void {
+	response.socket!.write(
+		`HTTP/1.1 200 OK\r\nid: ${headers.id as string}\r\nseal: x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n${'a:b\r\n'.repeat(100_000)}`,
+	);
+}
+
 describe('Forwarder', () => {
+	// Such a host got every request that this one couldn't send itself.
+	it('leaves a host alone for a moment that answers with bytes without end', async () => {
+		await withHost(flood, async (forwarder, received) => {
+			const flooded = makeRequest('r', {credential: 'secret'}, true);
+			const forwarded = await forwarder.forward(flooded, forwarding);
+			assert.is(forwarded?.result.kind, 'failed');
+			const next = makeRequest('s', {credential: 'secret'}, true);
+			assert.is(await forwarder.forward(next, forwarding), undefined);
+			assert.is(received.length, 1);
+		});
+	});
+
 	// Guards against a hop that loses the key, which the other host needs to check the request itself.
 	it('passes the key on to the other host, and no account that the caller names', async () => {
 		await withHost(serve, async (forwarder, received) => {
