Hold back the reads of an answer instead of pausing undici's parser

An uncaught AssertionError (`assert(!this.paused)` in undici's Parser.finish), for which a host shuts down, was thrown when the connection of a target ended or was reset while the parser was paused because the reader of the body was slow. It needs an answer whose connection isn't kept: `Connection: close` or no length.

Change: a request tells the meter of its socket that its body is full, and the meter gives the parser nothing until the body has been read. The parser is never paused, so it puts no bytes back either. A read of no bytes, with which the socket looks for more data or its end, doesn't take bytes any more; it could have lost those that nobody was waiting for.

--- a/packages/daemon/src/upstream/connection.ts
+++ b/packages/daemon/src/upstream/connection.ts
@@ -67,6 +67,10 @@
 			this.#meter?.startResponse();
 		};
 
+		handler.onResume = () => {
+			this.#meter?.resume();
+		};
+
 		this.#client.dispatch(request, handler);
 	}
 
--- a/packages/daemon/src/upstream/metered-socket.ts
+++ b/packages/daemon/src/upstream/metered-socket.ts
@@ -17,6 +17,8 @@
 	readonly informationalCount: number;
 	readonly hasHead: boolean;
 	readonly hasEnded: boolean;
+	/** Whether nothing more should be read until {@link MeteredSocket.resume} is called. */
+	readonly isPaused: boolean;
 };
 
 /** Whom a meter tells what, and what it depends on. */
@@ -74,12 +76,9 @@
 		this.#options = options;
 		this.#schedule = options.schedule ?? processReadSchedule;
 		this.#readFromSocket = socket.read.bind(socket);
-		const putBack = socket.unshift.bind(socket);
-		socket.read = () => this.#read();
-		socket.unshift = (bytes: Buffer) => {
-			this.#length -= bytes.length;
-			putBack(bytes);
-		};
+		// The socket itself reads nothing to receive more or to notice its end.
+		socket.read = (size) =>
+			size === 0 ? this.#readFromSocket(0) : this.#read();
 	}
 
 	/** Starts to count for the next response. */
@@ -91,8 +90,18 @@
 		this.#slice.reset();
 	}
 
+	/**
+	 * Reads on after a pause.
+	 *
+	 * @remarks The parser itself is never paused: undici throws an error that nothing
+	 * catches if a connection ends then whose end ends the response.
+	 */
+	resume(): void {
+		this.#waitForTurn();
+	}
+
 	#read(): Buffer | null {
-		if (this.#isOverLimit()) {
+		if (this.#isOverLimit() || this.#options.getProgress()?.isPaused === true) {
 			return null;
 		}
 
--- a/packages/daemon/src/upstream/target-request.ts
+++ b/packages/daemon/src/upstream/target-request.ts
@@ -43,6 +43,8 @@
 	getSocketError: () => Error | undefined = () => undefined;
 	/** Called when the connection starts to send the request; set by the connection. */
 	onStart: () => void = () => undefined;
+	/** Called when more of the body should be read; set by the connection. */
+	onResume: () => void = () => undefined;
 	/** The bytes of the body so far, without their framing. */
 	bodyLength = 0;
 	/** The number of informational responses so far. */
@@ -55,6 +57,7 @@
 	/** The part of the body that was not passed on yet. */
 	readonly #pending = new ByteCollector();
 	#isFlushScheduled = false;
+	#isBodyFull = false;
 	#body: Readable | undefined;
 	#hasAnswered = false;
 	#hasEnded = false;
@@ -81,6 +84,11 @@
 		this.#fail(reason);
 	}
 
+	/** Whether the reader of the body has to catch up before more of it is read. */
+	get isPaused(): boolean {
+		return this.#isBodyFull && !this.#hasEnded;
+	}
+
 	/** Whether the request has ended, with or without a response. */
 	get hasEnded(): boolean {
 		return this.#hasEnded;
@@ -119,7 +127,7 @@
 	}
 
 	onResponseData(
-		controller: Dispatcher.DispatchController,
+		_controller: Dispatcher.DispatchController,
 		chunk: Buffer,
 	): void {
 		this.bodyLength += chunk.length;
@@ -129,15 +137,13 @@
 		}
 
 		if (this.#pending.length >= minPassedBytes) {
-			if (!this.#flush()) {
-				controller.pause();
-			}
+			this.#flush();
 		} else if (!this.#isFlushScheduled) {
 			this.#isFlushScheduled = true;
 			queueMicrotask(() => {
 				this.#isFlushScheduled = false;
-				if (!this.#hasEnded && !this.#flush()) {
-					controller.pause();
+				if (!this.#hasEnded) {
+					this.#flush();
 				}
 			});
 		}
@@ -197,7 +203,10 @@
 	#makeBody(): Readable {
 		const body = new Readable({
 			read: () => {
-				this.#controller?.resume();
+				if (this.#isBodyFull) {
+					this.#isBodyFull = false;
+					this.onResume();
+				}
 			},
 			destroy: (error, done) => {
 				this.cancel(error ?? new Error('the response body was discarded'));
@@ -211,13 +220,11 @@
 		return body;
 	}
 
-	/** Passes on what has come of the body; returns whether more of it should be read. */
-	#flush(): boolean {
-		return (
-			this.#body === undefined ||
-			this.#pending.length === 0 ||
-			this.#body.push(this.#pending.take())
-		);
+	/** Passes on what has come of the body. */
+	#flush(): void {
+		if (this.#body !== undefined && this.#pending.length > 0) {
+			this.#isBodyFull = !this.#body.push(this.#pending.take());
+		}
 	}
 
 	#fail(error: Error): void {
