Keep a process under half of its memory when targets stall midway

200 answers of nearly 1 MiB that stalled took a process to 181 MB, 200 of nearly 8 MiB without a length to 183 MB, though the messages held 32 MiB by the budget: a socket held up to 128 KiB that was not parsed, and what was freed was not yet given back.

The budget is a sixteenth of memory_mb (16 MiB without it), and a socket stops at 16 KiB unparsed, one read of 64 KiB more at most.

--- a/packages/daemon/src/buffers/byte-budget.ts
+++ b/packages/daemon/src/buffers/byte-budget.ts
@@ -19,7 +19,7 @@
 
 /** A request that holds less is revoked only if none holds more, in bytes. */
 const costlyBytes = 65_536;
-const defaultLimitBytes = 33_554_432;
+const defaultLimitBytes = 16_777_216;
 
 /** Revokes the newest costly request when all together exceed a limit. */
 export class ByteBudget {
--- a/packages/daemon/src/upstream/connection.ts
+++ b/packages/daemon/src/upstream/connection.ts
@@ -16,6 +16,11 @@
 
 const idleTimeoutMs = 10_000;
 const connectTimeoutMs = 1000;
+const connectorOptions = {
+	timeout: connectTimeoutMs,
+	/** A socket receives nothing while it holds as much that was not parsed, in bytes. */
+	highWaterMark: 16_384,
+};
 const maxHeaderSize = 131_072;
 
 /** A connection that opens on its first request and reopens after it was closed. */
@@ -94,7 +99,7 @@
 	 * a response without a length.
 	 */
 	#makeConnector(): buildConnector.connector {
-		const connect = buildConnector({timeout: connectTimeoutMs});
+		const connect = buildConnector(connectorOptions);
 		return (options, callback) => {
 			this.#socketError = undefined;
 			connect(options, (...outcome) => {
--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -75,7 +75,7 @@
 /** Targets that are probed to tell a crashed target from lost links. */
 const linkCheckTargets = 2;
 /** The share of the memory of the process that messages may hold. */
-const messageMemoryShare = 0.125;
+const messageMemoryShare = 0.0625;
 const okStatus = 200;
 const unavailableStatus = 503;
 
