Stream answers early while memory is scarce

Callers would see: with the smaller budget, 500 for a large answer that a target had made, while some twenty others are collected.

Cause: answers up to 1 MiB are collected whole before they are passed on; a sixteenth of memory_mb holds 22 of them.

Change: from half of the budget on, an answer with a length or chunks streams after 64 KiB; a cut shows there. One without a length is collected as before.

--- a/packages/daemon/src/buffers/byte-budget.ts
+++ b/packages/daemon/src/buffers/byte-budget.ts
@@ -19,6 +19,7 @@
 
 /** A request that holds less is revoked only if none holds more, in bytes. */
 const costlyBytes = 65_536;
+const scarceShare = 0.5;
 const defaultLimitBytes = 16_777_216;
 
 /** Revokes the newest costly request when all together exceed a limit. */
@@ -42,6 +43,11 @@
 		return this.#heldBytes;
 	}
 
+	/** Whether so much of the memory is held that requests should hold less of it. */
+	get isScarce(): boolean {
+		return this.#heldBytes > this.limitBytes * scarceShare;
+	}
+
 	/** How many requests were revoked. */
 	get revokedCount(): number {
 		return this.#revokedCount;
--- a/packages/daemon/test/buffers/byte-budget.test.ts
+++ b/packages/daemon/test/buffers/byte-budget.test.ts
@@ -7,6 +7,17 @@
 type Step = {readonly request: string; readonly bytes: number | 'release'};
 
 describe('ByteBudget', () => {
+	it('is scarce while more than half of it is held', () => {
+		const budget = new ByteBudget(limitBytes);
+		const lease = budget.lease(() => undefined);
+		lease.add(limitBytes / 2);
+		assert.is(budget.isScarce, false);
+		lease.add(1);
+		assert.is(budget.isScarce, true);
+		lease.release();
+		assert.is(budget.isScarce, false);
+	});
+
 	describe('lease', () => {
 		// Each response had a limit of its own, so that many together took all memory of the process.
 		function doTest(
--- a/packages/gateway/src/relay/collect-body.ts
+++ b/packages/gateway/src/relay/collect-body.ts
@@ -2,7 +2,11 @@
 
 import type {Buffer} from 'node:buffer';
 import type {Readable} from 'node:stream';
-import {ByteCollector, type ByteLease} from '@bilberryscale/daemon/edge';
+import {
+	ByteCollector,
+	processByteBudget,
+	type ByteLease,
+} from '@bilberryscale/daemon/edge';
 
 /** Whom to tell of a body, and its limits. */
 export type BodyCollection = {
@@ -14,10 +18,14 @@
 	readonly maxBytes?: number;
 	/** Accounts for the memory that the body holds. */
 	readonly lease?: ByteLease | undefined;
+	/** Whether a body may go on as a stream long before the limit, while messages hold much of the memory that they may. */
+	readonly canStreamEarly?: boolean;
 };
 
 /** The largest body of a target's response that is buffered until it is complete, in bytes. */
 const maxBufferedBytes = 1_048_576;
+/** The same while messages hold much of the memory that they may, in bytes. */
+const scarceBufferedBytes = 65_536;
 
 /**
  * Collects a body up to a size limit.
@@ -27,14 +35,24 @@
  */
 export function collectBody(
 	body: Readable,
-	{onComplete, onOversized, maxBytes = maxBufferedBytes, lease}: BodyCollection,
+	{
+		onComplete,
+		onOversized,
+		maxBytes = maxBufferedBytes,
+		lease,
+		canStreamEarly = false,
+	}: BodyCollection,
 ): void {
 	const collector = new ByteCollector();
 	const onData = (chunk: Buffer) => {
 		const {cost} = collector;
 		collector.add(chunk);
 		lease?.add(collector.cost - cost);
-		if (collector.length > maxBytes) {
+		const isEarly =
+			canStreamEarly &&
+			collector.length > scarceBufferedBytes &&
+			processByteBudget.isScarce;
+		if (isEarly || collector.length > maxBytes) {
 			body.pause();
 			stop();
 			for (const part of collector.takeParts().toReversed()) {
--- a/packages/gateway/src/relay/target-attempt.ts
+++ b/packages/gateway/src/relay/target-attempt.ts
@@ -307,6 +307,7 @@
 				lease?.add(streamBytes);
 				this.#settleAnswered(answer, remaining);
 			},
+			canStreamEarly: !answer.isCloseDelimited,
 			...(answer.isCloseDelimited && {maxBytes: maxCloseDelimitedBytes}),
 			lease,
 		});
