Pass on the length that an answer without a body states

Callers got `Content-Length: 0` in answers to HEAD and in 304 answers, whatever length the target stated, and in 204 answers, which may state none. An answer to HEAD without a length also closed the caller's connection, and was sent again to another target.

Cause: an answer that arrived whole got the length of its bytes, and one without a length counted as delimited by the end of its connection, also where there is no body.

--- a/packages/gateway/src/relay/target-attempt.ts
+++ b/packages/gateway/src/relay/target-attempt.ts
@@ -71,6 +71,9 @@
 const minSuccessStatus = 200;
 const minRedirectStatus = 300;
 const minServerErrorStatus = 500;
+/** Statuses whose responses have no body. */
+const noContentStatus = 204;
+const bodilessStatuses = new Set([noContentStatus, 304]);
 
 /** Causes that say nothing about the target. */
 const unfinishedCauses: ReadonlySet<FailureCause> = new Set([
@@ -354,10 +357,23 @@
 		{status, headers, isCloseDelimited}: TargetAnswer,
 		body: Buffer | Readable,
 	): void {
-		const answerHeaders = Buffer.isBuffer(body)
-			? {...headers, 'content-length': String(body.length)}
-			: headers;
-		const answer = {status, headers: answerHeaders, body, isCloseDelimited};
+		const hasNoBody =
+			this.#options.incoming.method === 'HEAD' || bodilessStatuses.has(status);
+		const answerHeaders =
+			Buffer.isBuffer(body) && !hasNoBody
+				? {...headers, 'content-length': String(body.length)}
+				: {...headers};
+		if (status === noContentStatus) {
+			// Other answers without a body state the length of the body that another request would get.
+			delete answerHeaders['content-length'];
+		}
+
+		const answer = {
+			status,
+			headers: answerHeaders,
+			body,
+			isCloseDelimited: isCloseDelimited && !hasNoBody,
+		};
 		this.#settle({kind: 'answered', answer}, status >= minServerErrorStatus);
 	}
 
