Wait for a port that another process still holds

Callers saw: refused connections until the port was free; the process ended at once with exit code 1 for any of its six ports (callers, readiness, metrics, datagrams, peers, forwarded requests), was restarted and ended again. Cause: EADDRINUSE at listen was an error that nobody handled.

--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -19,6 +19,7 @@
 import {AccountDirectory} from '../accounts/account-directory.js';
 import {TargetProbe} from '../choice/target-probe.js';
 import type {CallerServer} from '../edge/caller-server.js';
+import {listenWhenFree} from '../edge/listen.js';
 import {TextServer} from '../edge/text-server.js';
 import {KnownHosts} from '../fleet/known-hosts.js';
 import {Fleet} from '../fleet/fleet.js';
@@ -38,6 +39,7 @@
 import {PlanHolder} from '../plan/plan-holder.js';
 import {RouteTable} from '../plan/route-table.js';
 import type {EventLog} from '../records/event-log.js';
+import {makePortWait} from '../records/make-port-wait.js';
 import {GatewayMetrics} from '../records/gateway-metrics.js';
 import {TargetRegistry} from '../targets/target-registry.js';
 import type {TargetProtocol} from '../targets/target-protocol.js';
@@ -374,22 +376,33 @@
 
 	/** Starts the servers, the feed and the gossip. */
 	async start(): Promise<void> {
-		const {settings, log, hedging} = this.#options;
+		const {settings, log, hedging, clock} = this.#options;
+		const wait = makePortWait(clock, log);
 		log.writeState('process started', {
 			dataCentre: settings.dataCentre,
 			isFirstStart: settings.isFirstStart,
 			...(hedging && {hedgeLimit: hedging.limit}),
 		});
 		void this.#feed.run();
-		await this.#readinessServer.listen(settings.readiness);
-		await this.#metricsServer.listen(settings.metrics);
+		await listenWhenFree(
+			async () => this.#readinessServer.listen(settings.readiness),
+			wait,
+		);
+		await listenWhenFree(
+			async () => this.#metricsServer.listen(settings.metrics),
+			wait,
+		);
 		await this.#fleet.start();
 		this.#knownHosts.start();
 		this.#limits.start();
-		await this.#forwardingServer.listen({
-			address: settings.callers.address,
-			port: settings.forwardingPort,
-		});
+		await listenWhenFree(
+			async () =>
+				this.#forwardingServer.listen({
+					address: settings.callers.address,
+					port: settings.forwardingPort,
+				}),
+			wait,
+		);
 	}
 
 	/**
--- a/packages/gateway/src/edge/caller-server.ts
+++ b/packages/gateway/src/edge/caller-server.ts
@@ -7,6 +7,7 @@
 import {RequestPacer} from '@bilberryscale/daemon/pacing';
 import type {Endpoint} from '../context/gateway-settings.js';
 import type {CallerLimits} from '../plan/routing-plan.js';
+import {listenOn} from './listen.js';
 
 /** Upper bound for the header size that a plan can allow, in bytes. */
 const maxHeaderBytes = 65_536;
@@ -122,11 +123,8 @@
 	 *
 	 * @param endpoint - The address and port to listen on.
 	 */
-	async listen({address, port}: Endpoint): Promise<void> {
-		await new Promise<void>((resolve, reject) => {
-			this.#server.once('error', reject);
-			this.#server.listen({host: address, port}, resolve);
-		});
+	async listen(endpoint: Endpoint): Promise<void> {
+		await listenOn(this.#server, endpoint);
 	}
 
 	/** Stops accepting connections and requests; each connection closes after its last pending response. */
--- a/packages/gateway/src/edge/text-server.ts
+++ b/packages/gateway/src/edge/text-server.ts
@@ -2,6 +2,7 @@
 
 import {createServer, type Server} from 'node:http';
 import type {Endpoint} from '../context/gateway-settings.js';
+import {listenOn} from './listen.js';
 
 /** A response with a text body. */
 export type TextServerResponse = {
@@ -49,11 +50,8 @@
 	 *
 	 * @param endpoint - The address and port to listen on.
 	 */
-	async listen({address, port}: Endpoint): Promise<void> {
-		await new Promise<void>((resolve, reject) => {
-			this.#server.once('error', reject);
-			this.#server.listen({host: address, port}, resolve);
-		});
+	async listen(endpoint: Endpoint): Promise<void> {
+		await listenOn(this.#server, endpoint);
 	}
 
 	/** Closes the server and all its connections. */
--- a/packages/gateway/src/fleet/fleet.ts
+++ b/packages/gateway/src/fleet/fleet.ts
@@ -4,10 +4,12 @@
 import type {AllotmentMessage} from '../accounts/allotment-message.js';
 import type {CapacityRecord} from '../capacity/capacity-record.js';
 import type {Endpoint, GatewaySettings} from '../context/gateway-settings.js';
+import {listenWhenFree} from '../edge/listen.js';
 import type {SnapshotFeed} from '../snapshot/snapshot-feed.js';
 import type {SnapshotSource} from '../snapshot/snapshot-source.js';
 import type {TargetIncarnation} from '../plan/registered-target.js';
 import type {EventLog} from '../records/event-log.js';
+import {makePortWait} from '../records/make-port-wait.js';
 import type {HostPlace} from '../limits/get-rate-share.js';
 import type {LoanMessage} from '../limits/loan-message.js';
 import type {LimitNotice} from '../targets/limit-notice.js';
@@ -101,11 +103,14 @@
 
 	/** Starts the gossip and, if other hosts may connect, the snapshot server. */
 	async start(): Promise<void> {
-		const {settings, getFeed, log} = this.#options;
-		await this.#gossip.start();
-		if (settings.peers !== undefined) {
-			this.#snapshotServer = new SnapshotServer(getFeed(), log);
-			await this.#snapshotServer.listen(settings.peers);
+		const {settings, getFeed, log, clock} = this.#options;
+		const wait = makePortWait(clock, log);
+		await listenWhenFree(async () => this.#gossip.start(), wait);
+		const {peers} = settings;
+		if (peers !== undefined) {
+			const server = new SnapshotServer(getFeed(), log);
+			this.#snapshotServer = server;
+			await listenWhenFree(async () => server.listen(peers), wait);
 		}
 	}
 
--- a/packages/gateway/src/fleet/gossip.ts
+++ b/packages/gateway/src/fleet/gossip.ts
@@ -78,13 +78,9 @@
 
 	/** Binds the socket, contacts the seeds and starts the periodic exchanges. */
 	async start(): Promise<void> {
-		const {address, port, log, getSeeds} = this.#options;
-		const socket = createSocket('udp4');
+		const {log, getSeeds} = this.#options;
+		const socket = await this.#bind();
 		this.#socket = socket;
-		await new Promise<void>((resolve, reject) => {
-			socket.once('error', reject);
-			socket.bind({address, port}, resolve);
-		});
 		socket.on('error', (socketError) => {
 			log.warn('datagram failed', {detail: socketError.message});
 		});
@@ -98,6 +94,24 @@
 		this.#scheduleExchange();
 	}
 
+	async #bind(): Promise<Socket> {
+		const {address, port} = this.#options;
+		const socket = createSocket('udp4');
+		await new Promise<void>((resolve, reject) => {
+			const onError = (bindError: Error) => {
+				socket.close();
+				reject(bindError);
+			};
+
+			socket.once('error', onError);
+			socket.bind({address, port}, () => {
+				socket.off('error', onError);
+				resolve();
+			});
+		});
+		return socket;
+	}
+
 	/** Stops the exchanges and closes the socket. */
 	stop(): void {
 		this.#cancelTimer();
--- a/packages/gateway/src/fleet/snapshot-server.ts
+++ b/packages/gateway/src/fleet/snapshot-server.ts
@@ -15,6 +15,7 @@
 	type JSONRPCRequest,
 } from 'json-rpc-2.0';
 import type {Endpoint} from '../context/gateway-settings.js';
+import {listenOn} from '../edge/listen.js';
 import type {EventLog} from '../records/event-log.js';
 import type {SnapshotFeed} from '../snapshot/snapshot-feed.js';
 
@@ -80,11 +81,8 @@
 	 *
 	 * @param endpoint - The address and port.
 	 */
-	async listen({address, port}: Endpoint): Promise<void> {
-		await new Promise<void>((resolve, reject) => {
-			this.#httpServer.once('error', reject);
-			this.#httpServer.listen({host: address, port}, resolve);
-		});
+	async listen(endpoint: Endpoint): Promise<void> {
+		await listenOn(this.#httpServer, endpoint);
 	}
 
 	/** Closes the server and its connections. */
