Handle errors of servers that listen

A connection that can't be accepted is an error event of the server in Node. After a start only the leftover listener of the start took one; a second would have ended the process as an unexpected error. Change: listenOn keeps a listener. Evidence: listen.test.ts emits two errors and fails without it. Through a real process it was not reproduced: few-descriptors.test.ts (64 descriptors, 150 connections to each of four ports) passes with and without it, because libuv closes what it can't accept with a descriptor kept for that; the test stays as the proof that such a process goes on and serves again.

--- a/packages/gateway/src/edge/listen.ts
+++ b/packages/gateway/src/edge/listen.ts
@@ -76,4 +76,6 @@
 		server.once('error', onError);
 		server.listen({host: address, port});
 	});
+	// A connection could not be accepted, for example because no descriptor is free; the server goes on listening.
+	server.on('error', () => undefined);
 }
--- a/packages/gateway/test/edge/listen.test.ts
+++ b/packages/gateway/test/edge/listen.test.ts
@@ -97,4 +97,14 @@
 		assert.ok(server.listening);
 		await close(server);
 	});
+
+	// Node reports a connection that can't be accepted as an error of the server, which ends the process if nobody listens.
+	it('survives errors of a listening server', async () => {
+		const [port] = await getFreePorts(address, 1);
+		const server = createServer();
+		await listenOn(server, {address, port: port!});
+		server.emit('error', makeError('EMFILE'));
+		server.emit('error', makeError('EMFILE'));
+		await close(server);
+	});
 });
