Work on one request of a connection at a time in the small servers

limitConnections lets these servers parse a further request once the answer to the former has closed, a head at a time and in turn with other connections, and closes the oldest connection beyond 64 (1024 for hosts). A host whose request is too long gets 'Connection: close'.

The tests failed before.

--- a/packages/daemon/test/http/request-pacer.test.ts
+++ b/packages/daemon/test/http/request-pacer.test.ts
@@ -2,6 +2,7 @@
 
 import {Buffer} from 'node:buffer';
 import {EventEmitter} from 'node:events';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {ManualClock} from '@bilberryscale/core';
 import {describe, it} from '@bilberryscale/testing';
@@ -9,6 +10,8 @@
 import {RequestPacer} from '../../src/http/request-pacer.js';
 import {ReadSchedule} from '../../src/upstream/read-schedule.js';
 
+const head = 'GET / HTTP/1.1\r\n\r\n';
+
 /** Stands for a connection on which some bytes have arrived. */
 // Sockets are emitters.
 // eslint-disable-next-line unicorn/prefer-event-target
@@ -16,9 +19,9 @@
 	destroyed = false;
 	#bytes: Buffer;
 
-	constructor(length: number) {
+	constructor(bytes: Buffer) {
 		super();
-		this.#bytes = Buffer.alloc(length);
+		this.#bytes = bytes;
 	}
 
 	get readableLength(): number {
@@ -31,6 +34,10 @@
 		return bytes.length > 0 ? bytes : null;
 	}
 
+	unshift(bytes: Buffer): void {
+		this.#bytes = Buffer.concat([bytes, this.#bytes]);
+	}
+
 	pause(): this {
 		return this;
 	}
@@ -55,7 +62,7 @@
 			actions.push(action);
 		},
 	});
-	const socket = new ArrivedBytes(length);
+	const socket = new ArrivedBytes(Buffer.alloc(length));
 	let parsed = 0;
 	socket.on('data', (bytes: Buffer) => {
 		parsed += bytes.length;
@@ -64,7 +71,7 @@
 			socket.pause();
 		}
 	});
-	const pacer = new RequestPacer(socket as unknown as Socket, schedule);
+	const pacer = new RequestPacer(socket as unknown as Socket, {schedule});
 	assert.ok(pacer);
 	socket.emit('readable');
 	const counts = [parsed];
@@ -96,4 +103,39 @@
 	it('stops while the server has paused the connection', () => {
 		assert.equal(runTurns(6000, 3, {pausesAfter: 2000}), [1024, 1024, 0, 0]);
 	});
+
+	// All requests that had arrived were handled at once, and others waited.
+	it('works on a limited number of requests, whose ends let it parse more', () => {
+		const socket = new ArrivedBytes(Buffer.from(head.repeat(5)));
+		const actions: Array<() => void> = [];
+		const schedule = new ReadSchedule({
+			clock: new ManualClock(),
+			afterEvents(action) {
+				actions.push(action);
+			},
+		});
+		const closeResponses: Array<() => void> = [];
+		socket.on('data', (bytes: Buffer) => {
+			assert.is(bytes.toString(), head);
+			const response = {
+				once(_event: string, listener: () => void) {
+					closeResponses.push(listener);
+				},
+			};
+			pacer.addRequest(
+				{complete: true} as IncomingMessage,
+				response as unknown as ServerResponse,
+			);
+		});
+		const pacer = new RequestPacer(socket as unknown as Socket, {
+			schedule,
+			maxOpenRequests: 2,
+		});
+		socket.emit('readable');
+		assert.is(closeResponses.length, 2);
+		closeResponses[0]!();
+		actions.shift()!();
+		assert.is(closeResponses.length, 3);
+		assert.is(actions.length, 0);
+	});
 });
--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -360,12 +360,12 @@
 			getOpenRequestCount: () => this.#openRequestCount,
 			run: async (exchange, forwarding) => this.#run(exchange, forwarding),
 		});
-		this.#readinessServer = new TextServer(() => ({
+		this.#readinessServer = new TextServer(clock, () => ({
 			status: this.#isReady ? okStatus : unavailableStatus,
 			contentType: 'text/plain',
 			text: this.#isReady ? 'ready\n' : 'not ready\n',
 		}));
-		this.#metricsServer = new TextServer(async () => ({
+		this.#metricsServer = new TextServer(clock, async () => ({
 			status: okStatus,
 			contentType: this.#metrics.contentType,
 			text: await this.#metrics.getText(),
--- a/packages/gateway/src/fleet/snapshot-server.ts
+++ b/packages/gateway/src/fleet/snapshot-server.ts
@@ -9,6 +9,7 @@
 } from 'node:http';
 import {promisify} from 'node:util';
 import {constants, gzip} from 'node:zlib';
+import {limitConnections} from '@bilberryscale/daemon/pacing';
 import {
 	isJSONRPCRequest,
 	JSONRPCServer,
@@ -33,6 +34,8 @@
 
 const maxWaitMs = 2000;
 const maxRequestBytes = 4096;
+/** Each host that reads has one; beyond this, a new connection takes the place of the oldest. */
+const maxConnections = 1024;
 const badRequestStatus = 400;
 /** Smaller responses fit into a packet and are not compressed. */
 const minCompressedBytes = 1400;
@@ -73,6 +76,7 @@
 		this.#httpServer = createServer((request, response) => {
 			void this.#handleRequest(request, response);
 		});
+		limitConnections(this.#httpServer, maxConnections);
 	}
 
 	/**
@@ -99,7 +103,8 @@
 	): Promise<void> {
 		const rpcRequest = await readRpcRequest(request);
 		if (rpcRequest === undefined) {
-			response.writeHead(badRequestStatus);
+			// What is left of the request is not read.
+			response.writeHead(badRequestStatus, {connection: 'close'});
 			response.end();
 			return;
 		}
