--- a/packages/daemon/test/buffers/byte-collector.test.ts
+++ b/packages/daemon/test/buffers/byte-collector.test.ts
@@ -54,4 +54,19 @@
 			assert.is(collector.take(), piece);
 		});
 	});
+
+	// A long body was copied as a whole before it went on, so that it was held twice.
+	describe('takeParts', () => {
+		it('gives large pieces as they are, in order with the small ones', () => {
+			const collector = new ByteCollector();
+			const large = Buffer.alloc(5000, 'b');
+			collector.add(Buffer.from('a'));
+			collector.add(large);
+			collector.add(Buffer.from('c'));
+			const parts = collector.takeParts();
+			assert.is(parts[1], large);
+			assert.is(parts.join(''), `a${'b'.repeat(5000)}c`);
+			assert.is(collector.cost, 0);
+		});
+	});
 });
