--- a/packages/daemon/src/upstream/connection.ts
+++ b/packages/daemon/src/upstream/connection.ts
@@ -16,6 +16,11 @@
 
 const idleTimeoutMs = 10_000;
 const connectTimeoutMs = 1000;
+const connectorOptions = {
+	timeout: connectTimeoutMs,
+	/** A socket receives nothing while it holds as much that was not parsed, in bytes. */
+	highWaterMark: 16_384,
+};
 const maxHeaderSize = 131_072;
 
 /** A connection that opens on its first request and reopens after it was closed. */
@@ -67,6 +72,10 @@
 			this.#meter?.startResponse();
 		};
 
+		handler.onResume = () => {
+			this.#meter?.resume();
+		};
+
 		this.#client.dispatch(request, handler);
 	}
 
@@ -94,7 +103,7 @@
 	 * a response without a length.
 	 */
 	#makeConnector(): buildConnector.connector {
-		const connect = buildConnector({timeout: connectTimeoutMs});
+		const connect = buildConnector(connectorOptions);
 		return (options, callback) => {
 			this.#socketError = undefined;
 			connect(options, (...outcome) => {
@@ -103,6 +112,12 @@
 					this.#socketError = error;
 				});
 				if (socket !== undefined && socket !== null) {
+					socket.once('end', () => {
+						// A reset that arrives together with data is reported as an orderly end, but leaves no peer.
+						if (socket.remoteAddress === undefined) {
+							this.#socketError ??= new Error('the connection was reset');
+						}
+					});
 					this.#meter = new MeteredSocket(socket, {
 						getProgress: () => this.#current,
 						onFlood: this.#onFlood,
