Bound the time of datagrams and the number of hosts that are held

Datagrams were decoded and handled as they came, and each new address in a list of members was held for a minute, in the directory for five: a flood of datagrams takes the event loop, and one with made-up addresses also memory and the sorting of all members at each reply.

The datagrams of known hosts may take a fifth of the time, those of all others a tenth; what comes beyond that is dropped unread and told in the log, once a second ('datagrams dropped'). Hosts beyond 2048 are ignored.

The test of the membership failed before: 5001 hosts. Not measured in a whole process.

--- a/packages/gateway/src/fleet/gossip.ts
+++ b/packages/gateway/src/fleet/gossip.ts
@@ -22,6 +22,7 @@
 	type GossipMessage,
 } from './gossip-message.js';
 import type {MemberRecord, Membership} from './membership.js';
+import {ReceiveBudget} from './receive-budget.js';
 
 /** A message about a limit that all hosts share. */
 export type SharedLimitMessage = AllotmentMessage | LoanMessage | WarmUpMessage;
@@ -63,9 +64,21 @@
 /** Notices to all hosts are sent a second time after this delay, in milliseconds, since datagrams can be lost. */
 const broadcastRepeatDelayMs = 150;
 
+/** How much of the time datagrams may take: those of known hosts, and all others. */
+const memberShare = 0.2;
+const strangerShare = 0.1;
+/** How long they may take at once, in milliseconds. */
+const receiveBurstMs = 20;
+/** The shortest interval between two reports of dropped datagrams, in milliseconds. */
+const dropReportIntervalMs = 1000;
+
 /** Exchanges members with other hosts and sends and receives notices. */
 export class Gossip {
 	readonly #options: GossipOptions;
+	readonly #memberBudget: ReceiveBudget;
+	readonly #strangerBudget: ReceiveBudget;
+	#reportedDropCount = 0;
+	#isDropReportScheduled = false;
 	#socket: Socket | undefined;
 	#cancelTimer: () => void = () => undefined;
 
@@ -74,11 +87,23 @@
 	 */
 	constructor(options: GossipOptions) {
 		this.#options = options;
+		const {clock} = options;
+		const burstMs = receiveBurstMs;
+		this.#memberBudget = new ReceiveBudget({
+			clock,
+			share: memberShare,
+			burstMs,
+		});
+		this.#strangerBudget = new ReceiveBudget({
+			clock,
+			share: strangerShare,
+			burstMs,
+		});
 	}
 
 	/** Binds the socket, contacts the seeds and starts the periodic exchanges. */
 	async start(): Promise<void> {
-		const {address, port, log, getSeeds} = this.#options;
+		const {address, port, log, getSeeds, membership} = this.#options;
 		const socket = createSocket('udp4');
 		this.#socket = socket;
 		await new Promise<void>((resolve, reject) => {
@@ -89,7 +114,13 @@
 			log.warn('datagram failed', {detail: socketError.message});
 		});
 		socket.on('message', (datagram, {address: sender}) => {
-			this.#receiveSafely(datagram, sender);
+			const budget = membership.isKnown(sender)
+				? this.#memberBudget
+				: this.#strangerBudget;
+			budget.run(() => {
+				this.#receiveSafely(datagram, sender);
+			});
+			this.#reportDrops();
 		});
 		for (const seed of getSeeds()) {
 			this.#sendMembers(seed, true);
@@ -279,6 +310,20 @@
 		}
 	}
 
+	#reportDrops(): void {
+		const {clock, log} = this.#options;
+		const count =
+			this.#memberBudget.droppedCount + this.#strangerBudget.droppedCount;
+		if (count > this.#reportedDropCount && !this.#isDropReportScheduled) {
+			this.#isDropReportScheduled = true;
+			log.write('datagrams dropped', {count: count - this.#reportedDropCount});
+			this.#reportedDropCount = count;
+			clock.schedule(dropReportIntervalMs, () => {
+				this.#isDropReportScheduled = false;
+			});
+		}
+	}
+
 	#logNewMembers(members: readonly MemberRecord[]): void {
 		for (const {address, dataCentre, incarnation} of members) {
 			this.#options.log.write('host discovered', {
--- a/packages/gateway/src/fleet/host-directory.ts
+++ b/packages/gateway/src/fleet/host-directory.ts
@@ -28,6 +28,8 @@
 /** Interval at which the members known by gossip are read again, in milliseconds. */
 const refreshIntervalMs = 10_000;
 const msPerSecond = 1000;
+/** Further hosts are ignored. */
+const maxHosts = 2048;
 
 /** The other hosts that were known within the last five minutes, or longer while most of them are silent. */
 export class HostDirectory {
@@ -86,7 +88,13 @@
 		const seenAtMs =
 			this.#options.clock.monotonicMs() - ageSeconds * msPerSecond;
 		const previousMs = this.#seenAtMs.get(address);
-		if (address === this.#options.self || ageSeconds * msPerSecond > memoryMs) {
+		const isRefused =
+			previousMs === undefined && this.#seenAtMs.size >= maxHosts;
+		if (
+			isRefused ||
+			address === this.#options.self ||
+			ageSeconds * msPerSecond > memoryMs
+		) {
 			return;
 		}
 
--- a/packages/gateway/src/fleet/membership.ts
+++ b/packages/gateway/src/fleet/membership.ts
@@ -31,6 +31,8 @@
 const livenessTimeoutMs = 15_000;
 /** A host not seen for longer than this is removed, in milliseconds. */
 const removalTimeoutMs = 60_000;
+/** Records of further hosts are ignored. */
+const maxMembers = 2048;
 
 /** Holds the newest record of each host. */
 export class Membership {
@@ -82,6 +84,16 @@
 		return records.filter((record) => this.#addRecord(record));
 	}
 
+	/**
+	 * Checks whether a host was seen within the last minute.
+	 *
+	 * @param address - The IP address of the host.
+	 * @returns Whether it was.
+	 */
+	isKnown(address: string): boolean {
+		return this.#members.has(address);
+	}
+
 	/**
 	 * Records that a host has responded, which proves that it is up.
 	 *
@@ -160,6 +172,10 @@
 		}
 
 		const existing = this.#members.get(record.address);
+		if (existing === undefined && this.#members.size >= maxMembers) {
+			return false;
+		}
+
 		if (existing !== undefined && !isNewer(record, existing.record)) {
 			return false;
 		}
--- a/packages/gateway/test/fleet/membership.test.ts
+++ b/packages/gateway/test/fleet/membership.test.ts
@@ -38,6 +38,23 @@
 		});
 	});
 
+	// Each made-up host took memory, and each exchange sorts all of them.
+	it('holds a bounded number of hosts, and still hears of those', () => {
+		const clock = new ManualClock();
+		const membership = makeMembership(clock);
+		const records = Array.from({length: 5000}, (_, index) =>
+			makeRecord(`10.1.${Math.floor(index / 250)}.${index % 250}`),
+		);
+		membership.add(records);
+		assert.is(membership.memberCount, 2049);
+		assert.not(membership.isKnown(records.at(-1)!.address));
+		clock.advance(59_000);
+		membership.add([{...records[0]!, heartbeat: 2}]);
+		clock.advance(2000);
+		membership.advanceHeartbeat();
+		assert.is(membership.memberCount, 2);
+	});
+
 	describe('add', () => {
 		function doTest(
 			name: string,
