--- a/packages/gateway/src/fleet/gossip.ts
+++ b/packages/gateway/src/fleet/gossip.ts
@@ -65,10 +65,10 @@
 const broadcastRepeatDelayMs = 150;
 
 /** How much of the time datagrams may take: those of known hosts, and all others. */
-const memberShare = 0.2;
-const strangerShare = 0.1;
+const memberShare = 0.5;
+const strangerShare = 0.25;
 /** How long they may take at once, in milliseconds. */
-const receiveBurstMs = 20;
+const receiveBurstMs = 200;
 /** The shortest interval between two reports of dropped datagrams, in milliseconds. */
 const dropReportIntervalMs = 1000;
 
