Limit the lines of trailers, as those of a head

500 targets that stalled after 8 KiB of short trailers took a process to 182 MB while the budget counted 50 KB: the parser keeps objects for each line, far more than its bytes. At most 256 lines may come without a byte of the body.

--- a/packages/daemon/src/upstream/metered-socket.ts
+++ b/packages/daemon/src/upstream/metered-socket.ts
@@ -40,6 +40,8 @@
 const maxHeadLines = 512;
 /** How many bytes of framing, such as chunk extensions or trailers, may come without a byte of the body. */
 const maxFramingGapBytes = 8192;
+/** How many lines may come without a byte of the body: the parser keeps an object for each part of a trailer. */
+const maxFramingGapLines = 256;
 /** How many bytes of a response may be no body, however short that is. */
 const maxOverheadBytes = 65_536;
 /** How many bytes of framing each byte of a body allows: a chunk of one byte takes five. */
@@ -61,6 +63,8 @@
 	/** The length of the body when it was last found to have grown, and how many bytes the parser had got then. */
 	#bodyLength = 0;
 	#lengthAtBody = 0;
+	/** How many lines the parser got since then. */
+	#linesAfterBody = 0;
 	readonly #slice = new SliceSize(sliceBounds);
 	#isInTurn = false;
 	#isWaiting = false;
@@ -78,6 +82,7 @@
 		socket.read = () => this.#read();
 		socket.unshift = (bytes: Buffer) => {
 			this.#length -= bytes.length;
+			this.#linesAfterBody -= countLines(bytes);
 			putBack(bytes);
 		};
 	}
@@ -88,6 +93,7 @@
 		this.#headLines = 0;
 		this.#bodyLength = 0;
 		this.#lengthAtBody = 0;
+		this.#linesAfterBody = 0;
 		this.#slice.reset();
 	}
 
@@ -119,8 +125,10 @@
 			size > 0 ? this.#readFromSocket(size) : this.#readFromSocket();
 		if (bytes !== null) {
 			this.#length += bytes.length;
+			const lineCount = countLines(bytes);
+			this.#linesAfterBody += lineCount;
 			if (this.#options.getProgress()?.hasHead !== true) {
-				this.#headLines += countLines(bytes);
+				this.#headLines += lineCount;
 			}
 		}
 
@@ -177,6 +185,7 @@
 		if (bodyLength !== this.#bodyLength || this.#lengthAtBody === 0) {
 			this.#bodyLength = bodyLength;
 			this.#lengthAtBody = this.#length;
+			this.#linesAfterBody = 0;
 		}
 
 		const overhead = this.#length - bodyLength;
@@ -186,6 +195,7 @@
 		);
 		const isWithin =
 			this.#length - this.#lengthAtBody <= maxFramingGapBytes &&
+			this.#linesAfterBody <= maxFramingGapLines &&
 			overhead <= maxOverheadBytes + allowance;
 		return isWithin ? undefined : overhead;
 	}
--- a/packages/daemon/test/upstream/metered-socket.test.ts
+++ b/packages/daemon/test/upstream/metered-socket.test.ts
@@ -102,6 +102,11 @@
 			`${`HTTP/1.1 103 Early Hints${crlf}${crlf}`.repeat(100)}HTTP/1.1 200 OK${crlf}Content-Length: 2${crlf}${crlf}ok`,
 			'ok',
 		);
+		doTest(
+			'a body of many lines',
+			`${chunkedHead}ea60${crlf}${crlf.repeat(30_000)}${crlf}0${crlf}${crlf}`,
+			crlf.repeat(30_000),
+		);
 		doTest(
 			'chunk extensions and trailers of some KiB',
 			`${chunkedHead}2;a=${'x'.repeat(4000)}${crlf}ok${crlf}0${crlf}X-A: ${'x'.repeat(3000)}${crlf}${crlf}`,
@@ -160,6 +165,13 @@
 			`${chunkedHead}2${crlf}ok${crlf}0${crlf}${`a:b${crlf}`.repeat(200_000)}`,
 			framingFloodBytes,
 		);
+		// 500 targets that stalled within their trailers took 182 MB: each short line costs far more than its bytes.
+		doTest(
+			'framing',
+			'short trailers of 7 KiB',
+			`${chunkedHead}2${crlf}ok${crlf}0${crlf}${`a:b${crlf}`.repeat(1400)}`,
+			framingFloodBytes,
+		);
 		doTest(
 			'framing',
 			'2,000,000 chunks of one byte',
