--- a/packages/daemon/src/http/request-pacer.ts
+++ b/packages/daemon/src/http/request-pacer.ts
@@ -87,18 +87,20 @@
 	}
 
 	/**
-	 * Adds a request of the connection, which is open until its response closes.
+	 * Adds a request of the connection, as soon as its head is parsed; it is open until its response closes.
 	 *
 	 * @param request - The request.
 	 * @param response - Its response.
 	 */
 	addRequest(request: IncomingMessage, response: ServerResponse): void {
 		this.#request = request;
-		this.#openRequestCount++;
-		response.once('close', () => {
-			this.#openRequestCount--;
-			this.#waitForTurn();
-		});
+		if (Number.isFinite(this.#maxOpenRequests)) {
+			this.#openRequestCount++;
+			response.once('close', () => {
+				this.#openRequestCount--;
+				this.#waitForTurn();
+			});
+		}
 	}
 
 	/** Stops to parse, because the connection is not used for HTTP any more. */
--- a/packages/daemon/test/http/request-pacer.test.ts
+++ b/packages/daemon/test/http/request-pacer.test.ts
@@ -104,6 +104,25 @@
 		assert.equal(runTurns(6000, 3, {pausesAfter: 2000}), [1024, 1024, 0, 0]);
 	});
 
+	// A body with blank lines was parsed a line at a time.
+	it('does not take a blank line in a body for the end of a head', () => {
+		const bodyLength = 400;
+		const socket = new ArrivedBytes(
+			Buffer.from(head + '\r\n'.repeat(bodyLength / 2)),
+		);
+		const lengths: number[] = [];
+		socket.on('data', (bytes: Buffer) => {
+			lengths.push(bytes.length);
+			pacer.addRequest(
+				{complete: false} as unknown as IncomingMessage,
+				{} as unknown as ServerResponse,
+			);
+		});
+		const pacer = new RequestPacer(socket as unknown as Socket);
+		socket.emit('readable');
+		assert.equal(lengths, [head.length, bodyLength]);
+	});
+
 	// All requests that had arrived were handled at once, and others waited.
 	it('works on a limited number of requests, whose ends let it parse more', () => {
 		const socket = new ArrivedBytes(Buffer.from(head.repeat(5)));
--- a/packages/gateway/src/edge/caller-server.ts
+++ b/packages/gateway/src/edge/caller-server.ts
@@ -57,11 +57,13 @@
 			});
 		});
 		this.#server.on('request', (request, response) => {
+			this.#pacers.get(request.socket)?.addRequest(request, response);
 			this.#deliver(request.socket, (listener) => {
 				listener.onRequest(request, response);
 			});
 		});
 		this.#server.on('checkContinue', (request, response) => {
+			this.#pacers.get(request.socket)?.addRequest(request, response);
 			this.#deliver(request.socket, (listener) => {
 				listener.onContinue(request, response);
 			});
