--- a/packages/gateway/src/fleet/snapshot-server.ts
+++ b/packages/gateway/src/fleet/snapshot-server.ts
@@ -9,12 +9,14 @@
 } from 'node:http';
 import {promisify} from 'node:util';
 import {constants, gzip} from 'node:zlib';
+import {limitConnections} from '@bilberryscale/daemon/pacing';
 import {
 	isJSONRPCRequest,
 	JSONRPCServer,
 	type JSONRPCRequest,
 } from 'json-rpc-2.0';
 import type {Endpoint} from '../context/gateway-settings.js';
+import {listenOn} from '../edge/listen.js';
 import type {EventLog} from '../records/event-log.js';
 import type {SnapshotFeed} from '../snapshot/snapshot-feed.js';
 
@@ -33,6 +35,8 @@
 
 const maxWaitMs = 2000;
 const maxRequestBytes = 4096;
+/** Each host that reads has one; beyond this, a new connection takes the place of the oldest. */
+const maxConnections = 1024;
 const badRequestStatus = 400;
 /** Smaller responses fit into a packet and are not compressed. */
 const minCompressedBytes = 1400;
@@ -73,6 +77,7 @@
 		this.#httpServer = createServer((request, response) => {
 			void this.#handleRequest(request, response);
 		});
+		limitConnections(this.#httpServer, maxConnections);
 	}
 
 	/**
@@ -80,11 +85,8 @@
 	 *
 	 * @param endpoint - The address and port.
 	 */
-	async listen({address, port}: Endpoint): Promise<void> {
-		await new Promise<void>((resolve, reject) => {
-			this.#httpServer.once('error', reject);
-			this.#httpServer.listen({host: address, port}, resolve);
-		});
+	async listen(endpoint: Endpoint): Promise<void> {
+		await listenOn(this.#httpServer, endpoint);
 	}
 
 	/** Closes the server and its connections. */
@@ -99,7 +101,8 @@
 	): Promise<void> {
 		const rpcRequest = await readRpcRequest(request);
 		if (rpcRequest === undefined) {
-			response.writeHead(badRequestStatus);
+			// What is left of the request is not read.
+			response.writeHead(badRequestStatus, {connection: 'close'});
 			response.end();
 			return;
 		}
