Believe no success that does not name its request

Callers saw: the body of another request as their own answer (MIXED): a target answers twice, its first connection is reset, and the second copy, without an id, comes as the first answer on a new connection.

Cause: an answer without an id was believed as the first on its connection. Targets echo the id; a refusal may lack it, a sealed success has it.

--- a/packages/daemon/src/http/wait-for-pending-io.ts
+++ b/packages/daemon/src/http/wait-for-pending-io.ts
@@ -2,8 +2,8 @@
 
 import {setImmediate as nextTurn} from 'node:timers/promises';
 
-/** Event loop turns: one each to accept a connection, read a head and read a body, one more for each part that waits for its turn, and one spare. */
-const eventLoopTurns = 6;
+/** Event loop turns: one each to accept a connection, read a head and read a body, and one spare. */
+const eventLoopTurns = 4;
 
 /**
  * Waits until the event loop has accepted the connections and read the requests
--- a/packages/gateway/src/relay/target-attempt.ts
+++ b/packages/gateway/src/relay/target-attempt.ts
@@ -324,8 +324,9 @@
 
 	/**
 	 * Gets the reason why a response belongs to another request: targets may send
-	 * a response again, late, on a connection that is in use again. One that names
-	 * no request is believed only as the first on its connection.
+	 * a response again, late, on a connection that is in use again, or to a request
+	 * that had another connection. One that names no request is believed only as
+	 * the first on its connection, and no success is.
 	 */
 	#findMixUp({status, headers}: TargetAnswer): string | undefined {
 		const {protocol, incoming} = this.#options;
@@ -336,7 +337,7 @@
 				: `the answer belongs to request "${String(id)}"`;
 		}
 
-		return this.#isConnectionReused
+		return this.#isConnectionReused || isSuccess(status)
 			? `the answer with status ${status} names no request`
 			: undefined;
 	}
@@ -348,8 +349,7 @@
 			return 'the answer has an encoding that nobody asked for';
 		}
 
-		const isSuccess = status >= minSuccessStatus && status < minRedirectStatus;
-		return isSuccess && !protocol.isSealed(headers)
+		return isSuccess(status) && !protocol.isSealed(headers)
 			? `the answer with status ${status} has no seal`
 			: undefined;
 	}
@@ -439,6 +439,10 @@
 	}
 }
 
+function isSuccess(status: number): boolean {
+	return status >= minSuccessStatus && status < minRedirectStatus;
+}
+
 function makeFailedResult(
 	cause: FailureCause,
 	mayHaveRun: boolean,
