--- a/packages/gateway/test/edge/listen.test.ts
+++ b/packages/gateway/test/edge/listen.test.ts
@@ -103,8 +103,11 @@
 		const [port] = await getFreePorts(address, 1);
 		const server = createServer();
 		await listenOn(server, {address, port: port!});
-		server.emit('error', makeError('EMFILE'));
-		server.emit('error', makeError('EMFILE'));
-		await close(server);
+		try {
+			server.emit('error', makeError('EMFILE'));
+			server.emit('error', makeError('EMFILE'));
+		} finally {
+			await close(server);
+		}
 	});
 });
