End a text without end before it uses up the budget of all messages

Callers saw: nothing; a store or host that answers without end was asked again at once.

Cause: a text may have 16 MiB, as much as all messages of a process without memory_mb in its settings: the budget ended it first, and that is no flood, so that no pause followed.

Change: a text may have 8 MiB; the largest plan described has 2.5 MB.

--- a/packages/gateway/src/edge/fetch-text.ts
+++ b/packages/gateway/src/edge/fetch-text.ts
@@ -16,7 +16,7 @@
  * Maximum length of a response in bytes: a plan with 10,000 accounts of 5 keys
  * has 1.9 MB, 2.5 MB as the store encodes it.
  */
-const maxTextBytes = 16_777_216;
+const maxTextBytes = 8_388_608;
 
 /** A request and the connection to send it over. */
 export type TextRequest = {
