Give back what pipelined requests hold when their connection closes

Callers would see: 500 for sound answers until a restart, once some twenty callers had pipelined a request behind a slow one and left.

Cause: the lease of a request was released with its response; a response that waits behind an earlier one is not closed with the connection.

Change: CallerConnections ends the open requests of a connection that closes.

The new test fails before and passes now.

--- a/packages/daemon/src/http/caller-connections.ts
+++ b/packages/daemon/src/http/caller-connections.ts
@@ -23,6 +23,8 @@
 	/** Whether later requests are left unread, as a response that closes the connection has been chosen or the server drains. */
 	isClosing: boolean;
 	cancelLinger: (() => void) | undefined;
+	/** Called for the open requests when the connection closes. */
+	readonly endRequests: Set<() => void>;
 };
 
 /** How long a connection stays open for its caller to read the last response and close it, in milliseconds. */
@@ -101,6 +103,30 @@
 		return true;
 	}
 
+	/**
+	 * Calls back once when a response has closed, or its connection: a response
+	 * that waits behind earlier ones does not close with it.
+	 *
+	 * @param socket - The connection.
+	 * @param response - The response.
+	 * @param onEnd - Called at the end.
+	 */
+	onRequestEnd(
+		socket: Socket,
+		response: ServerResponse,
+		onEnd: () => void,
+	): void {
+		const {endRequests} = this.#getState(socket);
+		const end = () => {
+			if (endRequests.delete(end)) {
+				onEnd();
+			}
+		};
+
+		endRequests.add(end);
+		response.once('close', end);
+	}
+
 	/**
 	 * Unregisters a request whose response has closed, and closes the connection if
 	 * a parse error was waiting for the last pending response.
@@ -170,10 +196,15 @@
 			hasParseError: false,
 			isClosing: false,
 			cancelLinger: undefined,
+			endRequests: new Set(),
 		};
 		this.#states.set(socket, state);
 		socket.once('close', () => {
 			state.cancelLinger?.();
+			for (const end of state.endRequests) {
+				end();
+			}
+
 			this.#states.delete(socket);
 		});
 		// Node calls this after a response that closes the connection; its own version doesn't wait for the caller.
--- a/packages/daemon/src/http/caller-listener.ts
+++ b/packages/daemon/src/http/caller-listener.ts
@@ -196,7 +196,8 @@
 			endWith(makeMemoryFailure(exchange));
 		}
 	});
-	response.once('close', () => {
+	// A response that waits behind others is not closed with its connection.
+	connections.onRequestEnd(request.socket, response, () => {
 		lease.release();
 		exchanges.delete(response);
 		connections.removeRequest(request.socket);
@@ -246,7 +247,7 @@
 			: getProblemAnswer(failure, requestId, protocol);
 	const answer = await Promise.race([ended, result]);
 	void discardOther(result, answer);
-	if (response.destroyed) {
+	if (response.destroyed || request.socket.destroyed) {
 		discardBody(answer);
 		return;
 	}
--- a/packages/daemon/test/http/caller-listener.test.ts
+++ b/packages/daemon/test/http/caller-listener.test.ts
@@ -7,6 +7,7 @@
 import {describe, it} from '@bilberryscale/testing';
 import {Ok} from 'ts-results-es';
 import * as assert from 'uvu/assert';
+import {processByteBudget} from '../../src/buffers/byte-budget.js';
 import {makeCallerListener} from '../../src/http/caller-listener.js';
 import type {Answer} from '../../src/pipeline/exchange.js';
 import {RawCaller} from '../utils/raw-caller.js';
@@ -62,6 +63,45 @@
 }
 
 describe('caller listener', () => {
+	// A response that waits behind others is not closed with its connection: what it held stayed held.
+	it('gives back what pipelined requests hold when their connection closes', async () => {
+		const signals: AbortSignal[] = [];
+		const listener = makeCallerListener({
+			clock: systemClock,
+			log: {error: () => undefined},
+			getUnavailableFailure: () => undefined,
+			async pipeline({incoming}) {
+				signals.push(incoming.signal);
+				incoming.lease?.add(1000);
+				await sleep(incoming.url === '/slow' ? 100 : 0);
+				const answer: Answer = {
+					status: 200,
+					headers: {},
+					body: Buffer.from('answer'),
+				};
+				return Ok(answer);
+			},
+		});
+		const server = createServer(listener.onRequest);
+		await new Promise<void>((resolve) => {
+			server.listen(0, '127.0.0.1', resolve);
+		});
+		const heldBefore = processByteBudget.heldBytes;
+		const socket = net.connect((server.address() as AddressInfo).port);
+		socket.write(makeRequestText('/slow') + makeRequestText('/next'));
+		await sleep(50);
+		assert.is(processByteBudget.heldBytes, heldBefore + 2000);
+		socket.destroy();
+		await sleep(150);
+		server.close();
+		assert.is(processByteBudget.heldBytes, heldBefore);
+		assert.is(listener.getOpenRequests().length, 0);
+		assert.equal(
+			signals.map(({aborted}) => aborted),
+			[true, true],
+		);
+	});
+
 	describe('a host that shuts down', () => {
 		it('closes a connection only after the response to its latest request', async () => {
 			const {text} = await sendPipelined(['/1', '/2', '/3'], {isClosing: true});
