Parse what has arrived before a server closes

Callers would see: a connection closed without an answer in a planned stop (LOST), for requests with heads over 1 KiB that had arrived.

Cause: what is beyond the first 1 KiB waits for a turn; a connection whose head is not whole has no open request and was closed as idle.

Change: CallerServer.close() lets its pacers parse all that they have; waitForPendingIo runs the reads that wait, 20 ms in a turn at most.

--- a/packages/daemon/src/http/request-pacer.ts
+++ b/packages/daemon/src/http/request-pacer.ts
@@ -103,6 +103,15 @@
 		}
 	}
 
+	/** Parses all that has arrived at once, for example before the server closes. */
+	parseAll(): void {
+		while (this.#canRead && this.#socket.readableLength > 0) {
+			if (this.#isFull || !this.#parseSome(this.#socket.readableLength)) {
+				return;
+			}
+		}
+	}
+
 	/** Stops to parse, because the connection is not used for HTTP any more. */
 	stop(): void {
 		this.#isStopped = true;
--- a/packages/daemon/src/http/wait-for-pending-io.ts
+++ b/packages/daemon/src/http/wait-for-pending-io.ts
@@ -1,9 +1,12 @@
 /** Lets a server process pending connections and requests before it closes. */
 
 import {setImmediate as nextTurn} from 'node:timers/promises';
+import {processReadSchedule} from '../upstream/read-schedule.js';
 
 /** Event loop turns: one each to accept a connection, read a head and read a body, and one spare. */
 const eventLoopTurns = 4;
+/** How long what has arrived may be parsed in a turn, in milliseconds. */
+const maxReadMs = 20;
 
 /**
  * Waits until the event loop has accepted the connections and read the requests
@@ -16,5 +19,6 @@
 export async function waitForPendingIo(): Promise<void> {
 	for (let turn = 0; turn < eventLoopTurns; turn++) {
 		await nextTurn();
+		processReadSchedule.runAll(maxReadMs);
 	}
 }
--- a/packages/daemon/src/upstream/read-schedule.ts
+++ b/packages/daemon/src/upstream/read-schedule.ts
@@ -37,6 +37,18 @@
 		this.#schedule();
 	}
 
+	/**
+	 * Runs the reads that wait, and those that they add, without a break.
+	 *
+	 * @param maxMs - How long that may take, in milliseconds.
+	 */
+	runAll(maxMs: number): void {
+		const endsAtMs = this.clock.monotonicMs() + maxMs;
+		while (this.#waiting.length > 0 && this.clock.monotonicMs() < endsAtMs) {
+			this.#waiting.shift()!();
+		}
+	}
+
 	#schedule(): void {
 		if (!this.#isScheduled) {
 			this.#isScheduled = true;
--- a/packages/gateway/src/edge/caller-server.ts
+++ b/packages/gateway/src/edge/caller-server.ts
@@ -37,7 +37,7 @@
  */
 export class CallerServer {
 	readonly #server: Server;
-	readonly #pacers = new WeakMap<Duplex, RequestPacer>();
+	readonly #pacers = new Map<Duplex, RequestPacer>();
 	#listener: CallerListener | undefined;
 	#pendingEvents: PendingEvent[] = [];
 
@@ -52,6 +52,9 @@
 		});
 		this.#server.on('connection', (socket) => {
 			this.#pacers.set(socket, new RequestPacer(socket));
+			socket.once('close', () => {
+				this.#pacers.delete(socket);
+			});
 			this.#deliver(socket, (listener) => {
 				listener.onConnection(socket);
 			});
@@ -131,6 +134,10 @@
 
 	/** Stops accepting connections and requests; each connection closes after its last pending response. */
 	close(): void {
+		for (const pacer of this.#pacers.values()) {
+			pacer.parseAll();
+		}
+
 		// Node would also destroy connections whose last response isn't written yet.
 		this.#server.closeIdleConnections = () => undefined;
 		this.#server.close();
--- a/packages/gateway/test/edge/caller-server.test.ts
+++ b/packages/gateway/test/edge/caller-server.test.ts
@@ -1,13 +1,22 @@
+import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import net from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
-import type {CallerListener} from '@bilberryscale/daemon/edge';
+import {systemClock} from '@bilberryscale/core';
+import {
+	makeCallerListener,
+	waitForPendingIo,
+	type Answer,
+	type CallerListener,
+} from '@bilberryscale/daemon/edge';
 import {describe, getFreePorts, it} from '@bilberryscale/testing';
+import {Ok} from 'ts-results-es';
 import * as assert from 'uvu/assert';
 import {CallerServer} from '../../src/edge.js';
 
 const loopback = '127.0.0.1';
+const callerCount = 20;
 
 function makeListener(paths: string[]): CallerListener {
 	return {
@@ -71,6 +80,62 @@
 		});
 	});
 
+	describe('close', () => {
+		// What had arrived of a long head waited for its turn, and its connection was closed as an idle one.
+		function doTest(headLength: number): void {
+			it(`answers requests that have arrived, with heads of ${headLength} bytes`, async () => {
+				await withCallerServer(async (server, url) => {
+					const {hostname, port} = new URL(url);
+					server.setListener(
+						makeCallerListener({
+							clock: systemClock,
+							log: {error: () => undefined},
+							getUnavailableFailure: () => undefined,
+							pipeline: async () =>
+								Ok<Answer>({
+									status: 200,
+									headers: {},
+									body: Buffer.from('served'),
+								}),
+						}),
+					);
+					const answers: string[] = [];
+					const sockets = Array.from({length: callerCount}, (_, index) => {
+						const socket = net.connect(Number(port), hostname);
+						answers.push('');
+						socket.on('data', (bytes: Buffer) => {
+							answers[index] += bytes.toString();
+						});
+						socket.on('error', () => undefined);
+						return socket;
+					});
+					await sleep(50);
+					const padding = 'x'.repeat(headLength);
+					for (const socket of sockets) {
+						socket.write(
+							`GET / HTTP/1.1\r\nHost: a\r\nX-Padding: ${padding}\r\n\r\n`,
+						);
+					}
+
+					// Lets the bytes arrive while the event loop does not run.
+					Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 50);
+					await waitForPendingIo();
+					server.close();
+					await sleep(200);
+					const served = answers.filter((answer) => answer.includes('served'));
+					assert.is(served.length, callerCount);
+					for (const socket of sockets) {
+						socket.destroy();
+					}
+				});
+			});
+		}
+
+		doTest(100);
+		doTest(4000);
+		doTest(16_000);
+	});
+
 	describe('setListener, when requests arrive before a listener is set', () => {
 		it('accepts connections and handles their requests later', async () => {
 			await withCallerServer(async (server, url) => {
