Let long bodies in small chunks pass, and read short ones at once

Callers would see: long streamed answers in chunks of 100 bytes broken off after 18 MB, their target called a flooder; a whole answer lost (48 of 50 whole) whose target resets the connection after its last byte.

Cause: the framing of a body was limited to 1 MiB in all, however long the body; what waits for a turn is dropped by a reset.

Change: beyond 768 KiB there may be as much framing as body; a body whose head states up to 64 KiB is read as it comes.

The new test of metered-socket.test.ts fails before and passes now; the floods there end within their bounds.

--- a/packages/daemon/src/upstream/metered-socket.ts
+++ b/packages/daemon/src/upstream/metered-socket.ts
@@ -16,6 +16,8 @@
 	readonly bodyLength: number;
 	readonly informationalCount: number;
 	readonly hasHead: boolean;
+	/** Whether the head states a short length, so that the body needs little time. */
+	readonly hasShortLength: boolean;
 	readonly hasEnded: boolean;
 	/** Whether nothing more should be read until {@link MeteredSocket.resume} is called. */
 	readonly isPaused: boolean;
@@ -32,6 +34,8 @@
 /** How much of a response is read at once when it arrives, until its head is complete and after that; the rest is read in turn with other connections. */
 const immediateHeadBytes = 1024;
 const immediateBytes = 4096;
+/** The same for a body whose head states a short length. */
+const immediateShortBodyBytes = 131_072;
 const sliceBounds = {
 	initialBytes: immediateBytes,
 	minBytes: 1024,
@@ -48,8 +52,8 @@
 const maxOverheadBytes = 65_536;
 /** How many bytes of framing each byte of a body allows: a chunk of one byte takes five. */
 const overheadPerBodyByte = 8;
-/** How much framing the bytes of a body allow at most, in bytes. */
-const maxBodyOverheadBytes = 1_048_576;
+/** How much framing small chunks allow at most, in bytes; beyond it, there may be as much framing as body. */
+const maxSmallChunkOverheadBytes = 786_432;
 const lineFeed = 0x0a;
 
 /** Replaces the `read` method of a socket. */
@@ -116,9 +120,7 @@
 			return this.#take(Math.min(available, this.#slice.bytes));
 		}
 
-		const hasHead = this.#options.getProgress()?.hasHead === true;
-		const immediate =
-			(hasHead ? immediateBytes : immediateHeadBytes) - this.#length;
+		const immediate = this.#getImmediateBytes() - this.#length;
 		if (available > 0 && immediate <= 0) {
 			this.#waitForTurn();
 			return null;
@@ -127,6 +129,15 @@
 		return this.#take(Math.min(available, immediate));
 	}
 
+	#getImmediateBytes(): number {
+		const progress = this.#options.getProgress();
+		if (progress?.hasHead !== true) {
+			return immediateHeadBytes;
+		}
+
+		return progress.hasShortLength ? immediateShortBodyBytes : immediateBytes;
+	}
+
 	#take(size: number): Buffer | null {
 		// Without a size, an empty socket is told to receive more.
 		const bytes =
@@ -197,10 +208,9 @@
 		}
 
 		const overhead = this.#length - bodyLength;
-		const allowance = Math.min(
-			maxBodyOverheadBytes,
-			bodyLength * overheadPerBodyByte,
-		);
+		const allowance =
+			bodyLength +
+			Math.min(maxSmallChunkOverheadBytes, bodyLength * overheadPerBodyByte);
 		const isWithin =
 			this.#length - this.#lengthAtBody <= maxFramingGapBytes &&
 			this.#linesAfterBody <= maxFramingGapLines &&
--- a/packages/daemon/src/upstream/target-request.ts
+++ b/packages/daemon/src/upstream/target-request.ts
@@ -30,6 +30,8 @@
 const minFinalStatus = 200;
 /** Smaller pieces that come together are passed on as one, in bytes. */
 const minPassedBytes = 16_384;
+/** Longer bodies are read in turn with those of other connections, in bytes. */
+const maxShortLength = 65_536;
 /** Statuses whose responses have no body, whatever `Content-Length` they state. */
 const bodilessStatuses = new Set([204, 304]);
 
@@ -51,6 +53,8 @@
 	informationalCount = 0;
 	/** Whether the final head has come. */
 	hasHead = false;
+	/** Whether the head states a short length. */
+	hasShortLength = false;
 	readonly #events: TargetRequestEvents;
 	#controller: Dispatcher.DispatchController | undefined;
 	#cancelReason: Error | undefined;
@@ -119,6 +123,8 @@
 			this.informationalCount++;
 		} else {
 			this.hasHead = true;
+			this.hasShortLength =
+				Number(headers['content-length'] ?? Number.NaN) <= maxShortLength;
 			this.#hasEnded = bodilessStatuses.has(status);
 			queueMicrotask(() => {
 				this.#deliverAnswer(status, headers);
--- a/packages/daemon/test/upstream/metered-socket.test.ts
+++ b/packages/daemon/test/upstream/metered-socket.test.ts
@@ -92,6 +92,11 @@
 			`${chunkedHead}${`1${crlf}x${crlf}`.repeat(100_000)}0${crlf}${crlf}`,
 			'x'.repeat(100_000),
 		);
+		doTest(
+			'400,000 chunks of ten bytes',
+			`${chunkedHead}${`a${crlf}${'x'.repeat(10)}${crlf}`.repeat(400_000)}0${crlf}${crlf}`,
+			'x'.repeat(4_000_000),
+		);
 		doTest(
 			'a head of 15 KiB in 200 lines',
 			`HTTP/1.1 200 OK${crlf}${`X-A: ${'x'.repeat(70)}${crlf}`.repeat(200)}Content-Length: 2${crlf}${crlf}ok`,
