Read longer bodies of health checks before they count as floods

Cause (by reading, the review): a health response over 64 KiB was read and dropped before; now it paused its target, longer each time.

Change: up to 1 MiB of it is read.

Result: tests of relay, edge, context, forwarding, daemon http and upstream pass.

--- a/packages/gateway/src/choice/target-probe.ts
+++ b/packages/gateway/src/choice/target-probe.ts
@@ -37,6 +37,8 @@
 const probeTimeoutMs = 120;
 /** Time for a response on a new connection, which may wait for a slot at the target, in milliseconds. */
 const newConnectionTimeoutMs = 600;
+/** How much of the body of a response is read, in bytes; nothing of it is used. */
+const maxBodyBytes = 1_048_576;
 /** How long a target is avoided after a probe timed out, in milliseconds. */
 const timeoutAvoidMs = 600;
 /** How long a target is avoided after another target responded at its address, in milliseconds. */
@@ -102,7 +104,7 @@
 	}
 
 	#handleAnswer({status, headers, body}: TargetAnswer): void {
-		discardBody(body, this.#connection);
+		discardBody(body, this.#connection, maxBodyBytes);
 		const {protocol, clock} = this.#options;
 		const nowMs = clock.monotonicMs();
 		const {registration} = this.state;
--- a/packages/gateway/src/relay/discard-body.ts
+++ b/packages/gateway/src/relay/discard-body.ts
@@ -5,17 +5,19 @@
 import type {Connection} from '@bilberryscale/daemon/edge';
 
 /** A longer body is not read to its end, in bytes. */
-const maxDiscardedBytes = 65_536;
+const defaultMaxBytes = 65_536;
 
 /**
  * Reads the rest of a response, so that its connection can be reused, but gives up on a long one.
  *
  * @param body - The body.
  * @param connection - The connection that it comes on.
+ * @param maxBytes - How much of it is read; 64 KiB by default.
  */
 export function discardBody(
 	body: Buffer | Readable,
 	connection: Connection | undefined,
+	maxBytes = defaultMaxBytes,
 ): void {
 	if (Buffer.isBuffer(body)) {
 		return;
@@ -25,7 +27,7 @@
 	body.on('error', () => undefined);
 	body.on('data', (chunk: Buffer) => {
 		size += chunk.length;
-		if (size > maxDiscardedBytes && !body.destroyed) {
+		if (size > maxBytes && !body.destroyed) {
 			connection?.reportUnusedBody(size);
 			body.destroy();
 		}
