Collect answers without a length up to 4 MiB only

Cause: 44 answers of nearly 8 MiB that stall took a process to 176 MB, 1 MB beyond half of its memory: what is revoked is garbage until it is collected.

Change: 4 MiB in place of 8.

--- a/packages/gateway/src/relay/target-attempt.ts
+++ b/packages/gateway/src/relay/target-attempt.ts
@@ -65,7 +65,7 @@
 /** Time between two tries to find another target for a request whose target is silent or has stalled, in milliseconds. */
 const retrySecuringIntervalMs = 400;
 /** The largest body without a length that is buffered until it is complete, in bytes: if this process ended midway, the part that a caller has would look whole. */
-const maxCloseDelimitedBytes = 8_388_608;
+const maxCloseDelimitedBytes = 4_194_304;
 /** What a body that is passed on as it comes holds at most, in the buffers from the target to the caller, in bytes. */
 const streamBytes = 131_072;
 const minSuccessStatus = 200;
