--- a/packages/gateway/src/edge/fetch-text.ts
+++ b/packages/gateway/src/edge/fetch-text.ts
@@ -32,6 +32,22 @@
 	readonly timeoutMs: number;
 };
 
+/** How far the body of a response has come. */
+export type TransferProgress = {
+	readonly receivedBytes: number;
+	/** The length that the response states; undefined if it states none. */
+	readonly expectedBytes: number | undefined;
+	/** How long nothing has come, in milliseconds: since the last bytes, or since the request. */
+	readonly silentMs: number;
+};
+
+/** Why there is no response. */
+export type FetchError = {
+	readonly detail: string;
+	/** How far it had come; undefined if nothing was sent. */
+	readonly progress?: TransferProgress;
+};
+
 /** A complete response. */
 export type TextResponse = {
 	readonly status: number;
@@ -51,15 +67,36 @@
  * Sends a request and reads the complete response.
  *
  * @param request - The request.
- * @returns The response, or an error message; after an error the connection can't be used any more.
+ * @returns The response, or why there is none; after an error the connection can't be used any more.
  */
 export async function fetchText(
 	request: TextRequest,
-): Promise<Result<TextResponse, string>> {
+): Promise<Result<TextResponse, FetchError>> {
 	const {connection, clock, method, path, body, timeoutMs} = request;
 	const headers = getRequestHeaders(request);
 	return new Promise((resolve) => {
 		let response: Result<TextResponse, string> | undefined;
+		let receivedBytes = 0;
+		let expectedBytes: number | undefined;
+		let progressedAtMs = clock.monotonicMs();
+		const finish = (outcome: Result<TextResponse, string>) => {
+			resolve(
+				outcome.mapErr((detail) => ({
+					detail,
+					progress: {
+						receivedBytes,
+						expectedBytes,
+						silentMs: Math.round(clock.monotonicMs() - progressedAtMs),
+					},
+				})),
+			);
+		};
+
+		const addProgress = (byteCount: number) => {
+			receivedBytes += byteCount;
+			progressedAtMs = clock.monotonicMs();
+		};
+
 		const decode = (
 			status: number,
 			responseHeaders: IncomingHttpHeaders,
@@ -78,16 +115,21 @@
 		});
 		const targetRequest = new TargetRequest({
 			onAnswer({status, headers: responseHeaders, body: responseBody}) {
+				expectedBytes = getStatedLength(responseHeaders);
+				addProgress(0);
 				if (Buffer.isBuffer(responseBody)) {
 					response = decode(status, responseHeaders, responseBody);
 					return;
 				}
 
 				responseBody.on('error', () => undefined);
+				responseBody.on('data', (chunk: Buffer) => {
+					addProgress(chunk.length);
+				});
 				collectBody(responseBody, {
 					onComplete(bytes) {
 						cancelTimer();
-						resolve(decode(status, responseHeaders, bytes));
+						finish(decode(status, responseHeaders, bytes));
 					},
 					onOversized() {
 						connection.reportUnusedBody(maxTextBytes);
@@ -101,9 +143,9 @@
 				cancelTimer();
 				lease.release();
 				if (error !== undefined) {
-					resolve(Err(error.message));
+					finish(Err(error.message));
 				} else if (response !== undefined) {
-					resolve(response);
+					finish(response);
 				}
 			},
 		});
@@ -119,6 +161,11 @@
 	});
 }
 
+function getStatedLength(headers: IncomingHttpHeaders): number | undefined {
+	const length = headers['content-length'];
+	return length === undefined ? undefined : Number(length);
+}
+
 function getRequestHeaders({
 	body,
 	acceptsGzip = false,
--- a/packages/gateway/src/edge/text-client.ts
+++ b/packages/gateway/src/edge/text-client.ts
@@ -4,7 +4,12 @@
 import {Connection, type ResponseFlood} from '@bilberryscale/daemon/edge';
 import {Err, type Result} from 'ts-results-es';
 import {FloodPause} from '../targets/flood-pause.js';
-import {fetchText, type TextRequest, type TextResponse} from './fetch-text.js';
+import {
+	fetchText,
+	type FetchError,
+	type TextRequest,
+	type TextResponse,
+} from './fetch-text.js';
 
 /** The address to connect to. */
 export type TextClientOptions = {
@@ -36,17 +41,16 @@
 	 * Sends a request and reads the complete response.
 	 *
 	 * @param request - The request.
-	 * @returns The response, or an error message; the latter at once after a flood.
+	 * @returns The response, or why there is none; the latter at once after a flood.
 	 */
 	async fetch(
 		request: Omit<TextRequest, 'connection' | 'clock'>,
-	): Promise<Result<TextResponse, string>> {
+	): Promise<Result<TextResponse, FetchError>> {
 		const {clock} = this.#options;
 		const pauseMs = this.#floodPause.untilMs - clock.monotonicMs();
 		if (pauseMs > 0) {
-			return Err(
-				`it sent bytes without end and is left alone for ${Math.ceil(pauseMs)} ms`,
-			);
+			const detail = `it sent bytes without end and is left alone for ${Math.ceil(pauseMs)} ms`;
+			return Err({detail});
 		}
 
 		const connection = this.#connection;
--- a/packages/gateway/src/fleet/peer-reader.ts
+++ b/packages/gateway/src/fleet/peer-reader.ts
@@ -7,6 +7,7 @@
 	type JSONRPCResponse,
 } from 'json-rpc-2.0';
 import {Err, Ok, type Result} from 'ts-results-es';
+import type {FetchError, TransferProgress} from '../edge/fetch-text.js';
 import {TextClient, type TextClientOptions} from '../edge/text-client.js';
 import type {
 	PublishedChanges,
@@ -32,6 +33,17 @@
 /** How long a response may take beyond that wait by default, in milliseconds. */
 const defaultResponseMarginMs = 300;
 
+/** Carries the reason for a missing response through the JSON-RPC client. */
+class PeerFetchError extends Error {
+	override readonly name = 'PeerFetchError';
+	readonly progress: TransferProgress | undefined;
+
+	constructor({detail, progress}: FetchError) {
+		super(detail);
+		this.progress = progress;
+	}
+}
+
 /** Reads from one other host over JSON-RPC 2.0. */
 export class PeerReader implements SnapshotSource {
 	readonly #options: PeerReaderOptions;
@@ -90,7 +102,10 @@
 			});
 		} catch (error) {
 			this.#httpClient.reconnect();
-			return Err({isHistoryGone: false, detail: (error as Error).message});
+			const {message: detail} = error as Error;
+			const progress =
+				error instanceof PeerFetchError ? error.progress : undefined;
+			return Err({isHistoryGone: false, detail, progress});
 		}
 	}
 
@@ -107,7 +122,7 @@
 			timeoutMs: query.waitMs + responseMarginMs,
 		});
 		if (response.isErr()) {
-			throw new Error(response.error);
+			throw new PeerFetchError(response.error);
 		}
 
 		this.#options.onResponse();
--- a/packages/gateway/src/snapshot/snapshot-feed.ts
+++ b/packages/gateway/src/snapshot/snapshot-feed.ts
@@ -66,6 +66,8 @@
 	readonly #replica: ItemReplica;
 	readonly #health: SourceHealth;
 	readonly #waiters = new Set<() => void>();
+	/** How many reads in a row have failed, by source. */
+	readonly #failureCounts = new Map<string, number>();
 	#currentSource: SnapshotSource | undefined;
 	/** The hosts through which the snapshot was last read, the nearest first. */
 	#via: readonly string[] = [];
@@ -396,7 +398,7 @@
 
 	#handleReadError(
 		source: SnapshotSource,
-		{isHistoryGone, detail}: ReadError,
+		{isHistoryGone, detail, progress}: ReadError,
 	): void {
 		const {log, metrics} = this.#options;
 		metrics.recordSnapshotRead(
@@ -413,6 +415,14 @@
 			return;
 		}
 
+		const failureCount = (this.#failureCounts.get(source.name) ?? 0) + 1;
+		this.#failureCounts.set(source.name, failureCount);
+		log.write('snapshot read failed', {
+			source: source.name,
+			detail,
+			...progress,
+			failureCount,
+		});
 		this.#mayHaveMissedExpiries ||= source.isStore;
 		if (this.#health.recordFailure(source)) {
 			this.#notifyWaiters();
@@ -436,6 +446,7 @@
 	#handleReadSuccess(source: SnapshotSource, startedAtMs: number): void {
 		const {clock, log} = this.#options;
 		const hasStoreRecovered = this.#health.recordSuccess(source);
+		this.#failureCounts.delete(source.name);
 		this.#backoffMs = minBackoffMs;
 		if (!source.isStore) {
 			this.#mayHaveMissedExpiries = false;
--- a/packages/gateway/src/snapshot/snapshot-source.ts
+++ b/packages/gateway/src/snapshot/snapshot-source.ts
@@ -2,6 +2,7 @@
 
 import type {DataCentreId} from '@bilberryscale/core';
 import type {Result} from 'ts-results-es';
+import type {TransferProgress} from '../edge/fetch-text.js';
 import type {RegisteredTarget} from '../plan/registered-target.js';
 import type {RoutingPlan} from '../plan/routing-plan.js';
 
@@ -40,6 +41,8 @@
 	/** Whether the source no longer has the changes after the given revision. */
 	readonly isHistoryGone: boolean;
 	readonly detail: string;
+	/** How far the response had come; undefined if none was awaited. */
+	readonly progress?: TransferProgress | undefined;
 };
 
 /** A source that published items are read from. */
--- a/packages/gateway/test/edge/text-client.test.ts
+++ b/packages/gateway/test/edge/text-client.test.ts
@@ -2,6 +2,7 @@
 
 import {Buffer} from 'node:buffer';
 import net, {type AddressInfo} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {gzipSync} from 'node:zlib';
 import {ManualClock} from '@bilberryscale/core';
 import {describe, it} from '@bilberryscale/testing';
@@ -121,6 +122,28 @@
 		doTest('unused body', `${okHead}\r\n`, 'x');
 	});
 
+	describe('fetch, of a response that stops', () => {
+		it('tells how far the response had come', async () => {
+			await withClient(
+				(socket) => {
+					socket.write(`${okHead}Content-Length: 10\r\n\r\nabc`);
+				},
+				async (client, clock) => {
+					const pending = client.fetch(request);
+					await sleep(100);
+					clock.advance(request.timeoutMs);
+					const response = await pending;
+					const {progress} = response.unwrapErr();
+					assert.equal(progress, {
+						receivedBytes: 3,
+						expectedBytes: 10,
+						silentMs: request.timeoutMs,
+					});
+				},
+			);
+		});
+	});
+
 	// Each item costs far more memory than its bytes, and the event loop waits until all are parsed.
 	describe('fetch, of JSON with very many items', () => {
 		function doTest(
--- a/packages/gateway/test/snapshot/snapshot-feed.test.ts
+++ b/packages/gateway/test/snapshot/snapshot-feed.test.ts
@@ -288,6 +288,35 @@
 			fixture.feed.stop();
 		});
 
+		it('logs how far each failed read came and how many have failed in a row', async () => {
+			const store = new ScriptedSource('store', true);
+			const progress = {receivedBytes: 3, expectedBytes: 10, silentMs: 450};
+			const failed = Err({isHistoryGone: false, detail: 'cut', progress});
+			store.scriptedResults.push(
+				failed,
+				failed,
+				Ok(makeChanges(5, [makeUpdate('a', 4)], true)),
+				failed,
+			);
+			const fixture = makeFixture([store]);
+			void fixture.feed.run();
+			await fixture.run(500);
+			fixture.feed.stop();
+			const logged = fixture.lines
+				.filter(({message}) => message === 'snapshot read failed')
+				.map(({receivedBytes, expectedBytes, silentMs, failureCount}) => [
+					receivedBytes,
+					expectedBytes,
+					silentMs,
+					failureCount,
+				]);
+			assert.equal(logged.slice(0, 3), [
+				[3, 10, 450, 1],
+				[3, 10, 450, 2],
+				[3, 10, 450, 1],
+			]);
+		});
+
 		it('waits for changes only at its current source', async () => {
 			const peer = new ScriptedSource('host 1', false);
 			const store = new ScriptedSource('store', true);
