Limit reads of the store and of hosts by their progress

Callers saw only refusals (503, not ready) after all processes had been killed, at a first start, and from a host that was restarted alone; hosts that served never took a large change (review/8 and the forms beside it).

Cause: fetchText() gave the whole response a fixed time, 450 ms for the store and 300 ms for a host, whatever its length, and each read began again with the first byte. What takes longer on a link never ended: 315,481 bytes at 7 Mbit/s, or any response over a link that pauses for a second.

The time limit is now one for the beginning, as before, and then follows the progress: each byte allows the time that it takes at 64 KiB/s, a pause may last 1.5 s, and single bytes allow next to nothing, so that a store that sends them is left as soon as before.

One host killed beside sound ones came back through its peers already before, after 1.4 to 2.8 s here.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -26,3 +26,8 @@
 	type AuditKind,
 	type AuditSink,
 } from './audit/audit-event.js';
+export {
+	ProgressLimit,
+	type ProgressLimitOptions,
+} from './transfer/progress-limit.js';
+export {TransferPatience} from './transfer/transfer-patience.js';
--- /dev/null
+++ b/packages/core/src/transfer/progress-limit.ts
@@ -0,0 +1,119 @@
+/** Limits the time of a transfer by its progress, whatever its length. */
+
+import type {CancelFunction, Clock} from '../clock/clock.js';
+
+/** The clock, the limits and whom to tell that one has passed. */
+export type ProgressLimitOptions = {
+	readonly clock: Clock;
+	/** How long the transfer may take to begin, in milliseconds. */
+	readonly beginMs: number;
+	/** How often longer than by default the transfer may take once it has begun. */
+	readonly patience?: number;
+	/**
+	 * Called at most once, when the transfer has to end.
+	 *
+	 * @param reason - Which limit has passed.
+	 */
+	readonly onExpired: (reason: string) => void;
+};
+
+/** How long a transfer may take beyond the time that its bytes allow, in milliseconds. */
+const graceMs = 450;
+/** Each byte allows as much time as it takes at this rate. */
+const minBytesPerSecond = 65_536;
+/** How long a transfer may pause, whatever it has brought before, in milliseconds. */
+const maxSilenceMs = 1500;
+const millisecondsPerSecond = 1000;
+
+/**
+ * Ends a transfer that does not begin, that pauses for long or that is slower than any usable link.
+ *
+ * @remarks The time allowed grows with the bytes that have come, so that it has no bound of its own: that is the
+ * limit of the receiver on the length. Single bytes now and then allow next to nothing.
+ */
+export class ProgressLimit {
+	/** The bytes that have come. */
+	receivedBytes = 0;
+	readonly #options: ProgressLimitOptions;
+	readonly #patience: number;
+	readonly #startedAtMs: number;
+	#begunAtMs: number | undefined;
+	#progressedAtMs: number;
+	#cancel: CancelFunction = () => undefined;
+
+	/**
+	 * @param options - The clock, the limits and whom to tell that one has passed.
+	 */
+	constructor(options: ProgressLimitOptions) {
+		this.#options = options;
+		this.#patience = options.patience ?? 1;
+		this.#startedAtMs = options.clock.monotonicMs();
+		this.#progressedAtMs = this.#startedAtMs;
+		this.#schedule();
+	}
+
+	/** For how long nothing has come, in milliseconds. */
+	get silentMs(): number {
+		return this.#options.clock.monotonicMs() - this.#progressedAtMs;
+	}
+
+	/** Records that the transfer has begun; its bytes count from now on. */
+	begin(): void {
+		this.#begunAtMs ??= this.#options.clock.monotonicMs();
+		this.#progressedAtMs = this.#options.clock.monotonicMs();
+		this.#cancel();
+		this.#schedule();
+	}
+
+	/**
+	 * Records bytes that have come.
+	 *
+	 * @param count - Their number.
+	 */
+	addBytes(count: number): void {
+		this.receivedBytes += count;
+		this.#progressedAtMs = this.#options.clock.monotonicMs();
+	}
+
+	/** Ends the limit, because the transfer has ended. */
+	stop(): void {
+		this.#cancel();
+	}
+
+	#getDueMs(): number {
+		if (this.#begunAtMs === undefined) {
+			return this.#startedAtMs + this.#options.beginMs;
+		}
+
+		const byteMs =
+			(this.receivedBytes / minBytesPerSecond) * millisecondsPerSecond;
+		return Math.min(
+			this.#begunAtMs + (graceMs + byteMs) * this.#patience,
+			this.#progressedAtMs + maxSilenceMs * this.#patience,
+		);
+	}
+
+	/** Waits for the limit as it is now; bytes that come meanwhile only make it later. */
+	#schedule(): void {
+		const {clock} = this.#options;
+		const delayMs = this.#getDueMs() - clock.monotonicMs();
+		this.#cancel = clock.schedule(Math.max(0, delayMs), () => {
+			if (this.#getDueMs() > clock.monotonicMs()) {
+				this.#schedule();
+			} else {
+				this.#options.onExpired(this.#describe());
+			}
+		});
+	}
+
+	#describe(): string {
+		if (this.#begunAtMs === undefined) {
+			return `no response within ${this.#options.beginMs} ms`;
+		}
+
+		const elapsedMs = Math.round(
+			this.#options.clock.monotonicMs() - this.#begunAtMs,
+		);
+		return `too little progress: ${this.receivedBytes} bytes in ${elapsedMs} ms`;
+	}
+}
--- a/packages/gateway/src/edge/fetch-text.ts
+++ b/packages/gateway/src/edge/fetch-text.ts
@@ -3,7 +3,7 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingHttpHeaders} from 'node:http';
 import {gunzipSync} from 'node:zlib';
-import type {Clock} from '@bilberryscale/core';
+import {ProgressLimit, type Clock} from '@bilberryscale/core';
 import {
 	processByteBudget,
 	TargetRequest,
@@ -28,8 +28,10 @@
 	readonly body?: string;
 	/** Whether the response may be compressed with gzip, which costs processor time on both sides. */
 	readonly acceptsGzip?: boolean;
-	/** Timeout for the complete response, in milliseconds. */
+	/** How long the response may take to begin, in milliseconds; then it may go on while it makes progress. */
 	readonly timeoutMs: number;
+	/** How often longer than by default it may take once it has begun. */
+	readonly patience?: number;
 };
 
 /** How far the body of a response has come. */
@@ -72,31 +74,24 @@
 export async function fetchText(
 	request: TextRequest,
 ): Promise<Result<TextResponse, FetchError>> {
-	const {connection, clock, method, path, body, timeoutMs} = request;
+	const {connection, clock, method, path, body, timeoutMs, patience} = request;
 	const headers = getRequestHeaders(request);
 	return new Promise((resolve) => {
 		let response: Result<TextResponse, string> | undefined;
-		let receivedBytes = 0;
 		let expectedBytes: number | undefined;
-		let progressedAtMs = clock.monotonicMs();
 		const finish = (outcome: Result<TextResponse, string>) => {
 			resolve(
 				outcome.mapErr((detail) => ({
 					detail,
 					progress: {
-						receivedBytes,
+						receivedBytes: limit.receivedBytes,
 						expectedBytes,
-						silentMs: Math.round(clock.monotonicMs() - progressedAtMs),
+						silentMs: Math.round(limit.silentMs),
 					},
 				})),
 			);
 		};
 
-		const addProgress = (byteCount: number) => {
-			receivedBytes += byteCount;
-			progressedAtMs = clock.monotonicMs();
-		};
-
 		const decode = (
 			status: number,
 			responseHeaders: IncomingHttpHeaders,
@@ -110,13 +105,18 @@
 				new Error('the messages that this host holds need too much memory'),
 			);
 		});
-		const cancelTimer = clock.schedule(timeoutMs, () => {
-			targetRequest.cancel(new Error(`no response within ${timeoutMs} ms`));
+		const limit = new ProgressLimit({
+			clock,
+			beginMs: timeoutMs,
+			...(patience !== undefined && {patience}),
+			onExpired(reason) {
+				targetRequest.cancel(new Error(reason));
+			},
 		});
 		const targetRequest = new TargetRequest({
 			onAnswer({status, headers: responseHeaders, body: responseBody}) {
 				expectedBytes = getStatedLength(responseHeaders);
-				addProgress(0);
+				limit.begin();
 				if (Buffer.isBuffer(responseBody)) {
 					response = decode(status, responseHeaders, responseBody);
 					return;
@@ -124,11 +124,11 @@
 
 				responseBody.on('error', () => undefined);
 				responseBody.on('data', (chunk: Buffer) => {
-					addProgress(chunk.length);
+					limit.addBytes(chunk.length);
 				});
 				collectBody(responseBody, {
 					onComplete(bytes) {
-						cancelTimer();
+						limit.stop();
 						finish(decode(status, responseHeaders, bytes));
 					},
 					onOversized() {
@@ -140,7 +140,7 @@
 				});
 			},
 			onEnd(error) {
-				cancelTimer();
+				limit.stop();
 				lease.release();
 				if (error !== undefined) {
 					finish(Err(error.message));
--- a/packages/gateway/src/edge/text-client.ts
+++ b/packages/gateway/src/edge/text-client.ts
@@ -1,6 +1,6 @@
 /** An HTTP client for text responses from one address, with one connection at a time. */
 
-import type {Clock} from '@bilberryscale/core';
+import {TransferPatience, type Clock} from '@bilberryscale/core';
 import {Connection, type ResponseFlood} from '@bilberryscale/daemon/edge';
 import {Err, type Result} from 'ts-results-es';
 import {FloodPause} from '../targets/flood-pause.js';
@@ -27,6 +27,7 @@
 export class TextClient {
 	readonly #options: TextClientOptions;
 	readonly #floodPause = new FloodPause();
+	readonly #patience = new TransferPatience();
 	#connection: Connection;
 
 	/**
@@ -44,7 +45,7 @@
 	 * @returns The response, or why there is none; the latter at once after a flood.
 	 */
 	async fetch(
-		request: Omit<TextRequest, 'connection' | 'clock'>,
+		request: Omit<TextRequest, 'connection' | 'clock' | 'patience'>,
 	): Promise<Result<TextResponse, FetchError>> {
 		const {clock} = this.#options;
 		const pauseMs = this.#floodPause.untilMs - clock.monotonicMs();
@@ -54,9 +55,17 @@
 		}
 
 		const connection = this.#connection;
-		const response = await fetchText({...request, connection, clock});
+		const response = await fetchText({
+			...request,
+			connection,
+			clock,
+			patience: this.#patience.factor,
+		});
 		if (response.isOk()) {
 			this.#floodPause.addResponse();
+			this.#patience.addSuccess();
+		} else {
+			this.#patience.addFailure(response.error.progress?.receivedBytes ?? 0);
 		}
 
 		return response;
--- a/packages/gateway/src/fleet/peer-reader.ts
+++ b/packages/gateway/src/fleet/peer-reader.ts
@@ -24,13 +24,13 @@
 	readonly onResponse: () => void;
 	/** Whether the host is in another data centre, so that its responses should be compressed. */
 	readonly isFar: boolean;
-	/** How long a response may take beyond the wait for a change, in milliseconds; 300 by default. */
+	/** How long a response may take to begin beyond the wait for a change, in milliseconds; 300 by default. */
 	readonly responseMarginMs?: number;
 };
 
 /** How long the other host waits for a change before it responds, in milliseconds. */
 const longPollMs = 500;
-/** How long a response may take beyond that wait by default, in milliseconds. */
+/** How long a response may take to begin beyond that wait by default, in milliseconds. */
 const defaultResponseMarginMs = 300;
 
 /** Carries the reason for a missing response through the JSON-RPC client. */
