Leave a slow host to the next source first

A read from another host that follows its progress alone would hold a host that could read the store: 33 hosts that read a plan of 220 kB from one of them behind 10 Mbit/s get 38 kB/s each. Such reads were left after 300 ms, and hosts that were as narrow as that were never read to the end.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -29,5 +29,6 @@
 export {
 	ProgressLimit,
 	type ProgressLimitOptions,
+	type TransferPace,
 } from './transfer/progress-limit.js';
 export {TransferPatience} from './transfer/transfer-patience.js';
--- a/packages/core/src/transfer/progress-limit.ts
+++ b/packages/core/src/transfer/progress-limit.ts
@@ -2,13 +2,23 @@
 
 import type {CancelFunction, Clock} from '../clock/clock.js';
 
+/** How slow a transfer may be. */
+export type TransferPace = {
+	/** How long it may take beyond the time that its bytes allow, in milliseconds. */
+	readonly graceMs: number;
+	/** Each byte allows as much time as it takes at this rate. */
+	readonly bytesPerSecond: number;
+};
+
 /** The clock, the limits and whom to tell that one has passed. */
 export type ProgressLimitOptions = {
 	readonly clock: Clock;
 	/** How long the transfer may take to begin, in milliseconds. */
 	readonly beginMs: number;
-	/** How often longer than by default the transfer may take once it has begun. */
-	readonly patience?: number;
+	/** How slow it may be once it has begun; slower than any usable link by default. */
+	readonly pace?: TransferPace | undefined;
+	/** How often longer than that it may take; once by default. */
+	readonly patience?: number | undefined;
 	/**
 	 * Called at most once, when the transfer has to end.
 	 *
@@ -17,16 +27,13 @@
 	readonly onExpired: (reason: string) => void;
 };
 
-/** How long a transfer may take beyond the time that its bytes allow, in milliseconds. */
-const graceMs = 450;
-/** Each byte allows as much time as it takes at this rate. */
-const minBytesPerSecond = 65_536;
+const defaultPace: TransferPace = {graceMs: 450, bytesPerSecond: 65_536};
 /** How long a transfer may pause, whatever it has brought before, in milliseconds. */
 const maxSilenceMs = 1500;
 const millisecondsPerSecond = 1000;
 
 /**
- * Ends a transfer that does not begin, that pauses for long or that is slower than any usable link.
+ * Ends a transfer that does not begin, that pauses for long or that is too slow.
  *
  * @remarks The time allowed grows with the bytes that have come, so that it has no bound of its own: that is the
  * limit of the receiver on the length. Single bytes now and then allow next to nothing.
@@ -85,8 +92,9 @@
 			return this.#startedAtMs + this.#options.beginMs;
 		}
 
+		const {graceMs, bytesPerSecond} = this.#options.pace ?? defaultPace;
 		const byteMs =
-			(this.receivedBytes / minBytesPerSecond) * millisecondsPerSecond;
+			(this.receivedBytes / bytesPerSecond) * millisecondsPerSecond;
 		return Math.min(
 			this.#begunAtMs + (graceMs + byteMs) * this.#patience,
 			this.#progressedAtMs + maxSilenceMs * this.#patience,
--- a/packages/gateway/src/edge/fetch-text.ts
+++ b/packages/gateway/src/edge/fetch-text.ts
@@ -3,7 +3,11 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingHttpHeaders} from 'node:http';
 import {gunzipSync} from 'node:zlib';
-import {ProgressLimit, type Clock} from '@bilberryscale/core';
+import {
+	ProgressLimit,
+	type Clock,
+	type TransferPace,
+} from '@bilberryscale/core';
 import {
 	processByteBudget,
 	TargetRequest,
@@ -30,7 +34,9 @@
 	readonly acceptsGzip?: boolean;
 	/** How long the response may take to begin, in milliseconds; then it may go on while it makes progress. */
 	readonly timeoutMs: number;
-	/** How often longer than by default it may take once it has begun. */
+	/** How slow it may be then; slower than any usable link by default. */
+	readonly pace?: TransferPace | undefined;
+	/** How often longer than that it may take. */
 	readonly patience?: number;
 };
 
@@ -48,6 +54,8 @@
 	readonly detail: string;
 	/** How far it had come; undefined if nothing was sent. */
 	readonly progress?: TransferProgress;
+	/** Whether the response is longer than what is read. */
+	readonly isOversized?: boolean;
 };
 
 /** A complete response. */
@@ -74,11 +82,12 @@
 export async function fetchText(
 	request: TextRequest,
 ): Promise<Result<TextResponse, FetchError>> {
-	const {connection, clock, method, path, body, timeoutMs, patience} = request;
+	const {connection, clock, method, path, body} = request;
 	const headers = getRequestHeaders(request);
 	return new Promise((resolve) => {
 		let response: Result<TextResponse, string> | undefined;
 		let expectedBytes: number | undefined;
+		let isOversized = false;
 		const finish = (outcome: Result<TextResponse, string>) => {
 			resolve(
 				outcome.mapErr((detail) => ({
@@ -88,6 +97,7 @@
 						expectedBytes,
 						silentMs: Math.round(limit.silentMs),
 					},
+					isOversized,
 				})),
 			);
 		};
@@ -107,8 +117,9 @@
 		});
 		const limit = new ProgressLimit({
 			clock,
-			beginMs: timeoutMs,
-			...(patience !== undefined && {patience}),
+			beginMs: request.timeoutMs,
+			pace: request.pace,
+			patience: request.patience,
 			onExpired(reason) {
 				targetRequest.cancel(new Error(reason));
 			},
@@ -132,6 +143,7 @@
 						finish(decode(status, responseHeaders, bytes));
 					},
 					onOversized() {
+						isOversized = true;
 						connection.reportUnusedBody(maxTextBytes);
 						targetRequest.cancel(new Error('the response is too large'));
 					},
--- a/packages/gateway/src/fleet/peer-reader.ts
+++ b/packages/gateway/src/fleet/peer-reader.ts
@@ -1,6 +1,6 @@
 /** Reads published changes from another host instead of the store. */
 
-import type {Clock} from '@bilberryscale/core';
+import type {Clock, TransferPace} from '@bilberryscale/core';
 import {
 	JSONRPCClient,
 	type JSONRPCRequest,
@@ -26,12 +26,15 @@
 	readonly isFar: boolean;
 	/** How long a response may take to begin beyond the wait for a change, in milliseconds; 300 by default. */
 	readonly responseMarginMs?: number;
+	/** How slow a response may be once it has begun; by default, a slow one is left for the next source at first. */
+	readonly pace?: TransferPace;
 };
 
 /** How long the other host waits for a change before it responds, in milliseconds. */
 const longPollMs = 500;
 /** How long a response may take to begin beyond that wait by default, in milliseconds. */
 const defaultResponseMarginMs = 300;
+const defaultPace: TransferPace = {graceMs: 150, bytesPerSecond: 1_048_576};
 
 /** Carries the reason for a missing response through the JSON-RPC client. */
 class PeerFetchError extends Error {
@@ -113,13 +116,18 @@
 		request: JSONRPCRequest,
 		query: SnapshotQuery,
 	): Promise<JSONRPCResponse> {
-		const {isFar, responseMarginMs = defaultResponseMarginMs} = this.#options;
+		const {
+			isFar,
+			responseMarginMs = defaultResponseMarginMs,
+			pace = defaultPace,
+		} = this.#options;
 		const response = await this.#httpClient.fetch({
 			method: 'POST',
 			path: '/',
 			body: JSON.stringify(request),
 			acceptsGzip: isFar,
 			timeoutMs: query.waitMs + responseMarginMs,
+			pace,
 		});
 		if (response.isErr()) {
 			throw new PeerFetchError(response.error);
