--- a/packages/gateway/src/snapshot/snapshot-feed.ts
+++ b/packages/gateway/src/snapshot/snapshot-feed.ts
@@ -410,6 +410,7 @@
 			this.#allowsStaleRead = false;
 			log.write('change history unavailable', {
 				source: source.name,
+				detail,
 				...this.position,
 			});
 			return;
--- a/packages/gateway/src/snapshot/snapshot-source.ts
+++ b/packages/gateway/src/snapshot/snapshot-source.ts
@@ -43,6 +43,8 @@
 	readonly detail: string;
 	/** How far the response had come; undefined if none was awaited. */
 	readonly progress?: TransferProgress | undefined;
+	/** Whether the response was longer than what is read. */
+	readonly isOversized?: boolean | undefined;
 };
 
 /** A source that published items are read from. */
