Limit the daemon's reads of the platform by their progress

The signed-bundle daemon gave each value 2 s for the whole response and then read it anew. A part of a bundle of 1 MB takes longer than that below 9 Mbit/s with its JSON escapes, so a daemon there never got its bundle: the same class as the gateway's reads.

PlatformClient now runs each read under ProgressLimit, which allows 2 s for the beginning, 2 s beyond, and more for each byte. Single bytes end soon as before.

Measured: platform-client.test.ts, 200 kB in 1 s with a timeout of 0.3 s: failed before ("aborted due to timeout"), passes now; a platform that sends single bytes is left within 1 s.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -31,4 +31,8 @@
 	type ProgressLimitOptions,
 	type TransferPace,
 } from './transfer/progress-limit.js';
+export {
+	limitTransfer,
+	type LimitedTransfer,
+} from './transfer/limit-transfer.js';
 export {TransferPatience} from './transfer/transfer-patience.js';
--- a/packages/core/src/transfer/progress-limit.ts
+++ b/packages/core/src/transfer/progress-limit.ts
@@ -4,10 +4,10 @@
 
 /** How slow a transfer may be. */
 export type TransferPace = {
-	/** How long it may take beyond the time that its bytes allow, in milliseconds. */
-	readonly graceMs: number;
-	/** Each byte allows as much time as it takes at this rate. */
-	readonly bytesPerSecond: number;
+	/** How long it may take beyond the time that its bytes allow, in milliseconds; 450 by default. */
+	readonly graceMs?: number;
+	/** Each byte allows as much time as it takes at this rate; 65,536 by default, slower than any usable link. */
+	readonly bytesPerSecond?: number;
 };
 
 /** The clock, the limits and whom to tell that one has passed. */
@@ -15,7 +15,7 @@
 	readonly clock: Clock;
 	/** How long the transfer may take to begin, in milliseconds. */
 	readonly beginMs: number;
-	/** How slow it may be once it has begun; slower than any usable link by default. */
+	/** How slow it may be once it has begun. */
 	readonly pace?: TransferPace | undefined;
 	/** How often longer than that it may take; once by default. */
 	readonly patience?: number | undefined;
@@ -27,8 +27,9 @@
 	readonly onExpired: (reason: string) => void;
 };
 
-const defaultPace: TransferPace = {graceMs: 450, bytesPerSecond: 65_536};
-/** How long a transfer may pause, whatever it has brought before, in milliseconds. */
+const defaultGraceMs = 450;
+const defaultBytesPerSecond = 65_536;
+/** How long a transfer may pause, whatever it has brought before, in milliseconds; as long as the grace if that is longer. */
 const maxSilenceMs = 1500;
 const millisecondsPerSecond = 1000;
 
@@ -92,12 +93,13 @@
 			return this.#startedAtMs + this.#options.beginMs;
 		}
 
-		const {graceMs, bytesPerSecond} = this.#options.pace ?? defaultPace;
+		const {graceMs = defaultGraceMs, bytesPerSecond = defaultBytesPerSecond} =
+			this.#options.pace ?? {};
 		const byteMs =
 			(this.receivedBytes / bytesPerSecond) * millisecondsPerSecond;
 		return Math.min(
 			this.#begunAtMs + (graceMs + byteMs) * this.#patience,
-			this.#progressedAtMs + maxSilenceMs * this.#patience,
+			this.#progressedAtMs + Math.max(maxSilenceMs, graceMs) * this.#patience,
 		);
 	}
 
--- a/packages/daemon/src/context/entry-host.ts
+++ b/packages/daemon/src/context/entry-host.ts
@@ -126,6 +126,7 @@
 			addresses: settings.platform.addresses,
 			localAddress: settings.callers.address,
 			timeoutMs: platformTimeoutMs,
+			clock: options.clock,
 		});
 		this.#bundleStore = new BundleStore({
 			trust,
--- a/packages/gateway/src/edge/fetch-text.ts
+++ b/packages/gateway/src/edge/fetch-text.ts
@@ -34,7 +34,7 @@
 	readonly acceptsGzip?: boolean;
 	/** How long the response may take to begin, in milliseconds; then it may go on while it makes progress. */
 	readonly timeoutMs: number;
-	/** How slow it may be then; slower than any usable link by default. */
+	/** How slow it may be then. */
 	readonly pace?: TransferPace | undefined;
 	/** How often longer than that it may take. */
 	readonly patience?: number;
--- a/packages/platform/src/client/platform-client.ts
+++ b/packages/platform/src/client/platform-client.ts
@@ -1,6 +1,13 @@
 /** A client for the configuration values and the host list of the platform. */
 
-import {makeId, type DataCentreId, type HostId} from '@bilberryscale/core';
+import {
+	limitTransfer,
+	makeId,
+	systemClock,
+	type Clock,
+	type DataCentreId,
+	type HostId,
+} from '@bilberryscale/core';
 import {Err, Ok, type Result} from 'ts-results-es';
 import {Agent, request} from 'undici';
 import {z} from 'zod';
@@ -41,8 +48,13 @@
 	readonly addresses: readonly string[];
 	/** The local IP address to connect from. */
 	readonly localAddress?: string;
-	/** The response timeout in milliseconds, added to the requested wait. */
+	/**
+	 * How long a response may take to begin beyond the requested wait, and to end after that, in milliseconds; it may
+	 * take longer while it makes progress.
+	 */
 	readonly timeoutMs: number;
+	/** The clock for the timeout; that of the system by default. */
+	readonly clock?: Clock;
 };
 
 const notModifiedStatus = 304;
@@ -128,18 +140,20 @@
 		waitMs: number,
 		schema: z.ZodType<Value>,
 	): Promise<Result<ReadOutcome<Value>, string>> {
-		const timeoutMs = this.#options.timeoutMs + waitMs;
+		const {timeoutMs, clock = systemClock} = this.#options;
+		const pace = {graceMs: timeoutMs};
 		try {
-			const response = await request(url, {
-				dispatcher: this.#agent,
-				headersTimeout: timeoutMs,
-				bodyTimeout: timeoutMs,
-				signal: AbortSignal.timeout(timeoutMs),
-			});
-			return parseResponse(
-				response.statusCode,
-				await response.body.text(),
-				schema,
+			return await limitTransfer(
+				{clock, beginMs: timeoutMs + waitMs, pace},
+				async ({signal, collectText}) => {
+					const {statusCode, body} = await request(url, {
+						dispatcher: this.#agent,
+						headersTimeout: 0,
+						bodyTimeout: 0,
+						signal,
+					});
+					return parseResponse(statusCode, await collectText(body), schema);
+				},
 			);
 		} catch (error) {
 			return Err((error as Error).message);
--- a/packages/platform/test/client/platform-client.test.ts
+++ b/packages/platform/test/client/platform-client.test.ts
@@ -1,6 +1,6 @@
 import http from 'node:http';
 import type {AddressInfo} from 'node:net';
-import {describe, it} from '@bilberryscale/testing';
+import {describe, it, sendAtRate} from '@bilberryscale/testing';
 import * as assert from 'uvu/assert';
 import {PlatformClient} from '../../src/index.js';
 
@@ -89,6 +89,41 @@
 			await doTest(respond(500, ''), undefined, 'status 500');
 		});
 
+		// A value that took longer than the timeout was read anew without end.
+		it('reads a long value over a narrow link for as long as it makes progress', async () => {
+			const text = 'x'.repeat(200_000);
+			const body = JSON.stringify({revision: 1, value: text});
+			const handler: Handler = (response) => {
+				void sendAtRate(response, body, 200_000);
+			};
+
+			await withClient(
+				[handler],
+				async (client) => {
+					const outcome = await client.readValue('name');
+					assert.is(outcome.unwrap()?.value, text);
+				},
+				300,
+			);
+		});
+
+		it('soon leaves a platform that sends single bytes', async () => {
+			const handler: Handler = (response) => {
+				void sendAtRate(response, ' '.repeat(2000), 10);
+			};
+
+			await withClient(
+				[handler],
+				async (client) => {
+					const startedAtMs = performance.now();
+					const outcome = await client.readValue('name');
+					assert.match(outcome.unwrapErr(), 'too little progress');
+					assert.ok(performance.now() - startedAtMs < 1000);
+				},
+				300,
+			);
+		});
+
 		it('sends the known revision and the wait', async () => {
 			const urls: string[] = [];
 			const handler: Handler = (response, url) => {
