Limit the texts that daemons fetch from each other by their progress

The manifest and the parts of a bundle that one daemon pulls from another had 2 s for the whole reply, as had heartbeats. A part that takes longer was pulled anew at each heartbeat, without end.

PeerClient.fetchText() allows as long as progress is made; heartbeats and calls keep their fixed times, as a call has a deadline of its own.

--- a/packages/daemon/src/peers/peer-network.ts
+++ b/packages/daemon/src/peers/peer-network.ts
@@ -239,7 +239,7 @@
 		this.#isPullingBundle = true;
 		const fetchText = async (method: string, message: object) => {
 			const request = {from: self, ...message};
-			const reply = await entry.client.sendCall(
+			const reply = await entry.client.fetchText(
 				method,
 				request,
 				textReplySchema,
@@ -270,6 +270,7 @@
 		const client = new PeerClient({
 			peer: published,
 			tls: this.#tls,
+			clock: this.#options.clock,
 			localAddress: settings.address,
 		});
 		const entry = {client, published};
--- a/packages/peers/src/transport/peer-client.ts
+++ b/packages/peers/src/transport/peer-client.ts
@@ -1,5 +1,6 @@
 /** Sends messages to one peer, as JSON-RPC over HTTPS. */
 
+import {limitTransfer, systemClock, type Clock} from '@bilberryscale/core';
 import {JSONRPCClient, type JSONRPCResponse} from 'json-rpc-2.0';
 import {Err, Ok, type Result} from 'ts-results-es';
 import {Pool, errors} from 'undici';
@@ -21,11 +22,15 @@
 	readonly tls: Partial<TlsMaterial>;
 	/** The local IP address that connections are made from. */
 	readonly localAddress: string;
+	/** The clock for replies that may be long; that of the system by default. */
+	readonly clock?: Clock;
 };
 
 type PostOptions = {
 	readonly pool: Pool;
 	readonly timeoutMs: number;
+	/** The clock for a reply that may take longer while it makes progress; undefined for a fixed time. */
+	readonly progressClock?: Clock | undefined;
 };
 
 const okStatus = 200;
@@ -102,6 +107,27 @@
 		return this.#send(name, message, schema, {pool, timeoutMs});
 	}
 
+	/**
+	 * Requests a text that may be long.
+	 *
+	 * @param name - The name of the method.
+	 * @param message - The message.
+	 * @param schema - The schema of the reply.
+	 * @param timeoutMs - How long the reply may take to begin, and to end after that, in milliseconds; it may take longer while it makes progress.
+	 * @returns The reply, or the reason why there is none.
+	 */
+	async fetchText<Reply>(
+		name: string,
+		message: object,
+		schema: z.ZodType<Reply>,
+		timeoutMs: number,
+	): Promise<Result<Reply, PeerError>> {
+		const pool = this.#callPool;
+		const {clock: progressClock = systemClock} = this.#options;
+		const options = {pool, timeoutMs, progressClock};
+		return this.#send(name, message, schema, options);
+	}
+
 	/** Destroys all connections; pending messages fail. */
 	async close(): Promise<void> {
 		await Promise.all([
@@ -164,24 +190,42 @@
  */
 async function post(
 	payload: unknown,
-	{pool, timeoutMs}: PostOptions,
+	{pool, timeoutMs, progressClock}: PostOptions,
 ): Promise<JSONRPCResponse> {
-	const httpResponse = await pool.request({
+	const request = {
 		method: 'POST',
 		path: '/rpc',
 		headers: {'content-type': 'application/json'},
 		body: JSON.stringify(payload),
-		signal: AbortSignal.timeout(Math.ceil(timeoutMs)),
-	});
-	const response = (await httpResponse.body.json()) as
-		JSONRPCResponse | undefined;
+	} as const;
+	if (progressClock === undefined) {
+		const signal = AbortSignal.timeout(Math.ceil(timeoutMs));
+		const {statusCode, body} = await pool.request({...request, signal});
+		return parseResponseOrThrow(payload, statusCode, await body.text());
+	}
+
+	return limitTransfer(
+		{
+			clock: progressClock,
+			beginMs: timeoutMs,
+			pace: {graceMs: timeoutMs},
+		},
+		async ({signal, collectText}) => {
+			const {statusCode, body} = await pool.request({...request, signal});
+			return parseResponseOrThrow(payload, statusCode, await collectText(body));
+		},
+	);
+}
+
+function parseResponseOrThrow(
+	payload: unknown,
+	status: number,
+	text: string,
+): JSONRPCResponse {
+	const response = JSON.parse(text) as JSONRPCResponse | undefined;
 	const {id} = payload as {id: unknown};
-	if (
-		response === undefined ||
-		response.id !== id ||
-		httpResponse.statusCode !== okStatus
-	) {
-		throw new Error(`the peer answered with status ${httpResponse.statusCode}`);
+	if (response === undefined || response.id !== id || status !== okStatus) {
+		throw new Error(`the peer answered with status ${status}`);
 	}
 
 	return response;
