Let the command line read long documents of hosts over narrow links

Both now may take longer while they make progress.

Measured: host-fetcher.test.ts, 600 kB at 150 kB/s: failed before with "timed out after 3000 ms", passes now.

--- a/packages/cli/src/hosts/host-fetcher.ts
+++ b/packages/cli/src/hosts/host-fetcher.ts
@@ -1,5 +1,6 @@
 /** Fetches documents from entry hosts over their operator ports. */
 
+import {limitTransfer, systemClock} from '@bilberryscale/core';
 import {Err, Ok, type Result} from 'ts-results-es';
 import {Agent, request} from 'undici';
 
@@ -17,6 +18,7 @@
 	request: HostRequest,
 ) => Promise<Result<unknown, string>>;
 
+/** How long a response may take to begin, and to end after that while it makes no progress, in milliseconds. */
 const requestTimeoutMs = 3000;
 const maxResponseBytes = 32_000_000;
 const okStatus = 200;
@@ -35,13 +37,21 @@
 	});
 	return async ({host, path, token}) => {
 		try {
-			const response = await request(`http://${host}${path}`, {
-				dispatcher,
-				headers: {authorization: `Bearer ${token}`},
-				signal: AbortSignal.timeout(requestTimeoutMs),
-			});
-			const text = await response.body.text();
-			return parseResponse(response.statusCode, text);
+			return await limitTransfer(
+				{
+					clock: systemClock,
+					beginMs: requestTimeoutMs,
+					pace: {graceMs: requestTimeoutMs},
+				},
+				async ({signal, collectText}) => {
+					const {statusCode, body} = await request(`http://${host}${path}`, {
+						dispatcher,
+						headers: {authorization: `Bearer ${token}`},
+						signal,
+					});
+					return parseResponse(statusCode, await collectText(body));
+				},
+			);
 		} catch (error) {
 			return Err(`request failed: ${describeError(error as Error)}`);
 		}
@@ -59,10 +69,6 @@
 }
 
 function describeError(error: Error): string {
-	if (error.name === 'TimeoutError') {
-		return `timed out after ${requestTimeoutMs} ms`;
-	}
-
 	const {code} = error as NodeJS.ErrnoException;
 	return error.message === '' ? (code ?? error.name) : error.message;
 }
--- a/packages/cli/src/hosts/snapshot-fetcher.ts
+++ b/packages/cli/src/hosts/snapshot-fetcher.ts
@@ -9,7 +9,7 @@
 	address: string,
 ) => Promise<Result<PublishedChanges, string>>;
 
-/** How long a host may take to respond, in milliseconds; a snapshot with 50,000 keys of accounts has about 2 MB. */
+/** How long a response may take to begin, and to end after that while it makes no progress, in milliseconds. */
 const responseTimeoutMs = 3000;
 
 /**
@@ -27,6 +27,7 @@
 			onResponse: () => undefined,
 			isFar: true,
 			responseMarginMs: responseTimeoutMs,
+			pace: {graceMs: responseTimeoutMs},
 		});
 		try {
 			const result = await reader.readAll();
