Refuse answers whose status is outside 100 to 599

Callers got answers with the statuses 600 and 999 of targets in trouble, with the target's seal: on the plain way, through another host and from a host that stops. The store's and other hosts' answers with them were read as well.

Such a status is invalid (RFC 9110, section 15), so the bytes are no answer in the protocol, and a status that is passed on has to be one. Below 100, 000 was taken for an informational response: the request waited for the next one on the connection, and what came there was believed.

TargetRequest, through which targets, health checks, forwarded requests, other hosts and the store answer, now fails at once: 502 for a request that may have run, another target for one that may run twice, and the connection is not used again.

--- a/packages/daemon/src/upstream/target-request.ts
+++ b/packages/daemon/src/upstream/target-request.ts
@@ -27,6 +27,9 @@
 	readonly onBeforeWrite?: (() => Error | undefined) | undefined;
 };
 
+/** The range of valid statuses (RFC 9110, section 15). */
+const minStatus = 100;
+const maxStatus = 599;
 const minFinalStatus = 200;
 /** Smaller pieces that come together are passed on as one, in bytes. */
 const minPassedBytes = 16_384;
@@ -119,6 +122,11 @@
 		status: number,
 		headers: IncomingHttpHeaders,
 	): void {
+		if (status < minStatus || status > maxStatus) {
+			this.cancel(new Error(`the answer has the invalid status ${status}`));
+			return;
+		}
+
 		if (status < minFinalStatus) {
 			this.informationalCount++;
 		} else {
