--- a/packages/gateway/test/fleet/start-reads.test.ts
+++ b/packages/gateway/test/fleet/start-reads.test.ts
@@ -30,7 +30,7 @@
 	makeUpdate,
 } from '../fixtures.js';
 
-const hostCount = 103;
+const defaultHostCount = 103;
 const dataCentres = ['a', 'b', 'c'].map((id) => makeId<DataCentreId>(id));
 const targetCount = 280;
 const targetText = 'x'.repeat(250);
@@ -53,17 +53,32 @@
 	/** Reads of all items and their bytes, without compression. */
 	readonly wholeReads: {store: number; near: number; far: number};
 	readonly bytes: {near: number; far: number};
+	/** All reads of the store that it answered. */
+	readonly storeCalls: number;
 	/** When the last host was caught up, in milliseconds. */
 	readonly lastCaughtUpMs: number;
 };
 
-/** Starts all hosts and runs them for some seconds; the store is down at first. */
-async function start(storeDownMs: number): Promise<StartFigures> {
+type StartOptions = {
+	readonly hostCount?: number;
+	/** How long the store is down at first, in milliseconds. */
+	readonly storeDownMs?: number;
+	/** How long the link of a host takes for all items of the store, in milliseconds. */
+	readonly transferMs?: number;
+};
+
+/** Starts all hosts and runs them for some seconds. */
+async function start({
+	hostCount = defaultHostCount,
+	storeDownMs = 0,
+	transferMs = 0,
+}: StartOptions): Promise<StartFigures> {
 	const clock = new ManualClock();
 	const random = makeSeededRandom(3);
 	const {log} = makeTestLog(clock);
 	const wholeReads = {store: 0, near: 0, far: 0};
 	const bytes = {near: 0, far: 0};
+	let storeCalls = 0;
 	const sleep = async (durationMs: number) =>
 		new Promise<void>((resolve) => {
 			clock.schedule(durationMs, resolve);
@@ -78,7 +93,12 @@
 			return Err({isHistoryGone: false, detail: 'down'});
 		}
 
-		wholeReads.store += position === undefined ? 1 : 0;
+		storeCalls++;
+		if (position === undefined) {
+			wholeReads.store++;
+			await sleep(transferMs);
+		}
+
 		const staleCount = Math.floor(random() * maxStaleChanges);
 		const revision = targetCount - (position === undefined ? staleCount : 0);
 		const items = getItems(revision).filter(
@@ -224,6 +244,7 @@
 
 	return {
 		wholeReads,
+		storeCalls,
 		bytes,
 		lastCaughtUpMs: Math.max(...hosts.map(({caughtUpAtMs}) => caughtUpAtMs)),
 	};
@@ -231,17 +252,31 @@
 
 describe('a simultaneous start of all hosts', () => {
 	/** The store's first answers give each host a snapshot; some must still read a whole one from a host that is further. */
-	const maxFarReads = hostCount / 10;
+	const maxFarReads = defaultHostCount / 10;
 
 	it('reads few whole snapshots from other data centres while the store is up', async () => {
-		const {wholeReads, lastCaughtUpMs} = await start(0);
+		const {wholeReads, lastCaughtUpMs} = await start({});
 		assert.ok(wholeReads.far <= maxFarReads, JSON.stringify(wholeReads));
 		assert.ok(lastCaughtUpMs <= 450, `${lastCaughtUpMs}`);
 	});
 
 	it('reads few whole snapshots from other data centres after the store was down for 1 s', async () => {
-		const {wholeReads, lastCaughtUpMs} = await start(1000);
+		const {wholeReads, lastCaughtUpMs} = await start({storeDownMs: 1000});
 		assert.ok(wholeReads.far <= maxFarReads, JSON.stringify(wholeReads));
 		assert.ok(lastCaughtUpMs <= 2000, `${lastCaughtUpMs}`);
 	});
+
+	/** The largest plan over the narrowest link. */
+	const transferMs = 1600;
+	for (const hostCount of [100, 312]) {
+		it(`reads the store about once a host while that takes ${transferMs} ms, ${hostCount} hosts`, async () => {
+			const {wholeReads, storeCalls, lastCaughtUpMs} = await start({
+				hostCount,
+				transferMs,
+			});
+			assert.is(wholeReads.store, hostCount);
+			assert.ok(storeCalls <= hostCount * 3, `${storeCalls} calls`);
+			assert.ok(lastCaughtUpMs <= transferMs + 1000, `${lastCaughtUpMs}`);
+		});
+	}
 });
