Leave a response that trickles after a sound beginning

Fewer than 1 KiB that take 200 ms or more are a trickle: the read ends one grace time after it began, and its failure earns no patience. Silence is none, so that a pause still does, also if a short piece ends it.

--- a/packages/core/src/transfer/progress-limit.ts
+++ b/packages/core/src/transfer/progress-limit.ts
@@ -31,13 +31,15 @@
 const defaultBytesPerSecond = 65_536;
 /** How long a transfer may pause, whatever it has brought before, in milliseconds; as long as the grace if that is longer. */
 const maxSilenceMs = 1500;
+/** Fewer bytes that take longer than this are no progress. */
+const minProgress = {bytes: 1024, ms: 200};
 const millisecondsPerSecond = 1000;
 
 /**
  * Ends a transfer that does not begin, that pauses for long or that is too slow.
  *
  * @remarks The time allowed grows with the bytes that have come, so that it has no bound of its own: that is the
- * limit of the receiver on the length. Single bytes now and then allow next to nothing.
+ * limit of the receiver on the length. Single bytes now and then allow next to nothing, whatever came before.
  */
 export class ProgressLimit {
 	/** The bytes that have come. */
@@ -47,6 +49,10 @@
 	readonly #startedAtMs: number;
 	#begunAtMs: number | undefined;
 	#progressedAtMs: number;
+	/** How many bytes had come, and when, as the last of them were enough to be progress. */
+	#lastProgress: {readonly bytes: number; readonly atMs: number} | undefined;
+	/** Since when too few bytes have come to be progress; undefined if there is some, or if none have come. */
+	#tricklesSinceMs: number | undefined;
 	#cancel: CancelFunction = () => undefined;
 
 	/**
@@ -65,6 +71,13 @@
 		return this.#options.clock.monotonicMs() - this.#progressedAtMs;
 	}
 
+	/** Whether the transfer was on its way, so that more time might complete it; single bytes now and then are no progress. */
+	get hasProgressed(): boolean {
+		return (
+			this.#lastProgress !== undefined && this.#tricklesSinceMs === undefined
+		);
+	}
+
 	/** Records that the transfer has begun; its bytes count from now on. */
 	begin(): void {
 		this.#begunAtMs ??= this.#options.clock.monotonicMs();
@@ -80,7 +93,23 @@
 	 */
 	addBytes(count: number): void {
 		this.receivedBytes += count;
-		this.#progressedAtMs = this.#options.clock.monotonicMs();
+		const nowMs = this.#options.clock.monotonicMs();
+		const bytes = this.receivedBytes;
+		this.#progressedAtMs = nowMs;
+		if (bytes - (this.#lastProgress?.bytes ?? 0) >= minProgress.bytes) {
+			this.#lastProgress = {bytes, atMs: nowMs};
+			this.#tricklesSinceMs = undefined;
+			return;
+		}
+
+		const isTrickle =
+			this.#lastProgress !== undefined &&
+			nowMs - this.#lastProgress.atMs >= minProgress.ms;
+		if (isTrickle && this.#tricklesSinceMs === undefined) {
+			this.#tricklesSinceMs = nowMs;
+			this.#cancel();
+			this.#schedule();
+		}
 	}
 
 	/** Ends the limit, because the transfer has ended. */
@@ -100,10 +129,11 @@
 		return Math.min(
 			this.#begunAtMs + (graceMs + byteMs) * this.#patience,
 			this.#progressedAtMs + Math.max(maxSilenceMs, graceMs) * this.#patience,
+			(this.#tricklesSinceMs ?? Number.POSITIVE_INFINITY) + graceMs,
 		);
 	}
 
-	/** Waits for the limit as it is now; bytes that come meanwhile only make it later. */
+	/** Waits for the limit as it is now; bytes that come meanwhile only make it later, unless they trickle. */
 	#schedule(): void {
 		const {clock} = this.#options;
 		const delayMs = this.#getDueMs() - clock.monotonicMs();
--- a/packages/core/src/transfer/transfer-patience.ts
+++ b/packages/core/src/transfer/transfer-patience.ts
@@ -1,7 +1,5 @@
 /** Gives transfers from one source more time while they fail although they make progress. */
 
-/** A transfer that ends with fewer bytes has made no progress. */
-const minProgressBytes = 1024;
 const maxFactor = 8;
 
 /** Doubles with each transfer that fails midway, so that none is begun anew without end. */
@@ -21,10 +19,10 @@
 	/**
 	 * Records a transfer that failed.
 	 *
-	 * @param receivedBytes - How many bytes it had brought.
+	 * @param hasProgressed - Whether it was on its way, so that more time might complete it.
 	 */
-	addFailure(receivedBytes: number): void {
-		if (receivedBytes >= minProgressBytes) {
+	addFailure(hasProgressed: boolean): void {
+		if (hasProgressed) {
 			this.#factor = Math.min(maxFactor, this.#factor * 2);
 		}
 	}
--- a/packages/core/test/transfer/progress-limit.test.ts
+++ b/packages/core/test/transfer/progress-limit.test.ts
@@ -86,6 +86,17 @@
 				elapsedMs < 1100 ? Math.min(elapsedMs * 1000, 100_000) : 200_000,
 			length: 200_000,
 		});
+		doTest('with a pause of a second that a short piece ends', {
+			beginsAtMs: 100,
+			getBytes(elapsedMs) {
+				if (elapsedMs < 1100) {
+					return Math.min(elapsedMs * 1000, 100_000);
+				}
+
+				return elapsedMs < 1150 ? 100_500 : 200_000;
+			},
+			length: 200_000,
+		});
 		doTest('with an early pause of a second, after two failures', {
 			beginsAtMs: 100,
 			getBytes: (elapsedMs) => (elapsedMs < 1100 ? 2000 : 200_000),
@@ -116,6 +127,16 @@
 			{beginsAtMs: 100, getBytes: (elapsedMs) => elapsedMs / 300, length},
 			600,
 		);
+		doTest(
+			'single bytes after many',
+			{
+				beginsAtMs: 100,
+				getBytes: (elapsedMs) =>
+					Math.min(elapsedMs * 100_000, 4_000_000) + elapsedMs / 300,
+				length,
+			},
+			1000,
+		);
 		doTest(
 			'silence after many bytes',
 			{
@@ -128,14 +149,68 @@
 	});
 });
 
+describe('ProgressLimit.hasProgressed', () => {
+	function doTest(
+		name: string,
+		input: ReadonlyArray<readonly [waitMs: number, bytes: number]>,
+		expected: boolean,
+	): void {
+		it(`is ${expected} for ${name}`, () => {
+			const clock = new ManualClock();
+			const limit = new ProgressLimit({
+				clock,
+				beginMs,
+				onExpired: () => undefined,
+			});
+			limit.begin();
+			for (const [waitMs, bytes] of input) {
+				clock.advance(waitMs);
+				limit.addBytes(bytes);
+			}
+
+			clock.advance(400);
+			assert.is(limit.hasProgressed, expected);
+		});
+	}
+
+	doTest('nothing', [], false);
+	doTest(
+		'single bytes',
+		Array.from({length: 3}, () => [100, 1]),
+		false,
+	);
+	doTest('a pause', [[10, 20_000]], true);
+	doTest(
+		'a pause after a short piece',
+		[
+			[10, 20_000],
+			[10, 500],
+		],
+		true,
+	);
+	doTest(
+		'single bytes after a sound beginning',
+		[
+			[10, 20_000],
+			[300, 1],
+		],
+		false,
+	);
+	doTest(
+		'a narrow link',
+		Array.from({length: 40}, () => [10, 300]),
+		true,
+	);
+});
+
 describe('TransferPatience', () => {
 	it('grows only with failures that made progress, to a limit', () => {
 		const patience = new TransferPatience();
-		patience.addFailure(0);
-		patience.addFailure(100);
+		patience.addFailure(false);
+		patience.addFailure(false);
 		assert.is(patience.factor, 1);
 		for (let count = 0; count < 10; count++) {
-			patience.addFailure(2000);
+			patience.addFailure(true);
 		}
 
 		assert.is(patience.factor, 8);
@@ -143,8 +218,8 @@
 
 	it('falls with each complete transfer', () => {
 		const patience = new TransferPatience();
-		patience.addFailure(2000);
-		patience.addFailure(2000);
+		patience.addFailure(true);
+		patience.addFailure(true);
 		patience.addSuccess();
 		assert.is(patience.factor, 2);
 		patience.addSuccess();
--- a/packages/gateway/src/edge/fetch-text.ts
+++ b/packages/gateway/src/edge/fetch-text.ts
@@ -54,6 +54,8 @@
 	readonly detail: string;
 	/** How far it had come; undefined if nothing was sent. */
 	readonly progress?: TransferProgress;
+	/** Whether it was on its way, so that more time might complete it. */
+	readonly hasProgressed?: boolean;
 	/** Whether the response is longer than what is read. */
 	readonly isOversized?: boolean;
 };
@@ -97,6 +99,7 @@
 						expectedBytes,
 						silentMs: Math.round(limit.silentMs),
 					},
+					hasProgressed: limit.hasProgressed,
 					isOversized,
 				})),
 			);
--- a/packages/gateway/src/edge/text-client.ts
+++ b/packages/gateway/src/edge/text-client.ts
@@ -65,7 +65,7 @@
 			this.#floodPause.addResponse();
 			this.#patience.addSuccess();
 		} else {
-			this.#patience.addFailure(response.error.progress?.receivedBytes ?? 0);
+			this.#patience.addFailure(response.error.hasProgressed === true);
 		}
 
 		return response;
