Name the time of the last bytes apart from the last progress

ProgressLimit kept two times with nearly the same name, of which only one is about progress. Names and comments only; 53 tests of core/transfer, gateway/edge and platform pass.

--- a/packages/core/src/transfer/progress-limit.ts
+++ b/packages/core/src/transfer/progress-limit.ts
@@ -31,7 +31,7 @@
 const defaultBytesPerSecond = 65_536;
 /** How long a transfer may pause, whatever it has brought before, in milliseconds; as long as the grace if that is longer. */
 const maxSilenceMs = 1500;
-/** Fewer bytes that take longer than this are no progress. */
+/** Fewer bytes that take longer are a trickle. */
 const minProgress = {bytes: 1024, ms: 200};
 const millisecondsPerSecond = 1000;
 
@@ -48,8 +48,9 @@
 	readonly #patience: number;
 	readonly #startedAtMs: number;
 	#begunAtMs: number | undefined;
-	#progressedAtMs: number;
-	/** How many bytes had come, and when, as the last of them were enough to be progress. */
+	/** When bytes last came, or when the wait for them began. */
+	#lastBytesAtMs: number;
+	/** How many bytes had come, and when, the last time that enough of them came in a row. */
 	#lastProgress: {readonly bytes: number; readonly atMs: number} | undefined;
 	/** Since when too few bytes have come to be progress; undefined if there is some, or if none have come. */
 	#tricklesSinceMs: number | undefined;
@@ -62,13 +63,13 @@
 		this.#options = options;
 		this.#patience = options.patience ?? 1;
 		this.#startedAtMs = options.clock.monotonicMs();
-		this.#progressedAtMs = this.#startedAtMs;
+		this.#lastBytesAtMs = this.#startedAtMs;
 		this.#schedule();
 	}
 
 	/** For how long nothing has come, in milliseconds. */
 	get silentMs(): number {
-		return this.#options.clock.monotonicMs() - this.#progressedAtMs;
+		return this.#options.clock.monotonicMs() - this.#lastBytesAtMs;
 	}
 
 	/** Whether the transfer was on its way, so that more time might complete it; single bytes now and then are no progress. */
@@ -81,7 +82,7 @@
 	/** Records that the transfer has begun; its bytes count from now on. */
 	begin(): void {
 		this.#begunAtMs ??= this.#options.clock.monotonicMs();
-		this.#progressedAtMs = this.#options.clock.monotonicMs();
+		this.#lastBytesAtMs = this.#options.clock.monotonicMs();
 		this.#cancel();
 		this.#schedule();
 	}
@@ -95,7 +96,7 @@
 		this.receivedBytes += count;
 		const nowMs = this.#options.clock.monotonicMs();
 		const bytes = this.receivedBytes;
-		this.#progressedAtMs = nowMs;
+		this.#lastBytesAtMs = nowMs;
 		if (bytes - (this.#lastProgress?.bytes ?? 0) >= minProgress.bytes) {
 			this.#lastProgress = {bytes, atMs: nowMs};
 			this.#tricklesSinceMs = undefined;
@@ -128,7 +129,7 @@
 			(this.receivedBytes / bytesPerSecond) * millisecondsPerSecond;
 		return Math.min(
 			this.#begunAtMs + (graceMs + byteMs) * this.#patience,
-			this.#progressedAtMs + Math.max(maxSilenceMs, graceMs) * this.#patience,
+			this.#lastBytesAtMs + Math.max(maxSilenceMs, graceMs) * this.#patience,
 			(this.#tricklesSinceMs ?? Number.POSITIVE_INFINITY) + graceMs,
 		);
 	}
