Tell through which hosts a change came and how old each view was

Hosts pass the ages on as `viaAgesMs`; hosts of an earlier version send none. A histogram of the age that the knowledge in force had reached (`bilberryscale_knowledge_age_seconds`) and a counter of versions that could not be decoded are on the metrics address, in a class of their own. No decision changes.

--- a/packages/cli/test/commands/config-check.test.ts
+++ b/packages/cli/test/commands/config-check.test.ts
@@ -153,6 +153,7 @@
 					ageMs: 0,
 					holdMs: 0,
 					via: [],
+					viaAgesMs: [],
 				}),
 		);
 
--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -231,7 +231,7 @@
 			clock,
 			random,
 			log,
-			metrics: this.#metrics,
+			metrics: this.#metrics.snapshot,
 			decode,
 			prepareItem: options.prepareItem,
 			address: settings.callers.address,
--- a/packages/gateway/src/fleet/decode-published-changes.ts
+++ b/packages/gateway/src/fleet/decode-published-changes.ts
@@ -10,7 +10,7 @@
 /**
  * Decodes and checks a host's response to a read.
  *
- * @param value - The result in the response. Hosts of an earlier version send neither an era nor the hosts on the way.
+ * @param value - The result in the response. Hosts of an earlier version send neither an era nor the hosts on the way and their ages.
  * @returns The changes; undefined if a field is missing or has the wrong type.
  */
 export function decodePublishedChanges(
@@ -20,18 +20,20 @@
 		return undefined;
 	}
 
-	const {isWhole, changes, era = 0, revision, ageMs, holdMs, via = []} = value;
+	const {isWhole, changes, era = 0, revision, ageMs, holdMs} = value;
+	const {via = [], viaAgesMs = []} = value;
 	const areFieldsValid =
 		typeof isWhole === 'boolean' &&
 		isCount(era) &&
 		isCount(revision) &&
 		isDuration(ageMs) &&
 		isDuration(holdMs) &&
-		isStringArray(via);
+		isStringArray(via) &&
+		isDurationArray(viaAgesMs);
 	return areFieldsValid &&
 		Array.isArray(changes) &&
 		changes.every((change) => isChange(change))
-		? {isWhole, changes, era, revision, ageMs, holdMs, via}
+		? {isWhole, changes, era, revision, ageMs, holdMs, via, viaAgesMs}
 		: undefined;
 }
 
@@ -51,6 +53,10 @@
 	);
 }
 
+function isDurationArray(value: unknown): value is number[] {
+	return Array.isArray(value) && value.every((entry) => isDuration(entry));
+}
+
 function isTable(value: unknown): value is RawFields {
 	return typeof value === 'object' && value !== null && !Array.isArray(value);
 }
--- a/packages/gateway/src/records/gateway-metrics.ts
+++ b/packages/gateway/src/records/gateway-metrics.ts
@@ -4,6 +4,7 @@
 import process from 'node:process';
 import {processByteBudget} from '@bilberryscale/daemon/edge';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import {SnapshotMetrics} from './snapshot-metrics.js';
 
 /** Upper bounds of the latency buckets, in seconds. */
 const latencyBucketsSeconds = [
@@ -15,6 +16,8 @@
 /** Registers and updates the metrics of the gateway. */
 export class GatewayMetrics {
 	readonly #registry = new Registry();
+	/** The metrics of the published knowledge. */
+	readonly snapshot = new SnapshotMetrics(this.#registry);
 	readonly #requests = new Counter({
 		name: 'bilberryscale_requests_total',
 		help: 'Requests by route and outcome',
@@ -44,19 +47,6 @@
 		registers: [this.#registry],
 	});
 
-	readonly #snapshotReads = new Counter({
-		name: 'bilberryscale_platform_reads_total',
-		help: 'Reads of published knowledge by source and outcome',
-		labelNames: ['source', 'outcome'],
-		registers: [this.#registry],
-	});
-
-	readonly #storeEras = new Counter({
-		name: 'bilberryscale_store_eras_total',
-		help: 'Eras of the store that were seen; it starts one when it comes back from an older copy',
-		registers: [this.#registry],
-	});
-
 	readonly #targetNotices = new Counter({
 		name: 'bilberryscale_target_notices_total',
 		help: 'Targets that said in a response that they leave or pause',
@@ -365,21 +355,6 @@
 		this.#coldSends.inc({service});
 	}
 
-	/**
-	 * Records a read of the published snapshot or its changes.
-	 *
-	 * @param source - The kind of source that was read.
-	 * @param outcome - How it ended.
-	 */
-	recordSnapshotRead(source: string, outcome: string): void {
-		this.#snapshotReads.inc({source, outcome});
-	}
-
-	/** Records that the store has started a new era. */
-	recordStoreEra(): void {
-		this.#storeEras.inc();
-	}
-
 	/**
 	 * Records that a target has announced that it accepts no more requests.
 	 *
--- a/packages/gateway/src/snapshot/item-replica.ts
+++ b/packages/gateway/src/snapshot/item-replica.ts
@@ -162,7 +162,7 @@
 	 */
 	getChangesAfter(
 		position: StorePosition | undefined,
-	): Omit<PublishedChanges, 'ageMs' | 'holdMs' | 'via'> {
+	): Pick<PublishedChanges, 'isWhole' | 'changes' | 'era' | 'revision'> {
 		const {era} = this.position;
 		if (
 			position?.era === era &&
--- a/packages/gateway/src/snapshot/snapshot-feed.ts
+++ b/packages/gateway/src/snapshot/snapshot-feed.ts
@@ -3,7 +3,7 @@
 import type {Clock, RandomSource} from '@bilberryscale/core';
 import type {RoutingSnapshot} from '../plan/routing-snapshot.js';
 import type {EventLog} from '../records/event-log.js';
-import type {GatewayMetrics} from '../records/gateway-metrics.js';
+import type {SnapshotMetrics} from '../records/snapshot-metrics.js';
 import {ItemReplica} from './item-replica.js';
 import type {
 	ItemDecoder,
@@ -20,7 +20,7 @@
 	readonly clock: Clock;
 	readonly random: RandomSource;
 	readonly log: EventLog;
-	readonly metrics: GatewayMetrics;
+	readonly metrics: SnapshotMetrics;
 	readonly decode: ItemDecoder;
 	/** Decodes large items ahead; undefined if the decoder never takes long. */
 	readonly prepareItem?: ItemPreparation | undefined;
@@ -71,6 +71,8 @@
 	#currentSource: SnapshotSource | undefined;
 	/** The hosts through which the snapshot was last read, the nearest first. */
 	#via: readonly string[] = [];
+	/** How old the snapshots of those hosts were when they passed it on, in milliseconds. */
+	#viaAgesMs: readonly number[] = [];
 	/** Whether the next read must return all items, not only changes. */
 	#needsFullRead = true;
 	/** Whether the next full read may return stale items. */
@@ -99,6 +101,7 @@
 			decode: options.decode,
 			onUnreadable(name, reason) {
 				options.log.warn('published item unreadable', {name, reason});
+				options.metrics.recordUnreadableItem();
 			},
 		});
 	}
@@ -147,6 +150,7 @@
 				? unconfirmedAgeMs
 				: Math.min(this.ageMs, unconfirmedAgeMs),
 			via: [this.#options.address, ...this.#via],
+			viaAgesMs: this.#viaAgesMs,
 			holdMs: Math.max(
 				0,
 				this.#retainUntilMs - this.#options.clock.monotonicMs(),
@@ -234,7 +238,7 @@
 					this.#isCaughtUp && this.#currentSource?.name === source.name,
 				);
 		if (result.isErr()) {
-			this.#handleReadError(source, result.error);
+			this.#handleReadError(source, result.error, startedAtMs);
 			return false;
 		}
 
@@ -243,12 +247,17 @@
 			this.#skipStaleSource(
 				source,
 				`it is in era ${result.value.era} of the store, this host in era ${this.position.era}`,
+				startedAtMs,
 			);
 			return false;
 		}
 
 		if (result.value.via.includes(this.#options.address)) {
-			this.#skipStaleSource(source, 'its snapshot comes from this host');
+			this.#skipStaleSource(
+				source,
+				'its snapshot comes from this host',
+				startedAtMs,
+			);
 			return false;
 		}
 
@@ -257,12 +266,14 @@
 			this.#skipStaleSource(
 				source,
 				`its snapshot is ${Math.round(result.value.ageMs)} ms old`,
+				startedAtMs,
 			);
 			return false;
 		}
 
-		this.#options.metrics.recordSnapshotRead(getSourceKind(source), 'ok');
+		this.#options.metrics.recordRead(getSourceKind(source), 'ok');
 		this.#via = result.value.via;
+		this.#viaAgesMs = getViaAges(result.value);
 		this.#handleReadSuccess(source, startedAtMs);
 		this.#isCaughtUp ||= !this.#needsFullRead || !source.isStore;
 		this.#needsFullRead = false;
@@ -271,10 +282,22 @@
 		this.#reportCaughtUp();
 		const confirmedAtMs =
 			this.#options.clock.monotonicMs() - result.value.ageMs;
-		this.confirmedAtMs = Math.max(this.confirmedAtMs, confirmedAtMs);
+		this.#confirm(confirmedAtMs);
 		return true;
 	}
 
+	#confirm(confirmedAtMs: number): void {
+		if (confirmedAtMs <= this.confirmedAtMs) {
+			return;
+		}
+
+		if (this.confirmedAtMs !== Number.NEGATIVE_INFINITY) {
+			this.#options.metrics.recordConfirmation(this.ageMs);
+		}
+
+		this.confirmedAtMs = confirmedAtMs;
+	}
+
 	async #prepareItems({changes}: PublishedChanges): Promise<void> {
 		const {prepareItem} = this.#options;
 		if (prepareItem === undefined) {
@@ -288,10 +311,28 @@
 		}
 	}
 
-	#skipStaleSource(source: SnapshotSource, detail: string): void {
+	#skipStaleSource(
+		source: SnapshotSource,
+		detail: string,
+		startedAtMs: number,
+	): void {
+		const {log, metrics} = this.#options;
 		this.#health.recordStale(source);
-		this.#options.metrics.recordSnapshotRead(getSourceKind(source), 'failed');
-		this.#dropCurrentSource(source, detail);
+		metrics.recordRead(getSourceKind(source), 'failed');
+		if (this.#currentSource?.name === source.name) {
+			this.#dropCurrentSource(source, detail, startedAtMs);
+		} else {
+			log.write('knowledge source skipped', {
+				source: source.name,
+				detail,
+				waitedMs: this.#getWaitedMs(startedAtMs),
+			});
+		}
+	}
+
+	/** Gets how long a read has taken, in whole milliseconds. */
+	#getWaitedMs(startedAtMs: number): number {
+		return Math.round(this.#options.clock.monotonicMs() - startedAtMs);
 	}
 
 	#reportCaughtUp(): void {
@@ -317,6 +358,8 @@
 				items: newChanges.length,
 				source: this.#currentSource?.name,
 				ageMs: Math.round(changes.ageMs),
+				via: changes.via,
+				viaAgesMs: getViaAges(changes),
 			});
 		}
 
@@ -328,6 +371,9 @@
 				revision,
 				source: this.#currentSource?.name,
 				ageMs: Math.round(changes.ageMs),
+				via: changes.via,
+				viaAgesMs: getViaAges(changes),
+				formerAgeMs: getFiniteAge(this.ageMs),
 				outcome: text === undefined ? 'removed' : 'set',
 				isHeld: text === undefined && retainUntilMs !== undefined,
 			});
@@ -399,9 +445,10 @@
 	#handleReadError(
 		source: SnapshotSource,
 		{isHistoryGone, detail, progress}: ReadError,
+		startedAtMs: number,
 	): void {
 		const {log, metrics} = this.#options;
-		metrics.recordSnapshotRead(
+		metrics.recordRead(
 			getSourceKind(source),
 			isHistoryGone ? 'history-gone' : 'failed',
 		);
@@ -422,6 +469,7 @@
 			source: source.name,
 			detail,
 			...progress,
+			waitedMs: this.#getWaitedMs(startedAtMs),
 			failureCount,
 		});
 		this.#mayHaveMissedExpiries ||= source.isStore;
@@ -430,17 +478,25 @@
 			log.writeState('dependency lost', {dependency: source.name, detail});
 		}
 
-		this.#dropCurrentSource(source, detail);
+		this.#dropCurrentSource(source, detail, startedAtMs);
 	}
 
-	#dropCurrentSource({name, isStore}: SnapshotSource, detail: string): void {
+	#dropCurrentSource(
+		{name, isStore}: SnapshotSource,
+		detail: string,
+		startedAtMs: number,
+	): void {
 		if (this.#currentSource?.name !== name) {
 			return;
 		}
 
 		this.#currentSource = undefined;
 		if (!isStore) {
-			this.#options.log.write('knowledge source lost', {source: name, detail});
+			this.#options.log.write('knowledge source lost', {
+				source: name,
+				detail,
+				waitedMs: this.#getWaitedMs(startedAtMs),
+			});
 		}
 	}
 
@@ -486,6 +542,16 @@
 	}
 }
 
+/** Gets how old the snapshot was at each host that passed it on, the nearest first, in whole milliseconds. */
+function getViaAges({via, ageMs, viaAgesMs}: PublishedChanges): number[] {
+	return via.length === 0 ? [] : [Math.round(ageMs), ...viaAgesMs];
+}
+
+/** Gets an age in whole milliseconds; undefined if nothing was confirmed yet. */
+function getFiniteAge(ageMs: number): number | undefined {
+	return Number.isFinite(ageMs) ? Math.round(ageMs) : undefined;
+}
+
 function getSourceKind({isStore}: SnapshotSource): string {
 	return isStore ? 'store' : 'peer';
 }
--- a/packages/gateway/src/snapshot/snapshot-source.ts
+++ b/packages/gateway/src/snapshot/snapshot-source.ts
@@ -34,6 +34,8 @@
 	readonly holdMs: number;
 	/** The hosts that have passed the changes on, the nearest first; none if they come from the store. */
 	readonly via: readonly string[];
+	/** How old the snapshots of the hosts before the nearest one were when they passed the changes on, in milliseconds. */
+	readonly viaAgesMs: readonly number[];
 };
 
 /** Why a read failed. */
--- a/packages/gateway/test/fixtures.ts
+++ b/packages/gateway/test/fixtures.ts
@@ -112,7 +112,16 @@
 	isWhole = false,
 	era = 0,
 ): PublishedChanges {
-	return {isWhole, changes, era, revision, ageMs: 0, holdMs: 0, via: []};
+	return {
+		isWhole,
+		changes,
+		era,
+		revision,
+		ageMs: 0,
+		holdMs: 0,
+		via: [],
+		viaAgesMs: [],
+	};
 }
 
 export function makeUpdate(
--- a/packages/gateway/test/fleet/decode-published-changes.test.ts
+++ b/packages/gateway/test/fleet/decode-published-changes.test.ts
@@ -12,7 +12,8 @@
 	revision: 4,
 	ageMs: 1.5,
 	holdMs: 0,
-	via: ['10.0.0.1'],
+	via: ['10.0.0.1', '10.0.0.2'],
+	viaAgesMs: [12],
 };
 
 describe('decodePublishedChanges', () => {
@@ -25,8 +26,8 @@
 	doTest('decodes changes', valid, valid);
 	doTest(
 		'decodes those of a host of an earlier version',
-		{...valid, era: undefined, via: undefined},
-		{...valid, era: 0, via: []},
+		{...valid, era: undefined, via: undefined, viaAgesMs: undefined},
+		{...valid, era: 0, via: [], viaAgesMs: []},
 	);
 	for (const [name, input] of [
 		['null', null],
@@ -40,6 +41,7 @@
 		['a negative revision', {...valid, revision: -1}],
 		['an age that is a string', {...valid, ageMs: '1'}],
 		['hosts that are numbers', {...valid, via: [1]}],
+		['a negative age of a host', {...valid, viaAgesMs: [-1]}],
 	] as const) {
 		doTest(`rejects ${name}`, input, undefined);
 	}
--- a/packages/gateway/test/fleet/snapshot-compression.test.ts
+++ b/packages/gateway/test/fleet/snapshot-compression.test.ts
@@ -57,7 +57,7 @@
 		clock,
 		random,
 		log,
-		metrics: new GatewayMetrics(),
+		metrics: new GatewayMetrics().snapshot,
 		decode: decodeTestItem,
 		address,
 		getSources: () => [store],
--- a/packages/gateway/test/fleet/start-reads.test.ts
+++ b/packages/gateway/test/fleet/start-reads.test.ts
@@ -160,7 +160,7 @@
 			clock,
 			random,
 			log,
-			metrics: new GatewayMetrics(),
+			metrics: new GatewayMetrics().snapshot,
 			decode: (name, text) =>
 				decodeTestItem(name === 't-0' ? 'plan' : name, text),
 			address,
--- a/packages/gateway/test/snapshot/snapshot-feed.test.ts
+++ b/packages/gateway/test/snapshot/snapshot-feed.test.ts
@@ -37,7 +37,7 @@
 		clock,
 		random: makeSeededRandom(1),
 		log,
-		metrics,
+		metrics: metrics.snapshot,
 		decode: decodeTestItem,
 		address: 'self',
 		getSources: () => (typeof sources === 'function' ? sources() : sources),
