--- a/packages/cli/test/commands/config-check.test.ts
+++ b/packages/cli/test/commands/config-check.test.ts
@@ -154,6 +154,7 @@
 					holdMs: 0,
 					via: [],
 					viaAgesMs: [],
+					heldMs: 0,
 				}),
 		);
 
--- a/packages/gateway/src/fleet/decode-published-changes.ts
+++ b/packages/gateway/src/fleet/decode-published-changes.ts
@@ -10,7 +10,7 @@
 /**
  * Decodes and checks a host's response to a read.
  *
- * @param value - The result in the response. Hosts of an earlier version send neither an era nor the hosts on the way and their ages.
+ * @param value - The result in the response. Hosts of an earlier version send no era, no hosts on the way, and not how long they held the request.
  * @returns The changes; undefined if a field is missing or has the wrong type.
  */
 export function decodePublishedChanges(
@@ -21,19 +21,30 @@
 	}
 
 	const {isWhole, changes, era = 0, revision, ageMs, holdMs} = value;
-	const {via = [], viaAgesMs = []} = value;
+	const {heldMs = 0, via = [], viaAgesMs = []} = value;
 	const areFieldsValid =
 		typeof isWhole === 'boolean' &&
 		isCount(era) &&
 		isCount(revision) &&
 		isDuration(ageMs) &&
+		isDuration(heldMs) &&
 		isDuration(holdMs) &&
 		isStringArray(via) &&
 		isDurationArray(viaAgesMs);
 	return areFieldsValid &&
 		Array.isArray(changes) &&
 		changes.every((change) => isChange(change))
-		? {isWhole, changes, era, revision, ageMs, holdMs, via, viaAgesMs}
+		? {
+				isWhole,
+				changes,
+				era,
+				revision,
+				ageMs,
+				heldMs,
+				holdMs,
+				via,
+				viaAgesMs,
+			}
 		: undefined;
 }
 
--- a/packages/gateway/src/fleet/snapshot-server.ts
+++ b/packages/gateway/src/fleet/snapshot-server.ts
@@ -71,8 +71,11 @@
 			}
 
 			const position = {era, revision: after};
-			await feed.waitForChange(position, Math.min(waitMs, maxWaitMs));
-			return feed.getChangesAfter(position);
+			const heldMs = await feed.waitForChange(
+				position,
+				Math.min(waitMs, maxWaitMs),
+			);
+			return {...feed.getChangesAfter(position), heldMs};
 		});
 		this.#httpServer = createServer((request, response) => {
 			void this.#handleRequest(request, response);
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -11,15 +11,16 @@
 export type {HedgingOptions} from './context/make-hedged-dispatcher.js';
 export type {Endpoint, GatewaySettings} from './context/gateway-settings.js';
 export {TextClient, type TextClientOptions} from './edge/text-client.js';
-export type {
-	ItemDecoder,
-	ItemPreparation,
-	PublishedChange,
-	PublishedChanges,
-	ItemContent,
-	SnapshotSource,
-	StorePosition,
-	ReadError,
+export {
+	unconfirmedAgeMs,
+	type ItemDecoder,
+	type ItemPreparation,
+	type PublishedChange,
+	type PublishedChanges,
+	type ItemContent,
+	type SnapshotSource,
+	type StorePosition,
+	type ReadError,
 } from './snapshot/snapshot-source.js';
 export {PeerReader, type PeerReaderOptions} from './fleet/peer-reader.js';
 export {checkPlan, type PlanCheckContext} from './plan/plan-check.js';
--- a/packages/gateway/src/snapshot/snapshot-feed.ts
+++ b/packages/gateway/src/snapshot/snapshot-feed.ts
@@ -4,14 +4,16 @@
 import type {RoutingSnapshot} from '../plan/routing-snapshot.js';
 import type {EventLog} from '../records/event-log.js';
 import type {SnapshotMetrics} from '../records/snapshot-metrics.js';
+import {Confirmation, getViaAges} from './confirmation.js';
 import {ItemReplica} from './item-replica.js';
-import type {
-	ItemDecoder,
-	ItemPreparation,
-	PublishedChanges,
-	SnapshotSource,
-	ReadError,
-	StorePosition,
+import {
+	unconfirmedAgeMs,
+	type ItemDecoder,
+	type ItemPreparation,
+	type PublishedChanges,
+	type SnapshotSource,
+	type ReadError,
+	type StorePosition,
 } from './snapshot-source.js';
 import {SourceHealth} from './source-health.js';
 
@@ -55,24 +57,17 @@
 const maxPeerWaitMs = 500;
 /** Targets whose entries expired while the store was down register again within this time after its recovery. */
 const reregistrationGraceMs = 2000;
-/** The age that is reported for a snapshot which the store does not confirm. */
-const unconfirmedAgeMs = 1e9;
 
 /** Reads published items from the first source that answers and builds snapshots of them. */
 export class SnapshotFeed {
-	/** When the store last confirmed the snapshot, on the monotonic clock. */
-	confirmedAtMs = Number.NEGATIVE_INFINITY;
 	readonly #options: SnapshotFeedOptions;
 	readonly #replica: ItemReplica;
 	readonly #health: SourceHealth;
+	readonly #confirmation: Confirmation;
 	readonly #waiters = new Set<() => void>();
 	/** How many reads in a row have failed, by source. */
 	readonly #failureCounts = new Map<string, number>();
 	#currentSource: SnapshotSource | undefined;
-	/** The hosts through which the snapshot was last read, the nearest first. */
-	#via: readonly string[] = [];
-	/** How old the snapshots of those hosts were when they passed it on, in milliseconds. */
-	#viaAgesMs: readonly number[] = [];
 	/** Whether the next read must return all items, not only changes. */
 	#needsFullRead = true;
 	/** Whether the next full read may return stale items. */
@@ -97,6 +92,7 @@
 	constructor(options: SnapshotFeedOptions) {
 		this.#options = options;
 		this.#health = new SourceHealth(options);
+		this.#confirmation = new Confirmation(options.clock);
 		this.#replica = new ItemReplica({
 			decode: options.decode,
 			onUnreadable(name, reason) {
@@ -113,7 +109,7 @@
 
 	/** Gets the time since the store confirmed the snapshot, in milliseconds. */
 	get ageMs(): number {
-		return this.#options.clock.monotonicMs() - this.confirmedAtMs;
+		return this.#confirmation.ageMs;
 	}
 
 	/** Gets whether the store has failed this host and no peer has taken its place. */
@@ -146,11 +142,12 @@
 	getChangesAfter(position: StorePosition | undefined): PublishedChanges {
 		return {
 			...this.#replica.getChangesAfter(position),
+			heldMs: 0,
 			ageMs: this.#isCutOff
 				? unconfirmedAgeMs
 				: Math.min(this.ageMs, unconfirmedAgeMs),
-			via: [this.#options.address, ...this.#via],
-			viaAgesMs: this.#viaAgesMs,
+			via: [this.#options.address, ...this.#confirmation.via],
+			viaAgesMs: this.#confirmation.viaAgesMs,
 			holdMs: Math.max(
 				0,
 				this.#retainUntilMs - this.#options.clock.monotonicMs(),
@@ -164,15 +161,19 @@
 	 *
 	 * @param position - The state that the caller has.
 	 * @param waitMs - The maximum wait, in milliseconds.
+	 * @returns How long it has waited, in milliseconds.
 	 */
 	async waitForChange(
 		{era, revision}: StorePosition,
 		waitMs: number,
-	): Promise<void> {
+	): Promise<number> {
 		if (this.position.era !== era || this.position.revision > revision) {
-			return;
+			return 0;
 		}
 
+		const {clock} = this.#options;
+		const startedAtMs = clock.monotonicMs();
+
 		await new Promise<void>((resolve) => {
 			const finish = () => {
 				cancel();
@@ -180,9 +181,10 @@
 				resolve();
 			};
 
-			const cancel = this.#options.clock.schedule(waitMs, finish);
+			const cancel = clock.schedule(waitMs, finish);
 			this.#waiters.add(finish);
 		});
+		return clock.monotonicMs() - startedAtMs;
 	}
 
 	/**
@@ -261,41 +263,34 @@
 			return false;
 		}
 
-		if (!source.isStore && result.value.ageMs > maxPeerSnapshotAgeMs) {
+		const ageMs = this.#confirmation.getResultAgeMs(result.value, startedAtMs);
+		if (!source.isStore && ageMs > maxPeerSnapshotAgeMs) {
 			this.#apply(result.value);
 			this.#skipStaleSource(
 				source,
-				`its snapshot is ${Math.round(result.value.ageMs)} ms old`,
+				`its snapshot is ${Math.round(ageMs)} ms old`,
 				startedAtMs,
 			);
 			return false;
 		}
 
 		this.#options.metrics.recordRead(getSourceKind(source), 'ok');
-		this.#via = result.value.via;
-		this.#viaAgesMs = getViaAges(result.value);
 		this.#handleReadSuccess(source, startedAtMs);
 		this.#isCaughtUp ||= !this.#needsFullRead || !source.isStore;
 		this.#needsFullRead = false;
 		this.#allowsStaleRead = true;
 		this.#apply(result.value);
 		this.#reportCaughtUp();
-		const confirmedAtMs =
-			this.#options.clock.monotonicMs() - result.value.ageMs;
-		this.#confirm(confirmedAtMs);
+		this.#confirm(result.value, startedAtMs);
 		return true;
 	}
 
-	#confirm(confirmedAtMs: number): void {
-		if (confirmedAtMs <= this.confirmedAtMs) {
-			return;
+	#confirm(changes: PublishedChanges, startedAtMs: number): void {
+		const formerAgeMs = this.ageMs;
+		const isNewer = this.#confirmation.renew(changes, startedAtMs);
+		if (isNewer && Number.isFinite(formerAgeMs)) {
+			this.#options.metrics.recordConfirmation(formerAgeMs);
 		}
-
-		if (this.confirmedAtMs !== Number.NEGATIVE_INFINITY) {
-			this.#options.metrics.recordConfirmation(this.ageMs);
-		}
-
-		this.confirmedAtMs = confirmedAtMs;
 	}
 
 	async #prepareItems({changes}: PublishedChanges): Promise<void> {
@@ -542,11 +537,6 @@
 	}
 }
 
-/** Gets how old the snapshot was at each host that passed it on, the nearest first, in whole milliseconds. */
-function getViaAges({via, ageMs, viaAgesMs}: PublishedChanges): number[] {
-	return via.length === 0 ? [] : [Math.round(ageMs), ...viaAgesMs];
-}
-
 /** Gets an age in whole milliseconds; undefined if nothing was confirmed yet. */
 function getFiniteAge(ageMs: number): number | undefined {
 	return Number.isFinite(ageMs) ? Math.round(ageMs) : undefined;
--- a/packages/gateway/src/snapshot/snapshot-source.ts
+++ b/packages/gateway/src/snapshot/snapshot-source.ts
@@ -28,8 +28,10 @@
 	readonly era: number;
 	/** All changes up to this revision are covered. */
 	readonly revision: number;
-	/** The time since the store confirmed this state, in milliseconds. */
+	/** The time since the store confirmed this state, as of the response, in milliseconds. */
 	readonly ageMs: number;
+	/** How long the source has held the request, so that the response is newer than the request by that, in milliseconds. */
+	readonly heldMs: number;
 	/** For how long removed targets must still be kept, in milliseconds, as they may register again. */
 	readonly holdMs: number;
 	/** The hosts that have passed the changes on, the nearest first; none if they come from the store. */
@@ -38,6 +40,9 @@
 	readonly viaAgesMs: readonly number[];
 };
 
+/** The age that is reported for a state which the store has not confirmed, in milliseconds. */
+export const unconfirmedAgeMs = 1e9;
+
 /** Why a read failed. */
 export type ReadError = {
 	/** Whether the source no longer has the changes after the given revision. */
--- a/packages/gateway/test/fixtures.ts
+++ b/packages/gateway/test/fixtures.ts
@@ -118,6 +118,7 @@
 		era,
 		revision,
 		ageMs: 0,
+		heldMs: 0,
 		holdMs: 0,
 		via: [],
 		viaAgesMs: [],
--- a/packages/gateway/test/fleet/decode-published-changes.test.ts
+++ b/packages/gateway/test/fleet/decode-published-changes.test.ts
@@ -11,6 +11,7 @@
 	era: 2,
 	revision: 4,
 	ageMs: 1.5,
+	heldMs: 120,
 	holdMs: 0,
 	via: ['10.0.0.1', '10.0.0.2'],
 	viaAgesMs: [12],
@@ -26,8 +27,14 @@
 	doTest('decodes changes', valid, valid);
 	doTest(
 		'decodes those of a host of an earlier version',
-		{...valid, era: undefined, via: undefined, viaAgesMs: undefined},
-		{...valid, era: 0, via: [], viaAgesMs: []},
+		{
+			...valid,
+			era: undefined,
+			heldMs: undefined,
+			via: undefined,
+			viaAgesMs: undefined,
+		},
+		{...valid, era: 0, heldMs: 0, via: [], viaAgesMs: []},
 	);
 	for (const [name, input] of [
 		['null', null],
@@ -40,6 +47,7 @@
 		],
 		['a negative revision', {...valid, revision: -1}],
 		['an age that is a string', {...valid, ageMs: '1'}],
+		['a negative time for which the request was held', {...valid, heldMs: -1}],
 		['hosts that are numbers', {...valid, via: [1]}],
 		['a negative age of a host', {...valid, viaAgesMs: [-1]}],
 	] as const) {
