Bound the time until a change is in force by one budget

Change: `FreshnessBudget` derives each age and wait from the shortest of the published bounds on changes (configuration, draining, evacuation, keys). Hosts that failed or are stale are passed over, so that the first host that reaches the store takes the place of those that lost it; while the store is down only the guard reads it.

--- a/packages/gateway/src/context/gateway-host.ts
+++ b/packages/gateway/src/context/gateway-host.ts
@@ -29,6 +29,7 @@
 import type {ForwardedRequest} from '../forwarding/forwarding-protocol.js';
 import type {SharedLimitMessage} from '../fleet/gossip.js';
 import {defaultWarmUpBound} from '../warm-up/warm-up-bound.js';
+import {FreshnessBudget} from '../snapshot/freshness-budget.js';
 import {SnapshotFeed} from '../snapshot/snapshot-feed.js';
 import type {
 	ItemDecoder,
@@ -65,6 +66,8 @@
 	readonly callerServer: CallerServer;
 	/** The reader of the store with the published items. */
 	readonly store: SnapshotSource;
+	/** Another one with a connection of its own, which does not wait for reads of the first. */
+	readonly directStore: SnapshotSource;
 	readonly decode: ItemDecoder;
 	/** Decodes large items ahead; undefined if the decoder never takes long. */
 	readonly prepareItem?: ItemPreparation;
@@ -235,7 +238,10 @@
 			decode,
 			prepareItem: options.prepareItem,
 			address: settings.callers.address,
-			getSources: (hasSnapshot) => this.#fleet.getSources(hasSnapshot),
+			getSources: (state) => this.#fleet.getSources(state),
+			directStore: options.directStore,
+			budget: new FreshnessBudget(() => this.#settings.current),
+			getRank: () => this.#fleet.rank,
 			getHostCount: () => this.#fleet.hostCount,
 			expectsPeers: hasOtherSeeds,
 			onSnapshot: (snapshot) => {
--- a/packages/gateway/src/context/gateway-settings.ts
+++ b/packages/gateway/src/context/gateway-settings.ts
@@ -42,6 +42,10 @@
 	 * accepted, in milliseconds; undefined if the last known keys always are.
 	 */
 	readonly maxAccountsAgeMs: number | undefined;
+	/** Maximum time until a published change of any kind is in force, in milliseconds. */
+	readonly maxChangeDelayMs: number;
+	/** How long after a disruption of the network or the store the bounds hold again, in milliseconds. */
+	readonly recoveryMs: number;
 	/** The memory that the process may use, in bytes; undefined if it is not known. */
 	readonly memoryBytes?: number | undefined;
 	/** Whether the whole fleet starts for the first time, so that no host has run before. */
--- a/packages/gateway/src/context/live-settings.ts
+++ b/packages/gateway/src/context/live-settings.ts
@@ -18,6 +18,8 @@
 	'warmUpBound',
 	'questionsPerTargetSecond',
 	'maxAccountsAgeMs',
+	'maxChangeDelayMs',
+	'recoveryMs',
 	'shutdownMs',
 	'isFirstStart',
 ]);
@@ -60,7 +62,7 @@
 			questionsPerTargetSecond,
 			shutdownMs,
 		} = next;
-		const {maxAccountsAgeMs, isFirstStart} = next;
+		const {maxAccountsAgeMs, maxChangeDelayMs, recoveryMs, isFirstStart} = next;
 		this.#current = {
 			...this.#current,
 			seeds,
@@ -69,6 +71,8 @@
 			...(warmUpBound !== undefined && {warmUpBound}),
 			questionsPerTargetSecond,
 			maxAccountsAgeMs,
+			maxChangeDelayMs,
+			recoveryMs,
 			shutdownMs,
 			isFirstStart,
 		};
--- a/packages/gateway/src/fleet/decode-published-changes.ts
+++ b/packages/gateway/src/fleet/decode-published-changes.ts
@@ -21,7 +21,7 @@
 	}
 
 	const {isWhole, changes, era = 0, revision, ageMs, holdMs} = value;
-	const {heldMs = 0, via = [], viaAgesMs = []} = value;
+	const {heldMs = 0, via = [], viaAgesMs = [], confirmationCount} = value;
 	const areFieldsValid =
 		typeof isWhole === 'boolean' &&
 		isCount(era) &&
@@ -30,7 +30,8 @@
 		isDuration(heldMs) &&
 		isDuration(holdMs) &&
 		isStringArray(via) &&
-		isDurationArray(viaAgesMs);
+		isDurationArray(viaAgesMs) &&
+		(confirmationCount === undefined || isCount(confirmationCount));
 	return areFieldsValid &&
 		Array.isArray(changes) &&
 		changes.every((change) => isChange(change))
@@ -44,6 +45,7 @@
 				holdMs,
 				via,
 				viaAgesMs,
+				...(confirmationCount !== undefined && {confirmationCount}),
 			}
 		: undefined;
 }
--- a/packages/gateway/src/fleet/fleet.ts
+++ b/packages/gateway/src/fleet/fleet.ts
@@ -6,7 +6,7 @@
 import type {Endpoint, GatewaySettings} from '../context/gateway-settings.js';
 import {listenWhenFree} from '../edge/listen.js';
 import type {SnapshotFeed} from '../snapshot/snapshot-feed.js';
-import type {SnapshotSource} from '../snapshot/snapshot-source.js';
+import type {SnapshotSource, SourceState} from '../snapshot/snapshot-source.js';
 import type {TargetIncarnation} from '../plan/registered-target.js';
 import type {EventLog} from '../records/event-log.js';
 import {makePortWait} from '../records/make-port-wait.js';
@@ -101,6 +101,14 @@
 		return this.#options.settings.dataCentre;
 	}
 
+	/** Gets the position of this host among the live hosts of its data centre, from 0. */
+	get rank(): number {
+		const {address} = this.#options.settings.callers;
+		return this.#membership
+			.getSortedHosts(this.dataCentre)
+			.findIndex((host) => host.address === address);
+	}
+
 	/** Starts the gossip and, if other hosts may connect, the snapshot server. */
 	async start(): Promise<void> {
 		const {settings, getFeed, log, clock} = this.#options;
@@ -126,10 +134,10 @@
 	/**
 	 * Gets the sources of the snapshot in the order in which they are tried.
 	 *
-	 * @param hasSnapshot - Whether this host has read a snapshot.
+	 * @param state - What this host has read, and which sources it can use.
 	 * @returns The sources.
 	 */
-	getSources(hasSnapshot: boolean): SnapshotSource[] {
+	getSources(state: SourceState): SnapshotSource[] {
 		const {settings, store} = this.#options;
 		return orderSources(
 			{
@@ -139,7 +147,7 @@
 				store,
 				getPeer: (member) => this.#getPeer(member),
 			},
-			hasSnapshot,
+			state,
 		);
 	}
 
--- a/packages/gateway/src/fleet/peer-reader.ts
+++ b/packages/gateway/src/fleet/peer-reader.ts
@@ -30,8 +30,6 @@
 	readonly pace?: TransferPace;
 };
 
-/** How long the other host waits for a change before it responds, in milliseconds. */
-const longPollMs = 500;
 /** How long a response may take to begin beyond that wait by default, in milliseconds. */
 const defaultResponseMarginMs = 300;
 const defaultPace: TransferPace = {graceMs: 150, bytesPerSecond: 1_048_576};
@@ -51,6 +49,8 @@
 export class PeerReader implements SnapshotSource {
 	readonly #options: PeerReaderOptions;
 	readonly #httpClient: TextClient;
+	/** How often the snapshot of the other host had been confirmed in its last response. */
+	#confirmationCount: number | undefined;
 
 	/**
 	 * @param options - The host to read from.
@@ -74,10 +74,15 @@
 
 	async readChanges(
 		{era, revision}: StorePosition,
-		shouldWait: boolean,
+		waitMs: number,
 	): Promise<Result<PublishedChanges, ReadError>> {
-		const waitMs = shouldWait ? longPollMs : 0;
-		return this.#read({era, after: revision, waitMs});
+		const confirmationCount = this.#confirmationCount;
+		return this.#read({
+			era,
+			after: revision,
+			waitMs: Math.floor(waitMs),
+			...(confirmationCount !== undefined && {confirmationCount}),
+		});
 	}
 
 	/** Closes the connection. */
@@ -95,6 +100,7 @@
 			const result: unknown = await rpcClient.request(snapshotMethod, query);
 			const changes = decodePublishedChanges(result);
 			if (changes !== undefined) {
+				this.#confirmationCount = changes.confirmationCount;
 				return Ok(changes);
 			}
 
--- a/packages/gateway/src/fleet/snapshot-server.ts
+++ b/packages/gateway/src/fleet/snapshot-server.ts
@@ -28,6 +28,8 @@
 	readonly after?: number;
 	/** How long to wait for a newer revision, in milliseconds. */
 	readonly waitMs: number;
+	/** How often the snapshot had been confirmed in the last response; the wait ends when that changes. Absent for a wait that does not. */
+	readonly confirmationCount?: number;
 };
 
 /** The JSON-RPC method that returns the published changes. */
@@ -65,6 +67,7 @@
 				after,
 				era = feed.position.era,
 				waitMs,
+				confirmationCount,
 			} = decodeQueryOrThrow(query);
 			if (after === undefined) {
 				return feed.getChangesAfter(undefined);
@@ -74,6 +77,7 @@
 			const heldMs = await feed.waitForChange(
 				position,
 				Math.min(waitMs, maxWaitMs),
+				confirmationCount,
 			);
 			return {...feed.getChangesAfter(position), heldMs};
 		});
@@ -127,9 +131,15 @@
 }
 
 function decodeQueryOrThrow(value: unknown): SnapshotQuery {
-	const {after, era, waitMs} = (value ?? {}) as Record<string, unknown>;
+	const {after, era, waitMs, confirmationCount} = (value ?? {}) as Record<
+		string,
+		unknown
+	>;
 	const isValid =
-		isOptionalCount(after) && isOptionalCount(era) && Number.isFinite(waitMs);
+		isOptionalCount(after) &&
+		isOptionalCount(era) &&
+		isOptionalCount(confirmationCount) &&
+		Number.isFinite(waitMs);
 	if (!isValid) {
 		throw new TypeError(`not a query: ${JSON.stringify(value)}`);
 	}
--- a/packages/gateway/src/snapshot/confirmation.ts
+++ b/packages/gateway/src/snapshot/confirmation.ts
@@ -7,6 +7,7 @@
 export class Confirmation {
 	readonly #clock: Clock;
 	#confirmedAtMs = Number.NEGATIVE_INFINITY;
+	#count = 0;
 	#via: readonly string[] = [];
 	#viaAgesMs: readonly number[] = [];
 
@@ -22,6 +23,16 @@
 		return this.#clock.monotonicMs() - this.#confirmedAtMs;
 	}
 
+	/** Gets when the store last confirmed the snapshot, on the monotonic clock, in milliseconds; negative infinity if it never has. */
+	get confirmedAtMs(): number {
+		return this.#confirmedAtMs;
+	}
+
+	/** Gets how often the snapshot was confirmed. */
+	get count(): number {
+		return this.#count;
+	}
+
 	/** Gets the hosts that have passed the latest confirmation on, the nearest first; none if it came from the store. */
 	get via(): readonly string[] {
 		return this.#via;
@@ -63,6 +74,7 @@
 		}
 
 		this.#confirmedAtMs = confirmedAtMs;
+		this.#count++;
 		this.#via = changes.via;
 		this.#viaAgesMs = getViaAges(changes);
 		return true;
--- a/packages/gateway/src/snapshot/snapshot-feed.ts
+++ b/packages/gateway/src/snapshot/snapshot-feed.ts
@@ -5,6 +5,8 @@
 import type {EventLog} from '../records/event-log.js';
 import type {SnapshotMetrics} from '../records/snapshot-metrics.js';
 import {Confirmation, getViaAges} from './confirmation.js';
+import type {FreshnessBudget} from './freshness-budget.js';
+import {FreshnessGuard} from './freshness-guard.js';
 import {ItemReplica} from './item-replica.js';
 import {
 	unconfirmedAgeMs,
@@ -12,6 +14,7 @@
 	type ItemPreparation,
 	type PublishedChanges,
 	type SnapshotSource,
+	type SourceState,
 	type ReadError,
 	type StorePosition,
 } from './snapshot-source.js';
@@ -31,9 +34,14 @@
 	/**
 	 * Gets the sources in the order in which they are to be tried.
 	 *
-	 * @param hasSnapshot - Whether anything was read yet.
+	 * @param state - What the host has read, and which sources it can use.
 	 */
-	readonly getSources: (hasSnapshot: boolean) => readonly SnapshotSource[];
+	readonly getSources: (state: SourceState) => readonly SnapshotSource[];
+	/** A reader of the store that serves a read at once, whatever the sources are waiting for. */
+	readonly directStore: SnapshotSource;
+	readonly budget: FreshnessBudget;
+	/** Gets the position of this host among those of its data centre, from 0. */
+	readonly getRank: () => number;
 	readonly getHostCount: () => number;
 	/** Whether other hosts are configured, which this one will hear of in a moment. */
 	readonly expectsPeers: () => boolean;
@@ -43,28 +51,28 @@
 	readonly onCaughtUp: () => void;
 };
 
-/** The delay between two reads, so that changes in quick succession are read together. */
-const coalescingDelayMs = 120;
 const minBackoffMs = 80;
 const maxBackoffMs = 400;
-/**
- * A peer whose snapshot is older is skipped. The limit covers the wait of a watch
- * on the store and the waits of two hosts that read in sequence, including their
- * timeouts.
- */
-const maxPeerSnapshotAgeMs = 2300;
 /** How long a host that has just started waits for other hosts before it watches the store itself, in milliseconds. */
 const maxPeerWaitMs = 500;
 /** Targets whose entries expired while the store was down register again within this time after its recovery. */
 const reregistrationGraceMs = 2000;
 
+/** A peer that waits for a change. */
+type Waiter = {
+	readonly finish: () => void;
+	/** Whether the wait also ends when the snapshot is confirmed again. */
+	readonly endsOnConfirmation: boolean;
+};
+
 /** Reads published items from the first source that answers and builds snapshots of them. */
 export class SnapshotFeed {
 	readonly #options: SnapshotFeedOptions;
 	readonly #replica: ItemReplica;
 	readonly #health: SourceHealth;
 	readonly #confirmation: Confirmation;
-	readonly #waiters = new Set<() => void>();
+	readonly #guard: FreshnessGuard;
+	readonly #waiters = new Set<Waiter>();
 	/** How many reads in a row have failed, by source. */
 	readonly #failureCounts = new Map<string, number>();
 	#currentSource: SnapshotSource | undefined;
@@ -93,6 +101,14 @@
 		this.#options = options;
 		this.#health = new SourceHealth(options);
 		this.#confirmation = new Confirmation(options.clock);
+		this.#guard = new FreshnessGuard({
+			clock: options.clock,
+			getDueMs: () => this.#getDirectReadDueMs(),
+			getCheckDelayMs: () => options.budget.refreshAgeMs,
+			getReadDelayMs: () => options.budget.coalescingDelayMs,
+			read: async () =>
+				this.#readSafely(async () => this.#readFrom(options.directStore, 0)),
+		});
 		this.#replica = new ItemReplica({
 			decode: options.decode,
 			onUnreadable(name, reason) {
@@ -120,10 +136,14 @@
 
 	/** Reads changes until the feed is stopped. */
 	async run(): Promise<void> {
-		this.#startedAtMs = this.#options.clock.monotonicMs();
+		const {clock, budget} = this.#options;
+		this.#startedAtMs = clock.monotonicMs();
+		this.#guard.start();
 		while (!this.#isStopped) {
-			const hasSucceeded = await this.#readSafely();
-			const nextReadDelayMs = this.#isCaughtUp ? coalescingDelayMs : 0;
+			const hasSucceeded = await this.#readSafely(async () =>
+				this.#readFromFirstAvailable(),
+			);
+			const nextReadDelayMs = this.#isCaughtUp ? budget.coalescingDelayMs : 0;
 			await this.#sleep(hasSucceeded ? nextReadDelayMs : this.#getBackoffMs());
 		}
 	}
@@ -131,6 +151,7 @@
 	/** Stops reading. */
 	stop(): void {
 		this.#isStopped = true;
+		this.#guard.stop();
 	}
 
 	/**
@@ -148,6 +169,7 @@
 				: Math.min(this.ageMs, unconfirmedAgeMs),
 			via: [this.#options.address, ...this.#confirmation.via],
 			viaAgesMs: this.#confirmation.viaAgesMs,
+			confirmationCount: this.#confirmation.count,
 			holdMs: Math.max(
 				0,
 				this.#retainUntilMs - this.#options.clock.monotonicMs(),
@@ -157,17 +179,25 @@
 
 	/**
 	 * Waits for a newer state of the store. The wait ends early when the store goes down, so
-	 * that peers learn of it at once.
+	 * that peers learn of it at once, and when the snapshot was confirmed again, so that the
+	 * age of their snapshots does not grow with each host on the way.
 	 *
 	 * @param position - The state that the caller has.
 	 * @param waitMs - The maximum wait, in milliseconds.
+	 * @param confirmationCount - How often the snapshot had been confirmed when the caller read it last; undefined to wait for changes only.
 	 * @returns How long it has waited, in milliseconds.
 	 */
 	async waitForChange(
 		{era, revision}: StorePosition,
 		waitMs: number,
+		confirmationCount?: number,
 	): Promise<number> {
-		if (this.position.era !== era || this.position.revision > revision) {
+		const endsOnConfirmation = confirmationCount !== undefined;
+		if (
+			this.position.era !== era ||
+			this.position.revision > revision ||
+			(endsOnConfirmation && confirmationCount !== this.#confirmation.count)
+		) {
 			return 0;
 		}
 
@@ -177,12 +207,13 @@
 		await new Promise<void>((resolve) => {
 			const finish = () => {
 				cancel();
-				this.#waiters.delete(finish);
+				this.#waiters.delete(waiter);
 				resolve();
 			};
 
 			const cancel = clock.schedule(waitMs, finish);
-			this.#waiters.add(finish);
+			const waiter = {finish, endsOnConfirmation};
+			this.#waiters.add(waiter);
 		});
 		return clock.monotonicMs() - startedAtMs;
 	}
@@ -194,7 +225,13 @@
 	 */
 	#getSources(): readonly SnapshotSource[] {
 		const {clock, getSources, expectsPeers} = this.#options;
-		const sources = getSources(this.position.revision > 0);
+		const sources = getSources({
+			hasSnapshot: this.position.revision > 0,
+			current: this.#currentSource,
+			isStoreDown: this.#health.isStoreDown,
+			isUsable: (source) => this.#health.isUsable(source),
+			getReliability: (source) => this.#health.getReliability(source),
+		});
 		const isWaitOver = clock.monotonicMs() - this.#startedAtMs >= maxPeerWaitMs;
 		if (
 			!this.#isCaughtUp ||
@@ -210,9 +247,9 @@
 	}
 
 	/** Reads a snapshot; an unexpected error counts as a failed read, so that the next one can succeed. */
-	async #readSafely(): Promise<boolean> {
+	async #readSafely(read: () => Promise<boolean>): Promise<boolean> {
 		try {
-			return await this.#readFromFirstAvailable();
+			return await read();
 		} catch (error) {
 			this.#options.log.warn('snapshot could not be read', {
 				cause: (error as Error).stack,
@@ -222,8 +259,19 @@
 	}
 
 	async #readFromFirstAvailable(): Promise<boolean> {
-		for (const source of this.#health.getUsableSources(this.#getSources())) {
-			if (await this.#readFrom(source)) {
+		// While the store is down, only the guard reads it, and no other read waits for it.
+		const sources = this.#health.getUsableSources(
+			this.#getSources(),
+			!this.#isCaughtUp,
+		);
+		for (const source of sources) {
+			const waitMs = this.#getWaitMs(source);
+			const isDirect = source.isStore && this.#isCaughtUp && waitMs === 0;
+			const hasSucceeded = isDirect
+				? await this.#guard.read()
+				: await this.#readFrom(source, waitMs);
+			if (hasSucceeded) {
+				this.#chooseSource(source);
 				return true;
 			}
 		}
@@ -231,14 +279,40 @@
 		return false;
 	}
 
-	async #readFrom(source: SnapshotSource): Promise<boolean> {
+	/** Gets how long a source may wait for a change: until the snapshot is too old to wait longer. */
+	#getWaitMs({name, isStore}: SnapshotSource): number {
+		if (!this.#isCaughtUp || this.#currentSource?.name !== name) {
+			return 0;
+		}
+
+		const {refreshAgeMs, maxPeerAgeMs} = this.#options.budget;
+		return Math.max(0, (isStore ? refreshAgeMs : maxPeerAgeMs) - this.ageMs);
+	}
+
+	/** Gets when this host must read the store directly, on the monotonic clock, in milliseconds. */
+	#getDirectReadDueMs(): number {
+		if (!this.#isCaughtUp) {
+			return Number.POSITIVE_INFINITY;
+		}
+
+		const {budget, getRank} = this.#options;
+		const {isStoreDown, isStoreFirst, storeRetryAtMs} = this.#health;
+		return isStoreDown && isStoreFirst
+			? storeRetryAtMs
+			: Math.max(
+					this.#confirmation.confirmedAtMs +
+						budget.getDirectReadAgeMs(getRank()),
+					storeRetryAtMs,
+				);
+	}
+
+	/** Reads from a source, and returns whether its result confirms the snapshot. */
+	async #readFrom(source: SnapshotSource, waitMs: number): Promise<boolean> {
 		const startedAtMs = this.#options.clock.monotonicMs();
-		const result = this.#needsFullRead
+		const isWholeRead = this.#needsFullRead;
+		const result = isWholeRead
 			? await source.readAll(this.#allowsStaleRead)
-			: await source.readChanges(
-					this.position,
-					this.#isCaughtUp && this.#currentSource?.name === source.name,
-				);
+			: await source.readChanges(this.position, waitMs);
 		if (result.isErr()) {
 			this.#handleReadError(source, result.error, startedAtMs);
 			return false;
@@ -264,8 +338,8 @@
 		}
 
 		const ageMs = this.#confirmation.getResultAgeMs(result.value, startedAtMs);
-		if (!source.isStore && ageMs > maxPeerSnapshotAgeMs) {
-			this.#apply(result.value);
+		if (!source.isStore && ageMs > this.#options.budget.maxPeerAgeMs) {
+			this.#apply(result.value, source);
 			this.#skipStaleSource(
 				source,
 				`its snapshot is ${Math.round(ageMs)} ms old`,
@@ -276,10 +350,10 @@
 
 		this.#options.metrics.recordRead(getSourceKind(source), 'ok');
 		this.#handleReadSuccess(source, startedAtMs);
-		this.#isCaughtUp ||= !this.#needsFullRead || !source.isStore;
+		this.#isCaughtUp ||= !isWholeRead || !source.isStore;
 		this.#needsFullRead = false;
 		this.#allowsStaleRead = true;
-		this.#apply(result.value);
+		this.#apply(result.value, source);
 		this.#reportCaughtUp();
 		this.#confirm(result.value, startedAtMs);
 		return true;
@@ -288,9 +362,15 @@
 	#confirm(changes: PublishedChanges, startedAtMs: number): void {
 		const formerAgeMs = this.ageMs;
 		const isNewer = this.#confirmation.renew(changes, startedAtMs);
-		if (isNewer && Number.isFinite(formerAgeMs)) {
+		if (!isNewer) {
+			return;
+		}
+
+		if (Number.isFinite(formerAgeMs)) {
 			this.#options.metrics.recordConfirmation(formerAgeMs);
 		}
+
+		this.#notifyWaiters(({endsOnConfirmation}) => endsOnConfirmation);
 	}
 
 	async #prepareItems({changes}: PublishedChanges): Promise<void> {
@@ -337,7 +417,7 @@
 		}
 	}
 
-	#apply(changes: PublishedChanges): void {
+	#apply(changes: PublishedChanges, source: SnapshotSource): void {
 		const {clock, log, onSnapshot} = this.#options;
 		const nowMs = clock.monotonicMs();
 		this.#detectNewEra(changes, nowMs);
@@ -351,7 +431,7 @@
 			log.writeState('knowledge read for the first time', {
 				...this.position,
 				items: newChanges.length,
-				source: this.#currentSource?.name,
+				source: source.name,
 				ageMs: Math.round(changes.ageMs),
 				via: changes.via,
 				viaAgesMs: getViaAges(changes),
@@ -364,7 +444,7 @@
 			log.write('knowledge changed', {
 				item: name,
 				revision,
-				source: this.#currentSource?.name,
+				source: source.name,
 				ageMs: Math.round(changes.ageMs),
 				via: changes.via,
 				viaAgesMs: getViaAges(changes),
@@ -412,9 +492,11 @@
 		}
 	}
 
-	#notifyWaiters(): void {
-		for (const notify of this.#waiters) {
-			notify();
+	#notifyWaiters(isConcerned: (waiter: Waiter) => boolean = () => true): void {
+		for (const waiter of this.#waiters) {
+			if (isConcerned(waiter)) {
+				waiter.finish();
+			}
 		}
 	}
 
@@ -499,7 +581,6 @@
 		const {clock, log} = this.#options;
 		const hasStoreRecovered = this.#health.recordSuccess(source);
 		this.#failureCounts.delete(source.name);
-		this.#backoffMs = minBackoffMs;
 		if (!source.isStore) {
 			this.#mayHaveMissedExpiries = false;
 		}
@@ -516,10 +597,15 @@
 				tookMs: Math.round(clock.monotonicMs() - startedAtMs),
 			});
 		}
+	}
 
+	#chooseSource(source: SnapshotSource): void {
+		this.#backoffMs = minBackoffMs;
 		if (this.#currentSource?.name !== source.name) {
 			this.#currentSource = source;
-			log.writeState('knowledge source chosen', {source: source.name});
+			this.#options.log.writeState('knowledge source chosen', {
+				source: source.name,
+			});
 		}
 	}
 
--- a/packages/gateway/src/snapshot/snapshot-source.ts
+++ b/packages/gateway/src/snapshot/snapshot-source.ts
@@ -38,6 +38,8 @@
 	readonly via: readonly string[];
 	/** How old the snapshots of the hosts before the nearest one were when they passed the changes on, in milliseconds. */
 	readonly viaAgesMs: readonly number[];
+	/** How often the snapshot of the host that responds was confirmed; undefined from the store and from hosts of an earlier version. */
+	readonly confirmationCount?: number | undefined;
 };
 
 /** The age that is reported for a state which the store has not confirmed, in milliseconds. */
@@ -71,15 +73,32 @@
 	 * Reads the changes after a state of the store.
 	 *
 	 * @param position - The state that the caller has.
-	 * @param shouldWait - Whether to wait for a change if there is none yet; otherwise the read returns at once.
+	 * @param waitMs - How long the source waits for a change if there is none yet, in milliseconds; another host also responds when its snapshot was confirmed again.
 	 * @returns The changes, none if the wait times out; all items if the source is in another era; or why the read failed.
 	 */
 	readChanges(
 		position: StorePosition,
-		shouldWait: boolean,
+		waitMs: number,
 	): Promise<Result<PublishedChanges, ReadError>>;
 };
 
+/** Whether a peer has failed or was stale: not lately, longer ago, or a short time ago. */
+export type PeerReliability = 'reliable' | 'suspect' | 'unreliable';
+
+/** What the order of the sources depends on. */
+export type SourceState = {
+	/** Whether anything was read yet. */
+	readonly hasSnapshot: boolean;
+	/** The source that this host reads from; undefined if it failed. */
+	readonly current: SnapshotSource | undefined;
+	/** Whether the last read of the store failed. */
+	readonly isStoreDown: boolean;
+	/** Checks whether a peer neither failed nor was stale a short time ago. */
+	readonly isUsable: (peer: SnapshotSource) => boolean;
+	/** Gets whether a peer may be tried before a source that works. */
+	readonly getReliability: (peer: SnapshotSource) => PeerReliability;
+};
+
 /** The decoded content of an item. */
 export type ItemContent =
 	| {readonly kind: 'plan'; readonly plan: RoutingPlan}
--- a/packages/gateway/test/context/live-settings.test.ts
+++ b/packages/gateway/test/context/live-settings.test.ts
@@ -21,6 +21,8 @@
 	retryBound: {ratio: 0.2, slack: 60, windowMs: 10_000},
 	questionsPerTargetSecond: 60,
 	maxAccountsAgeMs: undefined,
+	maxChangeDelayMs: 2000,
+	recoveryMs: 3000,
 	isFirstStart: false,
 	shutdownMs: 6000,
 };
--- a/packages/gateway/test/fixtures.ts
+++ b/packages/gateway/test/fixtures.ts
@@ -20,6 +20,7 @@
 import type {PlanVersion, Route, RouteName} from '../src/plan/routing-plan.js';
 import type {TargetProtocol} from '../src/targets/target-protocol.js';
 import {EventLog} from '../src/records/event-log.js';
+import {FreshnessBudget} from '../src/snapshot/freshness-budget.js';
 import type {
 	PublishedChange,
 	PublishedChanges,
@@ -160,6 +161,12 @@
 	}),
 };
 
+/** The budget of the platform's default bounds. */
+export const testBudget = new FreshnessBudget(() => ({
+	maxChangeDelayMs: 2000,
+	recoveryMs: 3000,
+}));
+
 /** Makes a log that collects its lines. */
 export function makeTestLog(clock: Clock): {
 	readonly log: EventLog;
@@ -197,9 +204,9 @@
 
 	async readChanges(
 		{revision}: StorePosition,
-		shouldWait: boolean,
+		waitMs: number,
 	): Promise<ReadResult> {
-		this.reads.push(`after ${revision}${shouldWait ? '' : ', no wait'}`);
+		this.reads.push(`after ${revision}${waitMs > 0 ? '' : ', no wait'}`);
 		return this.#next();
 	}
 
--- a/packages/gateway/test/fleet/snapshot-compression.test.ts
+++ b/packages/gateway/test/fleet/snapshot-compression.test.ts
@@ -15,6 +15,7 @@
 	makeTestLog,
 	makeUpdate,
 	ScriptedSource,
+	testBudget,
 } from '../fixtures.js';
 
 const address = '127.0.0.1';
@@ -61,6 +62,9 @@
 		decode: decodeTestItem,
 		address,
 		getSources: () => [store],
+		directStore: store,
+		budget: testBudget,
+		getRank: () => 0,
 		getHostCount: () => 1,
 		expectsPeers: () => false,
 		onSnapshot: () => undefined,
--- a/packages/gateway/test/fleet/start-reads.test.ts
+++ b/packages/gateway/test/fleet/start-reads.test.ts
@@ -28,6 +28,7 @@
 	makeChanges,
 	makeTestLog,
 	makeUpdate,
+	testBudget,
 } from '../fixtures.js';
 
 const defaultHostCount = 103;
@@ -111,10 +112,10 @@
 		name: 'store',
 		isStore: true,
 		readAll: async () => readStore(),
-		async readChanges({revision}, shouldWait) {
+		async readChanges({revision}, waitMs) {
 			const result = await readStore(revision);
-			await sleep(shouldWait && result.isOk() ? 500 : 0);
-			return result;
+			await sleep(result.isOk() ? waitMs : 0);
+			return result.map((changes) => ({...changes, heldMs: waitMs}));
 		},
 	};
 	const hosts: Host[] = [];
@@ -138,10 +139,10 @@
 			isStore: false,
 			readAll: async () =>
 				answer(async () => peer.feed.getChangesAfter(undefined)),
-			readChanges: async (position, shouldWait) =>
+			readChanges: async (position, waitMs) =>
 				answer(async () => {
-					await peer.feed.waitForChange(position, shouldWait ? 500 : 0);
-					return peer.feed.getChangesAfter(position);
+					const heldMs = await peer.feed.waitForChange(position, waitMs);
+					return {...peer.feed.getChangesAfter(position), heldMs};
 				}),
 		};
 	};
@@ -164,7 +165,7 @@
 			decode: (name, text) =>
 				decodeTestItem(name === 't-0' ? 'plan' : name, text),
 			address,
-			getSources: (hasSnapshot): SnapshotSource[] =>
+			getSources: (state): SnapshotSource[] =>
 				orderSources(
 					{
 						membership,
@@ -177,8 +178,14 @@
 								hosts.find((other) => other.address === member.address)!,
 							),
 					},
-					hasSnapshot,
+					state,
 				),
+			directStore: store,
+			budget: testBudget,
+			getRank: () =>
+				membership
+					.getSortedHosts(dataCentre)
+					.findIndex((member) => member.address === address),
 			getHostCount: () => hostCount,
 			expectsPeers: () => true,
 			onSnapshot: () => undefined,
--- a/packages/gateway/test/snapshot/snapshot-feed.test.ts
+++ b/packages/gateway/test/snapshot/snapshot-feed.test.ts
@@ -12,6 +12,7 @@
 	makeTestLog,
 	makeUpdate,
 	ScriptedSource,
+	testBudget,
 } from '../fixtures.js';
 
 const readFailed = Err({isHistoryGone: false, detail: 'no answer'});
@@ -33,6 +34,11 @@
 	let snapshot: RoutingSnapshot | undefined;
 	let isCaughtUp = false;
 	const metrics = new GatewayMetrics();
+	const getCurrentSources = () =>
+		typeof sources === 'function' ? sources() : sources;
+	const noStore = new ScriptedSource('store', true);
+	const getStore = () =>
+		getCurrentSources().find(({isStore}) => isStore) ?? noStore;
 	const feed = new SnapshotFeed({
 		clock,
 		random: makeSeededRandom(1),
@@ -40,7 +46,16 @@
 		metrics: metrics.snapshot,
 		decode: decodeTestItem,
 		address: 'self',
-		getSources: () => (typeof sources === 'function' ? sources() : sources),
+		getSources: getCurrentSources,
+		directStore: {
+			name: 'store',
+			isStore: true,
+			readAll: async (allowsStale) => getStore().readAll(allowsStale),
+			readChanges: async (position, waitMs) =>
+				getStore().readChanges(position, waitMs),
+		},
+		budget: testBudget,
+		getRank: () => 3,
 		getHostCount: () => hostCount,
 		expectsPeers: () => expectsPeers,
 		onSnapshot(next) {
