Ask callers to come back if the plan that lacks a route may be outdated

Callers got a final 404 for a route that exists, from a host that had learnt nothing for longer than a change may take, such as one back from a freeze or one that has lost the store and its peers.

Change: such a host answers 503, not run, with Retry-After 300 ms: the time in which it reads the store or the caller finds another host. A 404 ends the caller's attempts, and a look at another source would hold the request while nothing is known to come. While the plan was confirmed within the bound, an unknown route is 404 at once, as before.

--- a/packages/gateway/src/context/make-relay.ts
+++ b/packages/gateway/src/context/make-relay.ts
@@ -209,6 +209,8 @@
 					serviceTimeMs: serviceTimes.getMs(route.name, route.targetLatencyMs),
 				}),
 			accountCheck,
+			getSnapshotAgeMs: dependencies.getSnapshotAgeMs,
+			getMaxChangeDelayMs: () => settings.current.maxChangeDelayMs,
 			shutdownLimit,
 		}),
 		dispatcher,
--- a/packages/gateway/src/relay/request-reader.ts
+++ b/packages/gateway/src/relay/request-reader.ts
@@ -60,6 +60,10 @@
 		remainingMs: number,
 	) => ReturnTime | undefined;
 	readonly accountCheck: AccountCheck;
+	/** Gets the time since the store confirmed the plan in force, in milliseconds. */
+	readonly getSnapshotAgeMs: () => number;
+	/** Gets the maximum time until a published plan is in force, in milliseconds. */
+	readonly getMaxChangeDelayMs: () => number;
 	readonly shutdownLimit: Pick<ShutdownLimit, 'getExpectedMs' | 'isTooLate'>;
 };
 
@@ -69,6 +73,8 @@
 const retryAfterShare = 0.3;
 const minRetryAfterMs = 50;
 const maxRetryAfterMs = 1000;
+/** The time in which a host whose plan is outdated reads the store, or the caller finds another host, in milliseconds. */
+const outdatedRetryAfterMs = 300;
 
 /** Reads requests and routes them by the plan in force. */
 export class RequestReader {
@@ -101,12 +107,7 @@
 		const {headers, url, receivedAtMs} = exchange.incoming;
 		const route = plan.routeTable.getRoute(headers.host ?? '', url);
 		if (route === undefined) {
-			return Err(
-				notRunFailure(
-					'service-unknown',
-					`No route for "${headers.host ?? ''}${url}" in version ${plan.version}.`,
-				),
-			);
+			return Err(this.#makeUnknownRouteFailure(exchange, plan));
 		}
 
 		const account = this.#options.accountCheck.check(
@@ -152,6 +153,26 @@
 		});
 	}
 
+	/**
+	 * Makes the failure of a request without a route. Callers take an unknown route as
+	 * final, so a host whose plan may be outdated asks them to come back instead.
+	 */
+	#makeUnknownRouteFailure(
+		{incoming}: Exchange,
+		{version}: ActivePlan,
+	): Failure {
+		const {getSnapshotAgeMs, getMaxChangeDelayMs} = this.#options;
+		const detail = `No route for "${incoming.headers.host ?? ''}${incoming.url}" in version ${version}`;
+		const ageMs = getSnapshotAgeMs();
+		return ageMs > getMaxChangeDelayMs()
+			? notRunFailure(
+					'not-ready',
+					`${detail}, which was last confirmed ${Math.round(ageMs)} ms ago.`,
+					outdatedRetryAfterMs,
+				)
+			: notRunFailure('service-unknown', `${detail}.`);
+	}
+
 	#getTimeoutMs(exchange: Exchange, {timeoutMs}: Route): number {
 		return Math.min(this.#getCallerTimeoutMs(exchange) ?? timeoutMs, timeoutMs);
 	}
