--- a/packages/gateway/test/fleet/change-delay.test.ts
+++ b/packages/gateway/test/fleet/change-delay.test.ts
@@ -70,7 +70,7 @@
 	}
 
 	describe('is in force after half of the bound', () => {
-		for (const hostCount of [16, 312]) {
+		for (const hostCount of [16, 100, 312]) {
 			const boundMs = 2000;
 			doTest('while all hosts reach the store', {
 				hostCount,
