Split the waits and the log lines off the feed

Change: ChangeWaiters keeps the waits of peers, SnapshotLog names the events and their fields. No behaviour changes; lines and fields are the same.

--- a/packages/gateway/src/snapshot/snapshot-feed.ts
+++ b/packages/gateway/src/snapshot/snapshot-feed.ts
@@ -4,10 +4,12 @@
 import type {RoutingSnapshot} from '../plan/routing-snapshot.js';
 import type {EventLog} from '../records/event-log.js';
 import type {SnapshotMetrics} from '../records/snapshot-metrics.js';
-import {Confirmation, getViaAges} from './confirmation.js';
+import {ChangeWaiters} from './change-waiters.js';
+import {Confirmation} from './confirmation.js';
 import type {FreshnessBudget} from './freshness-budget.js';
 import {FreshnessGuard} from './freshness-guard.js';
 import {ItemReplica} from './item-replica.js';
+import {SnapshotLog, type UnsuccessfulRead} from './snapshot-log.js';
 import {
 	unconfirmedAgeMs,
 	type ItemDecoder,
@@ -58,13 +60,6 @@
 /** Targets whose entries expired while the store was down register again within this time after its recovery. */
 const reregistrationGraceMs = 2000;
 
-/** A peer that waits for a change. */
-type Waiter = {
-	readonly finish: () => void;
-	/** Whether the wait also ends when the snapshot is confirmed again. */
-	readonly endsOnConfirmation: boolean;
-};
-
 /** Reads published items from the first source that answers and builds snapshots of them. */
 export class SnapshotFeed {
 	readonly #options: SnapshotFeedOptions;
@@ -72,7 +67,8 @@
 	readonly #health: SourceHealth;
 	readonly #confirmation: Confirmation;
 	readonly #guard: FreshnessGuard;
-	readonly #waiters = new Set<Waiter>();
+	readonly #waiters: ChangeWaiters;
+	readonly #log: SnapshotLog;
 	/** How many reads in a row have failed, by source. */
 	readonly #failureCounts = new Map<string, number>();
 	#currentSource: SnapshotSource | undefined;
@@ -101,6 +97,8 @@
 		this.#options = options;
 		this.#health = new SourceHealth(options);
 		this.#confirmation = new Confirmation(options.clock);
+		this.#waiters = new ChangeWaiters(options.clock);
+		this.#log = new SnapshotLog(options.log, options.clock);
 		this.#guard = new FreshnessGuard({
 			clock: options.clock,
 			getDueMs: () => this.#getDirectReadDueMs(),
@@ -201,21 +199,7 @@
 			return 0;
 		}
 
-		const {clock} = this.#options;
-		const startedAtMs = clock.monotonicMs();
-
-		await new Promise<void>((resolve) => {
-			const finish = () => {
-				cancel();
-				this.#waiters.delete(waiter);
-				resolve();
-			};
-
-			const cancel = clock.schedule(waitMs, finish);
-			const waiter = {finish, endsOnConfirmation};
-			this.#waiters.add(waiter);
-		});
-		return clock.monotonicMs() - startedAtMs;
+		return this.#waiters.wait(waitMs, endsOnConfirmation);
 	}
 
 	/**
@@ -370,7 +354,7 @@
 			this.#options.metrics.recordConfirmation(formerAgeMs);
 		}
 
-		this.#notifyWaiters(({endsOnConfirmation}) => endsOnConfirmation);
+		this.#waiters.notifyConfirmation();
 	}
 
 	async #prepareItems({changes}: PublishedChanges): Promise<void> {
@@ -391,25 +375,16 @@
 		detail: string,
 		startedAtMs: number,
 	): void {
-		const {log, metrics} = this.#options;
 		this.#health.recordStale(source);
-		metrics.recordRead(getSourceKind(source), 'failed');
+		this.#options.metrics.recordRead(getSourceKind(source), 'failed');
+		const read = {source, detail, startedAtMs};
 		if (this.#currentSource?.name === source.name) {
-			this.#dropCurrentSource(source, detail, startedAtMs);
+			this.#dropCurrentSource(read);
 		} else {
-			log.write('knowledge source skipped', {
-				source: source.name,
-				detail,
-				waitedMs: this.#getWaitedMs(startedAtMs),
-			});
+			this.#log.writeSourceSkipped(read);
 		}
 	}
 
-	/** Gets how long a read has taken, in whole milliseconds. */
-	#getWaitedMs(startedAtMs: number): number {
-		return Math.round(this.#options.clock.monotonicMs() - startedAtMs);
-	}
-
 	#reportCaughtUp(): void {
 		if (this.#isCaughtUp && !this.#hasReportedCaughtUp) {
 			this.#hasReportedCaughtUp = true;
@@ -418,7 +393,7 @@
 	}
 
 	#apply(changes: PublishedChanges, source: SnapshotSource): void {
-		const {clock, log, onSnapshot} = this.#options;
+		const {clock, onSnapshot} = this.#options;
 		const nowMs = clock.monotonicMs();
 		this.#detectNewEra(changes, nowMs);
 		this.#retainUntilMs = Math.max(this.#retainUntilMs, nowMs + changes.holdMs);
@@ -427,44 +402,18 @@
 		const formerPosition = this.position;
 		const newChanges = this.#replica.apply(changes, retainUntilMs);
 		const expiredNames = this.#replica.removeExpired(nowMs);
+		const read = {source, result: changes, newChanges};
 		if (formerPosition.revision === 0) {
-			log.writeState('knowledge read for the first time', {
-				...this.position,
-				items: newChanges.length,
-				source: source.name,
-				ageMs: Math.round(changes.ageMs),
-				via: changes.via,
-				viaAgesMs: getViaAges(changes),
-			});
-		}
-
-		for (const {name, text, revision} of formerPosition.revision === 0
-			? []
-			: newChanges) {
-			log.write('knowledge changed', {
-				item: name,
-				revision,
-				source: source.name,
-				ageMs: Math.round(changes.ageMs),
-				via: changes.via,
-				viaAgesMs: getViaAges(changes),
-				formerAgeMs: getFiniteAge(this.ageMs),
-				outcome: text === undefined ? 'removed' : 'set',
-				isHeld: text === undefined && retainUntilMs !== undefined,
-			});
-		}
-
-		for (const name of expiredNames) {
-			log.write('knowledge changed', {
-				item: name,
-				outcome: 'not back, removed',
-			});
+			this.#log.writeFirstRead(read, this.position);
+		} else {
+			this.#log.writeChanges(read, this.ageMs, retainUntilMs !== undefined);
 		}
 
+		this.#log.writeExpiries(expiredNames);
 		const isNewEra = this.position.era !== formerPosition.era;
 		if (newChanges.length > 0 || expiredNames.length > 0 || isNewEra) {
 			onSnapshot(this.#replica.getSnapshot());
-			this.#notifyWaiters();
+			this.#waiters.notifyChange();
 		}
 
 		this.#scheduleExpiry();
@@ -492,14 +441,6 @@
 		}
 	}
 
-	#notifyWaiters(isConcerned: (waiter: Waiter) => boolean = () => true): void {
-		for (const waiter of this.#waiters) {
-			if (isConcerned(waiter)) {
-				waiter.finish();
-			}
-		}
-	}
-
 	#scheduleExpiry(): void {
 		if (!this.#replica.hasRetainedItems) {
 			return;
@@ -542,38 +483,25 @@
 
 		const failureCount = (this.#failureCounts.get(source.name) ?? 0) + 1;
 		this.#failureCounts.set(source.name, failureCount);
-		log.write('snapshot read failed', {
-			source: source.name,
-			detail,
-			...progress,
-			waitedMs: this.#getWaitedMs(startedAtMs),
-			failureCount,
-		});
+		const read = {source, detail, startedAtMs};
+		this.#log.writeFailure(read, progress, failureCount);
 		this.#mayHaveMissedExpiries ||= source.isStore;
 		if (this.#health.recordFailure(source)) {
-			this.#notifyWaiters();
+			this.#waiters.notifyChange();
 			log.writeState('dependency lost', {dependency: source.name, detail});
 		}
 
-		this.#dropCurrentSource(source, detail, startedAtMs);
+		this.#dropCurrentSource(read);
 	}
 
-	#dropCurrentSource(
-		{name, isStore}: SnapshotSource,
-		detail: string,
-		startedAtMs: number,
-	): void {
-		if (this.#currentSource?.name !== name) {
+	#dropCurrentSource(read: UnsuccessfulRead): void {
+		if (this.#currentSource?.name !== read.source.name) {
 			return;
 		}
 
 		this.#currentSource = undefined;
-		if (!isStore) {
-			this.#options.log.write('knowledge source lost', {
-				source: name,
-				detail,
-				waitedMs: this.#getWaitedMs(startedAtMs),
-			});
+		if (!read.source.isStore) {
+			this.#log.writeSourceLost(read);
 		}
 	}
 
@@ -603,9 +531,7 @@
 		this.#backoffMs = minBackoffMs;
 		if (this.#currentSource?.name !== source.name) {
 			this.#currentSource = source;
-			this.#options.log.writeState('knowledge source chosen', {
-				source: source.name,
-			});
+			this.#log.writeSourceChosen(source);
 		}
 	}
 
@@ -623,11 +549,6 @@
 	}
 }
 
-/** Gets an age in whole milliseconds; undefined if nothing was confirmed yet. */
-function getFiniteAge(ageMs: number): number | undefined {
-	return Number.isFinite(ageMs) ? Math.round(ageMs) : undefined;
-}
-
 function getSourceKind({isStore}: SnapshotSource): string {
 	return isStore ? 'store' : 'peer';
 }
