Send whole milliseconds between hosts

Change: ages and hold times are rounded up, the time for which a request was held is rounded down, so that nothing seems fresher than it is.

--- a/packages/gateway/src/snapshot/change-waiters.ts
+++ b/packages/gateway/src/snapshot/change-waiters.ts
@@ -25,7 +25,7 @@
 	 *
 	 * @param waitMs - The maximum wait, in milliseconds.
 	 * @param endsOnConfirmation - Whether the wait also ends when the snapshot is confirmed again.
-	 * @returns How long it has waited, in milliseconds.
+	 * @returns How long it has waited, in whole milliseconds.
 	 */
 	async wait(waitMs: number, endsOnConfirmation: boolean): Promise<number> {
 		const startedAtMs = this.#clock.monotonicMs();
@@ -40,7 +40,7 @@
 			const waiter = {finish, endsOnConfirmation};
 			this.#waiters.add(waiter);
 		});
-		return this.#clock.monotonicMs() - startedAtMs;
+		return Math.floor(this.#clock.monotonicMs() - startedAtMs);
 	}
 
 	/** Ends all waits, because the snapshot has changed or the store was lost. */
--- a/packages/gateway/src/snapshot/snapshot-feed.ts
+++ b/packages/gateway/src/snapshot/snapshot-feed.ts
@@ -153,7 +153,7 @@
 	}
 
 	/**
-	 * Gets the changes that a peer has not seen.
+	 * Gets the changes that a peer has not seen. Times are whole milliseconds, which take fewer bytes.
 	 *
 	 * @param position - The state that the peer has; undefined if it has none.
 	 * @returns The changes after that state.
@@ -164,13 +164,12 @@
 			heldMs: 0,
 			ageMs: this.#isCutOff
 				? unconfirmedAgeMs
-				: Math.min(this.ageMs, unconfirmedAgeMs),
+				: Math.ceil(Math.min(this.ageMs, unconfirmedAgeMs)),
 			via: [this.#options.address, ...this.#confirmation.via],
 			viaAgesMs: this.#confirmation.viaAgesMs,
 			confirmationCount: this.#confirmation.count,
-			holdMs: Math.max(
-				0,
-				this.#retainUntilMs - this.#options.clock.monotonicMs(),
+			holdMs: Math.ceil(
+				Math.max(0, this.#retainUntilMs - this.#options.clock.monotonicMs()),
 			),
 		};
 	}
