--- a/packages/gateway/test/fleet/read-price.test.ts
+++ b/packages/gateway/test/fleet/read-price.test.ts
@@ -47,7 +47,7 @@
 	});
 
 	describe('while the first three of each data centre have lost it', () => {
-		/** As measured before direct reads. */
+		/** What fleets of these sizes asked before hosts read the store directly. */
 		const limits = [13.7, 91.8, 296.8];
 		for (const [index, hostCount] of hostCounts.entries()) {
 			doTest(hostCount, limits[index]!, (fleet) => {
@@ -59,7 +59,7 @@
 	});
 
 	describe('while it is down', () => {
-		/** As measured before direct reads. */
+		/** What fleets of these sizes asked before hosts read the store directly. */
 		const limits = [11.9, 33, 100.9];
 		for (const [index, hostCount] of hostCounts.entries()) {
 			doTest(hostCount, limits[index]!, (fleet) => {
